Set up the repository with design, messages and shared packages

Cause: the project starts empty; its parts need common seams before they can be built side by side. Conclusion: parts can be built against these packages.

--- /dev/null
+++ b/pkg/eventlog/logger.go
@@ -0,0 +1,46 @@
+// Package eventlog writes numbered log events.
+//
+// The table in this package is the source of docs/log-events.md.
+package eventlog
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/charmbracelet/log"
+)
+
+// Logger writes events of one process. It is safe for concurrent use.
+type Logger struct {
+	out *log.Logger
+}
+
+// Format of the log output.
+type Format string
+
+const (
+	// FormatText writes key=value lines.
+	FormatText Format = "text"
+	// FormatJSON writes one JSON object a line.
+	FormatJSON Format = "json"
+)
+
+// NewLogger returns a logger that writes to w and names the process in every line.
+func NewLogger(w io.Writer, format Format, level log.Level, process string) *Logger {
+	options := log.Options{ReportTimestamp: true, TimeFormat: "2006-01-02T15:04:05.000Z07:00", Level: level}
+	if format == FormatJSON {
+		options.Formatter = log.JSONFormatter
+	}
+	return &Logger{out: log.NewWithOptions(w, options).With("process", process)}
+}
+
+// Discard returns a logger that writes nothing.
+func Discard() *Logger {
+	return &Logger{out: log.New(io.Discard)}
+}
+
+// Log writes an event with key-value pairs.
+func (l *Logger) Log(e Event, keyvals ...any) {
+	fields := append([]any{"event", fmt.Sprintf("F%04d", e.ID)}, keyvals...)
+	l.out.Log(e.Level, e.Message, fields...)
+}
--- /dev/null
+++ b/pkg/failure/code.go
@@ -0,0 +1,99 @@
+package failure
+
+import "net/http"
+
+// Code names one kind of failure. Codes are part of the callers' interface and never change meaning.
+type Code string
+
+// Codes of requests that break the callers' interface.
+const (
+	BadRequest      Code = "bad_request"
+	NotFound        Code = "not_found"
+	MethodInvalid   Code = "method_not_allowed"
+	BodyTooLarge    Code = "body_too_large"
+	HeaderTooLarge  Code = "header_too_large"
+	RequestTimeout  Code = "request_timeout"
+	KeyMismatch     Code = "key_mismatch"
+	KeyInProgress   Code = "key_in_progress"
+	ClientCancelled Code = "client_cancelled"
+)
+
+// Codes of requests that could not be served.
+const (
+	NoBackend        Code = "no_backend"
+	Overloaded       Code = "overloaded"
+	CapExceeded      Code = "cap_exceeded"
+	TargetMissed     Code = "target_missed"
+	Leaving          Code = "leaving"
+	NotLoaded        Code = "not_loaded"
+	WrongIncarnation Code = "wrong_incarnation"
+	ConnectFailed    Code = "connect_failed"
+	ConnectionLost   Code = "connection_lost"
+	Truncated        Code = "truncated"
+	FrameMismatch    Code = "frame_mismatch"
+	ChecksumInvalid  Code = "checksum_mismatch"
+	EngineFailed     Code = "engine_failed"
+	ServiceFailed    Code = "service_failed"
+	DeadlineExpired  Code = "deadline_exceeded"
+	LogUnavailable   Code = "log_unavailable"
+	NotReady         Code = "not_ready"
+	RetryBudget      Code = "retry_budget_exhausted"
+)
+
+// Codes of configuration, orders and internal work.
+const (
+	SettingsInvalid  Code = "settings_invalid"
+	ObjectInvalid    Code = "object_invalid"
+	PublishConflict  Code = "publish_conflict"
+	PublishInvalid   Code = "publish_invalid"
+	PublishUnknown   Code = "publish_unknown"
+	RecordInvalid    Code = "record_invalid"
+	OffsetExpired    Code = "offset_expired"
+	OrderFenced      Code = "order_fenced"
+	OrderFailed      Code = "order_failed"
+	MemoryExhausted  Code = "memory_exhausted"
+	PeerUnavailable  Code = "peer_unavailable"
+	HostsUnavailable Code = "host_list_unavailable"
+	Internal         Code = "internal"
+)
+
+var statusByCode = map[Code]int{
+	BadRequest:       http.StatusBadRequest,
+	NotFound:         http.StatusNotFound,
+	MethodInvalid:    http.StatusMethodNotAllowed,
+	BodyTooLarge:     http.StatusRequestEntityTooLarge,
+	HeaderTooLarge:   http.StatusRequestHeaderFieldsTooLarge,
+	RequestTimeout:   http.StatusRequestTimeout,
+	KeyMismatch:      http.StatusUnprocessableEntity,
+	KeyInProgress:    http.StatusConflict,
+	ClientCancelled:  statusClientClosedRequest,
+	NoBackend:        http.StatusServiceUnavailable,
+	Overloaded:       http.StatusServiceUnavailable,
+	CapExceeded:      http.StatusTooManyRequests,
+	TargetMissed:     http.StatusServiceUnavailable,
+	Leaving:          http.StatusServiceUnavailable,
+	NotLoaded:        http.StatusServiceUnavailable,
+	WrongIncarnation: http.StatusServiceUnavailable,
+	ConnectFailed:    http.StatusBadGateway,
+	ConnectionLost:   http.StatusBadGateway,
+	Truncated:        http.StatusBadGateway,
+	FrameMismatch:    http.StatusBadGateway,
+	ChecksumInvalid:  http.StatusBadGateway,
+	EngineFailed:     http.StatusBadGateway,
+	ServiceFailed:    http.StatusBadGateway,
+	DeadlineExpired:  http.StatusGatewayTimeout,
+	LogUnavailable:   http.StatusServiceUnavailable,
+	NotReady:         http.StatusServiceUnavailable,
+	RetryBudget:      http.StatusServiceUnavailable,
+}
+
+// statusClientClosedRequest marks a request that the caller gave up; it appears in metrics only.
+const statusClientClosedRequest = 499
+
+// Status returns the HTTP status of the code towards callers; 500 for codes that callers never see.
+func (c Code) Status() int {
+	if status, ok := statusByCode[c]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
--- /dev/null
+++ b/pkg/object/placement.go
@@ -0,0 +1,9 @@
+package object
+
+// Placement restricts where copies of a model may be loaded.
+type Placement struct {
+	Name  string
+	Model string
+	// Regions lists the regions that may hold copies.
+	Regions []string
+}
