Add the writer and the follower of log streams

Cause: the daemons need one way to append records exactly once in effect and to follow a stream from the log, from relays or from peers.

Ruled out: a set of applied (writer, writer_seq) pairs grows without bound; the highest number per writer suffices because a writer sends one intent at a time. Keeping full checkpoint states in the tail costs memory for nothing.

--- /dev/null
+++ b/pkg/stream/config.go
@@ -0,0 +1,80 @@
+package stream
+
+import (
+	"time"
+
+	"trefoilferry.example/ferry/pkg/eventlog"
+	"trefoilferry.example/ferry/pkg/platform"
+)
+
+const (
+	// DefaultPollInterval is the pause between two rounds.
+	DefaultPollInterval = 250 * time.Millisecond
+	// DefaultKeepRecords is the length of the tail kept for peers.
+	DefaultKeepRecords = 1024
+	// DefaultStaleAfter is the time without fresh data from a relay after which the log is read directly.
+	DefaultStaleAfter = time.Second
+	// DefaultPeerTimeout bounds one call to a peer.
+	DefaultPeerTimeout = time.Second
+)
+
+// FollowerConfig holds the parts of a follower. Stream, Fold and Log are required.
+type FollowerConfig struct {
+	Stream string
+	Fold   Fold
+	Log    platform.Log
+	// Peers reads from other processes; nil reads the log only.
+	Peers PeerReader
+	// Hosts returns the last known host list; nil means none.
+	Hosts func() []platform.Host
+	// Self is the name of the own host, which is never asked.
+	Self string
+	// FailureDomain is the own failure domain.
+	FailureDomain string
+	// UseRelays reads from the relays of the own failure domain instead of the log.
+	UseRelays bool
+	// PollInterval is the pause between two rounds; relays are stale after StaleAfter plus this.
+	PollInterval time.Duration
+	StaleAfter   time.Duration
+	PeerTimeout  time.Duration
+	// KeepRecords is the length of the tail kept for peers.
+	KeepRecords int
+	// Now tells the time; nil means the system clock.
+	Now func() time.Time
+	// ConfigOffset and Lamport are sent with every call to a peer; nil sends 0.
+	ConfigOffset func() uint64
+	Lamport      func() uint64
+	// Logger receives the events of the follower; nil discards them.
+	Logger *eventlog.Logger
+}
+
+func (c FollowerConfig) withDefaults() FollowerConfig {
+	setDefault(&c.PollInterval, DefaultPollInterval)
+	setDefault(&c.StaleAfter, DefaultStaleAfter)
+	setDefault(&c.PeerTimeout, DefaultPeerTimeout)
+	setDefault(&c.KeepRecords, DefaultKeepRecords)
+	zero := func() uint64 { return 0 }
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Hosts == nil {
+		c.Hosts = func() []platform.Host { return nil }
+	}
+	if c.ConfigOffset == nil {
+		c.ConfigOffset = zero
+	}
+	if c.Lamport == nil {
+		c.Lamport = zero
+	}
+	if c.Logger == nil {
+		c.Logger = eventlog.Discard()
+	}
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/pkg/stream/follower.go
@@ -0,0 +1,190 @@
+package stream
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/eventlog"
+	"trefoilferry.example/ferry/pkg/failure"
+)
+
+// CheckpointInfo describes a checkpoint record seen in the stream.
+type CheckpointInfo struct {
+	// Offset of the record; 0 when none was seen.
+	Offset uint64
+	// Covers is the last offset that the checkpoint includes.
+	Covers uint64
+	// At is the writer's time.
+	At time.Time
+}
+
+// Follower reads a stream and feeds one fold. One goroutine calls Poll; the other methods are safe for
+// concurrent use. The fold may be read by the goroutine that calls Poll.
+type Follower struct {
+	cfg FollowerConfig
+
+	mu   sync.Mutex
+	seqs *writerSeqs
+	tail tail
+	// newest is the newest checkpoint record of the stream.
+	newest CheckpointInfo
+	// served is the last checkpoint made for peers.
+	served  *ferrypb.Checkpoint
+	refused map[string]uint64
+	// freshAt is the time up to which the state is known to equal the log; zero if never.
+	freshAt  time.Time
+	caughtUp bool
+	logEnd   bool
+	oldest   uint64
+
+	// Fields of the polling goroutine.
+	logDown  bool
+	relayAt  time.Time
+	nextPeer int
+}
+
+// NewFollower returns a follower that starts after the fold's offset.
+func NewFollower(cfg FollowerConfig) *Follower {
+	cfg = cfg.withDefaults()
+	return &Follower{
+		cfg:     cfg,
+		seqs:    newWriterSeqs(),
+		tail:    tail{limit: cfg.KeepRecords},
+		refused: map[string]uint64{},
+		relayAt: cfg.Now(),
+	}
+}
+
+// Poll does one read round and reports whether the fold's offset rose. It fails with LogUnavailable when neither
+// the log nor a peer answered, and with OffsetExpired when no usable checkpoint exists anywhere.
+func (f *Follower) Poll(ctx context.Context) (bool, error) {
+	before := f.Offset()
+	err := f.round(ctx)
+	return f.Offset() > before, err
+}
+
+func (f *Follower) round(ctx context.Context) error {
+	if f.cfg.UseRelays && f.cfg.Peers != nil && f.CaughtUp() {
+		if done := f.pollRelays(ctx); done {
+			return nil
+		}
+	}
+	err := f.pollLog(ctx)
+	f.noteLog(err)
+	if err == nil || f.cfg.Peers == nil {
+		return err
+	}
+	if f.CaughtUp() {
+		return f.pollSomePeers(ctx, err)
+	}
+	return f.pollAllPeers(ctx, err)
+}
+
+func (f *Follower) noteLog(err error) {
+	down := err != nil
+	if down == f.logDown {
+		return
+	}
+	f.logDown = down
+	if down {
+		f.cfg.Logger.Log(eventlog.LogUnavailable, "stream", f.cfg.Stream, "error", err)
+		return
+	}
+	f.cfg.Logger.Log(eventlog.LogRecovered, "stream", f.cfg.Stream)
+}
+
+// Offset returns the last applied offset.
+func (f *Follower) Offset() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cfg.Fold.Offset()
+}
+
+// CaughtUp reports whether the follower has once reached the end of the log or, with the log out, of every
+// peer that answered.
+func (f *Follower) CaughtUp() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.caughtUp
+}
+
+// ReachedLogEnd reports whether the follower has once reached the end of the log itself or of a fresh relay.
+func (f *Follower) ReachedLogEnd() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.logEnd
+}
+
+// Age returns the time since the state was known to equal the log; -1 if it never was.
+func (f *Follower) Age(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.age(now)
+}
+
+func (f *Follower) age(now time.Time) time.Duration {
+	if f.freshAt.IsZero() {
+		return -1
+	}
+	return max(0, now.Sub(f.freshAt))
+}
+
+// Refused returns the number of records that changed nothing, by reason.
+func (f *Follower) Refused() map[string]uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[string]uint64, len(f.refused))
+	for reason, n := range f.refused {
+		out[reason] = n
+	}
+	return out
+}
+
+// NewestCheckpoint returns the newest checkpoint record seen.
+func (f *Follower) NewestCheckpoint() CheckpointInfo {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.newest
+}
+
+// Oldest returns the oldest retained offset seen at the log; 0 if unknown.
+func (f *Follower) Oldest() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.oldest
+}
+
+// Checkpoint returns the state of the fold with the writers' sequence numbers.
+func (f *Follower) Checkpoint() *ferrypb.Checkpoint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.checkpoint()
+}
+
+func (f *Follower) checkpoint() *ferrypb.Checkpoint {
+	c := f.cfg.Fold.Checkpoint()
+	c.WriterSeqs = f.seqs.save()
+	return c
+}
+
+// fresh notes that the state equalled the log at a time.
+func (f *Follower) fresh(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.caughtUp = true
+	f.logEnd = true
+	if at.After(f.freshAt) {
+		f.freshAt = at
+	}
+}
+
+// unavailable returns the failure of a round in which no source answered.
+func unavailable(cause error) error {
+	code := failure.LogUnavailable
+	if failure.HasCode(cause, failure.OffsetExpired) {
+		code = failure.OffsetExpired
+	}
+	return failure.Wrap(code, failure.NotRun, "no source of the stream answered", cause)
+}
--- /dev/null
+++ b/pkg/stream/peers.go
@@ -0,0 +1,30 @@
+package stream
+
+import (
+	"context"
+	"net/http"
+
+	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/failure"
+)
+
+// PeerReader reads a stream from the memory of another process of the system.
+type PeerReader interface {
+	// ReadStream calls Peer.ReadStream at an IP address and port. Errors are failures with code PeerUnavailable.
+	ReadStream(ctx context.Context, address string, req *ferrypb.ReadStreamRequest) (*ferrypb.ReadStreamResponse, error)
+}
+
+// TwirpPeers is the PeerReader over twirp.
+type TwirpPeers struct {
+	// Client sends the calls; its timeout bounds them.
+	Client *http.Client
+}
+
+// ReadStream implements PeerReader.
+func (t TwirpPeers) ReadStream(ctx context.Context, address string, req *ferrypb.ReadStreamRequest) (*ferrypb.ReadStreamResponse, error) {
+	res, err := ferrypb.NewPeerProtobufClient("http://"+address, t.Client).ReadStream(ctx, req)
+	if err != nil {
+		return nil, failure.Wrap(failure.PeerUnavailable, failure.NotRun, "peer "+address+" did not answer", err)
+	}
+	return res, nil
+}
--- /dev/null
+++ b/pkg/stream/source_log.go
@@ -0,0 +1,88 @@
+package stream
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/proto"
+
+	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/platform"
+)
+
+const (
+	// readPage is the number of records per read of the log.
+	readPage = 500
+	// maxPages bounds one round, so that a starting process can serve between rounds.
+	maxPages = 64
+)
+
+// pollLog reads the log up to its end or for maxPages pages.
+func (f *Follower) pollLog(ctx context.Context) error {
+	for range maxPages {
+		started := f.cfg.Now()
+		from := f.Offset() + 1
+		batch, err := f.cfg.Log.Read(ctx, f.cfg.Stream, from, readPage)
+		f.noteOldest(batch.Oldest)
+		if failure.HasCode(err, failure.OffsetExpired) {
+			if err := f.skipGap(ctx, batch); err != nil {
+				return err
+			}
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		f.applyRaw(batch.Records)
+		if f.Offset()+1 >= batch.Next {
+			f.fresh(started)
+			return nil
+		}
+	}
+	return nil
+}
+
+func (f *Follower) noteOldest(oldest uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.oldest = max(f.oldest, oldest)
+}
+
+// skipGap restores the newest checkpoint of the retained records. A checkpoint is usable only if every
+// record after the offset that it covers is retained.
+func (f *Follower) skipGap(ctx context.Context, gap platform.Batch) error {
+	var best *ferrypb.Checkpoint
+	from := gap.Oldest
+	for from < gap.Next {
+		batch, err := f.cfg.Log.Read(ctx, f.cfg.Stream, from, readPage)
+		if err != nil {
+			return err
+		}
+		if len(batch.Records) == 0 {
+			break
+		}
+		best = newerCheckpoint(best, batch.Records, gap.Oldest)
+		from += uint64(len(batch.Records))
+	}
+	if !f.restore(best) {
+		return failure.New(failure.OffsetExpired, failure.NotRun, "no usable checkpoint is retained")
+	}
+	return nil
+}
+
+func newerCheckpoint(best *ferrypb.Checkpoint, records []platform.Record, oldest uint64) *ferrypb.Checkpoint {
+	for _, r := range records {
+		var e ferrypb.Envelope
+		if proto.Unmarshal(r.Data, &e) != nil || e.Format != Format {
+			continue
+		}
+		c := e.GetCheckpoint()
+		if c == nil || c.Covers+1 < oldest || c.Covers >= r.Offset {
+			continue
+		}
+		if best == nil || c.Covers > best.Covers {
+			best = c
+		}
+	}
+	return best
+}
