Add the placement planner

Cause: every agent must decide alone what its runner claims, releases and loads next, without a coordinator and without colliding.

Change: placement.Plan assigns each missing copy on a shared view of the fleet: lost models first, fresh failure domains first, room made by the cheapest releases, surplus copies by value against cost with hysteresis.

--- /dev/null
+++ b/pkg/placement/plan.go
@@ -0,0 +1,80 @@
+package placement
+
+// Plan decides what the agent of one runner shall claim, release, abandon and load next. It is a pure function:
+// equal inputs give equal outputs, and agents with the same snapshot, configuration and host list
+// assign each missing copy to the same runner.
+//
+// It never asks for the release of the last ready copy of a published model; the fold enforces the same
+// by Keep when agents act on different snapshots.
+func Plan(in PlanInput) PlanOutput {
+	out := PlanOutput{}
+	if _, ok := in.Snapshot.Runner(in.Self); !ok {
+		return out
+	}
+	f := newFleet(in)
+	f.planUnwanted(&out)
+	f.planFloor(&out)
+	f.planSurplus(&out)
+	out.Load = f.nextLoad(out.Abandons)
+	return out
+}
+
+// planUnwanted releases and abandons own copies that the configuration no longer asks for.
+func (f *fleet) planUnwanted(out *PlanOutput) {
+	for _, c := range f.in.Snapshot.ByRunner(f.in.Self) {
+		if c.State == Claimed && f.unwanted(c) {
+			out.Abandons = append(out.Abandons, c.Claim)
+			continue
+		}
+		keep, ok := f.releasable(c)
+		if ok {
+			f.drop(c)
+			out.Releases = append(out.Releases, ReleaseWish{Claim: c.Claim, Keep: keep})
+		}
+	}
+}
+
+func (f *fleet) unwanted(c Copy) bool {
+	m, published := f.in.Config.Model(c.Model)
+	return !published || m.Version != c.Version || f.departing[c.Runner]
+}
+
+// releasable reports whether an unwanted ready copy can go: at once if the model is not published, else when
+// enough copies of the current version are ready on runners that stay.
+func (f *fleet) releasable(c Copy) (uint32, bool) {
+	if c.State != Ready || !f.unwanted(c) {
+		return 0, false
+	}
+	m, published := f.in.Config.Model(c.Model)
+	if !published {
+		return 0, true
+	}
+	return uint32(wanted(m)), f.readyNow[keyOf(m)] >= wanted(m)
+}
+
+// nextLoad returns the own claim whose load may start: the runner's first open claim, if it is among the first
+// StoreConcurrency runners in claim order. Runners that depart or are not live do not hold a turn.
+func (f *fleet) nextLoad(abandoned []uint64) uint64 {
+	skip := map[uint64]bool{}
+	for _, claim := range abandoned {
+		skip[claim] = true
+	}
+	live := map[string]bool{}
+	for _, r := range f.targets {
+		live[r.Name] = true
+	}
+	turns := map[string]bool{}
+	for _, c := range f.in.Snapshot.OpenLoads() {
+		if !live[c.Runner] || turns[c.Runner] || skip[c.Claim] {
+			continue
+		}
+		if len(turns) >= max(1, f.in.StoreConcurrency) {
+			return 0
+		}
+		if c.Runner == f.in.Self {
+			return c.Claim
+		}
+		turns[c.Runner] = true
+	}
+	return 0
+}
--- /dev/null
+++ b/pkg/placement/surplus.go
@@ -0,0 +1,109 @@
+package placement
+
+import (
+	"time"
+
+	"trefoilferry.example/ferry/pkg/object"
+)
+
+const (
+	// horizon is the time over which the value of a surplus copy is counted; shifts of demand that matter
+	// last minutes.
+	horizon = 5 * time.Minute
+	// demandAge is the time for which a hint counts.
+	demandAge = 10 * time.Second
+	// moveCost is the cost of one load or eviction in requests, so that a trickle moves nothing.
+	moveCost = 20.0
+	// hysteresis is the factor by which value must exceed cost, so that copies do not move back and forth.
+	hysteresis = 1.5
+	// minResidency is the time that a surplus copy stays before another demand may replace it.
+	minResidency = 2 * time.Minute
+)
+
+// planSurplus adds at most one surplus copy on the own runner, for the demand with the largest net value.
+func (f *fleet) planSurplus(out *PlanOutput) {
+	self, ok := f.self()
+	if !ok || len(out.Claims) > 0 || len(out.Releases) > 0 || f.open[self.Name] > 0 {
+		return
+	}
+	var best *object.Model
+	var victims []victim
+	bestNet := 0.0
+	for _, d := range f.in.Demands {
+		m, net, chosen, ok := f.worth(self, d)
+		if ok && net > bestNet {
+			best, victims, bestNet = m, chosen, net
+		}
+	}
+	if best == nil {
+		return
+	}
+	for _, v := range victims {
+		out.Releases = append(out.Releases, ReleaseWish{Claim: v.copy.Claim, Keep: v.keep})
+	}
+	if len(victims) == 0 {
+		out.Claims = append(out.Claims, ClaimWish{Model: best.Name, Version: best.Version, Bytes: best.Bytes,
+			Wanted: uint32(wanted(best))})
+	}
+}
+
+func (f *fleet) self() (Runner, bool) {
+	for _, r := range f.targets {
+		if r.Name == f.in.Self {
+			return r, true
+		}
+	}
+	return Runner{}, false
+}
+
+// worth returns the net value in requests of a surplus copy for a demand and the copies to release for it.
+func (f *fleet) worth(self Runner, d Demand) (*object.Model, float64, []victim, bool) {
+	m, published := f.in.Config.Model(d.Model)
+	if !published || f.in.Now.Sub(d.At) > demandAge || !f.allowed(self, m) || f.loading(m) {
+		return nil, 0, nil, false
+	}
+	victims, lostRate, ok := f.surplusVictims(self, m)
+	if !ok {
+		return nil, 0, nil, false
+	}
+	value := d.UnmetPerSecond * max(0, (horizon-f.loadTime(m)).Seconds())
+	cost := moveCost*float64(1+len(victims)) + lostRate*horizon.Seconds()
+	net := value - hysteresis*cost
+	return m, net, victims, net > 0
+}
+
+// loading reports whether a copy of the model is on its way already; the next hint then shows what is still unmet.
+func (f *fleet) loading(m *object.Model) bool {
+	for _, c := range f.in.Snapshot.Copies(m.Name) {
+		if c.State == Claimed {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *fleet) loadTime(m *object.Model) time.Duration {
+	if f.in.LoadBytesPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(m.Bytes) / f.in.LoadBytesPerSecond * float64(time.Second))
+}
+
+// surplusVictims returns the least used surplus copies whose memory the model needs, and their rate.
+func (f *fleet) surplusVictims(self Runner, m *object.Model) ([]victim, float64, bool) {
+	room := min(f.in.FreeBytes, f.free(self))
+	var chosen []victim
+	rate := 0.0
+	for _, v := range f.victims(self, short) {
+		if room >= m.Bytes {
+			break
+		}
+		if f.in.Now.Sub(f.usage(v.copy).ReadySince) < minResidency {
+			continue
+		}
+		room += v.copy.Bytes
+		rate += f.usage(v.copy).RatePerSecond
+		chosen = append(chosen, v)
+	}
+	return chosen, rate, room >= m.Bytes
+}
