Add idempotency keys claimed in the log

Cause: the request of an idempotency key must run at most once over all agents of a service, with no shared state but the log.

Ruled out: permission as soon as the append is answered, without reading the record back; another claim can precede it in the log. Storing losing claims in the fold; a loser claims again when the winner abandons.

Change: idempotency.Fold replays claims, results and abandons with expiry by record timestamps; Claims is the pure protocol of one agent; Keeper runs it for traffic goroutines. stream.Writer gets a settable retry delay for tests.

--- /dev/null
+++ b/pkg/idempotency/keeper_test.go
@@ -0,0 +1,117 @@
+package idempotency
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/clock"
+	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/platform/memlog"
+	"trefoilferry.example/ferry/pkg/stream"
+)
+
+func startKeeper(t *testing.T, log *memlog.Log, name string) *Keeper {
+	t.Helper()
+	fold := NewFold(DefaultKeyRetention)
+	writer := stream.NewWriter(log, testStream, name, time.Now, func() uint64 { return 0 })
+	writer.SetRetryDelay(time.Millisecond)
+	k := NewKeeper(KeeperConfig{Claims: ClaimsConfig{Runner: name, Incarnation: name, Interval: Interval(2), WaitDone: time.Second},
+		Fold: fold, Follower: stream.NewFollower(stream.FollowerConfig{Stream: testStream, Fold: fold, Log: log}),
+		Writer: writer, Clock: clock.System{}, PollInterval: 20 * time.Millisecond})
+	k.Start()
+	t.Cleanup(k.Close)
+	waitFor(t, func() bool {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return k.claims.ready
+	})
+	return k
+}
+
+func waitFor(t *testing.T, done func() bool) {
+	t.Helper()
+	for range 2000 {
+		if done() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("the condition was not met within 10 s")
+}
+
+// Guards against two executions of a key by concurrent callers at two agents that lose answers, against a
+// loser that does not get the stored result, and against goroutines left behind.
+func TestKeepersShareOneResult(t *testing.T) {
+	// Registered first, so that it runs after the keepers are closed.
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	log := memlog.New()
+	keepers := []*Keeper{startKeeper(t, log, "a"), startKeeper(t, log, "b")}
+	log.LoseAnswers(3)
+	var mu sync.Mutex
+	executed, replayed := map[string]int{}, map[string]int{}
+	var wait sync.WaitGroup
+	for i := range 60 {
+		key := fmt.Sprint(i % 10)
+		wait.Go(func() {
+			g, err := keepers[i%2].Acquire(context.Background(), key, 7)
+			if err != nil {
+				t.Errorf("key %s: %v", key, err)
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if d := g.Replay(); d != nil {
+				replayed[key] += int(d.Status / 200)
+				return
+			}
+			if g.MayExecute() {
+				executed[key]++
+				g.Done(&ferrypb.KeyDone{Outcome: "ran", Status: 200})
+			}
+		})
+	}
+	wait.Wait()
+	for i := range 10 {
+		if key := fmt.Sprint(i); executed[key] != 1 || replayed[key] != 5 {
+			t.Errorf("key %s: %d executions, %d replays", key, executed[key], replayed[key])
+		}
+	}
+	waitFor(t, func() bool { return keepers[0].Drained() && keepers[1].Drained() })
+}
+
+// Guards against a key that stays blocked by a claim that was refused during an outage, and against the wrong
+// outcome of the refusal.
+func TestKeyIsFreeAfterAnOutage(t *testing.T) {
+	log := memlog.New()
+	a := startKeeper(t, log, "a")
+	log.SetDown(true)
+	_, err := a.Acquire(context.Background(), "k", 7)
+	if !failure.HasCode(err, failure.LogUnavailable) || failure.From(err).Outcome != failure.NotRun {
+		t.Fatalf("got %v", err)
+	}
+	log.SetDown(false)
+	b := startKeeper(t, log, "b")
+	g, err := b.Acquire(context.Background(), "k", 7)
+	if err != nil || !g.MayExecute() {
+		t.Fatalf("got %v", err)
+	}
+	g.Abandon()
+	g, err = a.Acquire(context.Background(), "k", 8)
+	if err != nil || !g.MayExecute() {
+		t.Fatalf("got %v", err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	if _, err := b.Acquire(ctx, "k", 8); failure.From(err).Outcome != failure.Unknown {
+		t.Fatalf("a key in progress at another agent: %v", err)
+	}
+	if _, err := b.Acquire(context.Background(), "k", 9); !failure.HasCode(err, failure.KeyMismatch) {
+		t.Fatalf("another request with the key: %v", err)
+	}
+}
--- a/pkg/stream/writer.go
+++ b/pkg/stream/writer.go
@@ -31,6 +31,8 @@
 	id      string
 	now     func() time.Time
 	lamport func() uint64
+	// delay is the pause before the second try.
+	delay time.Duration
 
 	mu sync.Mutex
 	// seq is the sequence number of the last intent.
@@ -50,9 +52,12 @@
 
 // NewWriter returns a writer. The writer id must be unique per process incarnation and stream.
 func NewWriter(log platform.Log, stream, writerID string, now func() time.Time, lamport func() uint64) *Writer {
-	return &Writer{log: log, stream: stream, id: writerID, now: now, lamport: lamport}
+	return &Writer{log: log, stream: stream, id: writerID, now: now, lamport: lamport, delay: appendDelay}
 }
 
+// SetRetryDelay changes the pause before the second try; it is called before the first append.
+func (w *Writer) SetRetryDelay(d time.Duration) { w.delay = d }
+
 // ID returns the writer id.
 func (w *Writer) ID() string { return w.id }
 
@@ -145,9 +150,8 @@
 
 func (w *Writer) resolve(ctx context.Context) (uint64, error) {
 	var last error
-	delay := appendDelay
 	for try := range appendTries {
-		if try > 0 && !sleep(ctx, delay<<(try-1)) {
+		if try > 0 && !sleep(ctx, w.delay<<(try-1)) {
 			break
 		}
 		offset, done, err := w.try(ctx)
