--- /dev/null
+++ b/pkg/engine/event.go
@@ -0,0 +1,71 @@
+package engine
+
+// StreamEvent is one event of a generation stream, in the form of the OpenAI interface.
+type StreamEvent struct {
+	// ID is the request id, with or without the prefix cmpl- or chatcmpl-.
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []Choice `json:"choices"`
+	// Tokens is the number of tokens in this event; engines that leave it out send one token an event.
+	Tokens *uint32 `json:"tokens,omitempty"`
+	Usage  *Usage  `json:"usage,omitempty"`
+	// Error ends a stream that the engine gave up.
+	Error *ErrorDetail `json:"error,omitempty"`
+}
+
+// Choice is the text of an event; chat completions use Delta.
+type Choice struct {
+	Index        int      `json:"index"`
+	Text         string   `json:"text,omitempty"`
+	Delta        *Message `json:"delta,omitempty"`
+	Message      *Message `json:"message,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+// Message is a chat message or a part of one.
+type Message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+// Usage counts the tokens of a request.
+type Usage struct {
+	PromptTokens     uint32 `json:"prompt_tokens"`
+	CompletionTokens uint32 `json:"completion_tokens"`
+	TotalTokens      uint32 `json:"total_tokens"`
+}
+
+// belongsTo reports whether the event carries the id of the request.
+func (e StreamEvent) belongsTo(requestID string) bool {
+	return e.ID == requestID || e.ID == "cmpl-"+requestID || e.ID == "chatcmpl-"+requestID
+}
+
+// chunk returns the text of the event.
+func (e StreamEvent) chunk() Chunk {
+	var c Chunk
+	for _, choice := range e.Choices {
+		c.Text += choice.Text
+		if choice.Delta != nil {
+			c.Text += choice.Delta.Content
+		}
+		if choice.FinishReason != nil {
+			c.FinishReason = *choice.FinishReason
+		}
+	}
+	switch {
+	case e.Tokens != nil:
+		c.Tokens = *e.Tokens
+	case c.Text != "":
+		c.Tokens = 1
+	}
+	e.addUsage(&c)
+	return c
+}
+
+func (e StreamEvent) addUsage(c *Chunk) {
+	if e.Usage != nil {
+		c.PromptTokens = e.Usage.PromptTokens
+		c.CompletionTokens = e.Usage.CompletionTokens
+	}
+}
