--- /dev/null
+++ b/pkg/standin/hosts/server.go
@@ -0,0 +1,97 @@
+// Package hosts is a stand-in for the platform's lagging host list.
+package hosts
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/standin/faults"
+	"trefoilferry.example/ferry/pkg/standin/serve"
+)
+
+// Server is the stand-in. It is safe for concurrent use.
+type Server struct {
+	Faults faults.Panel
+
+	handler http.Handler
+	mu      sync.Mutex
+	list    *history
+}
+
+// New returns an empty list whose changes become visible after lag.
+func New(lag time.Duration) *Server {
+	s := &Server{list: newHistory(lag)}
+	router := mux.NewRouter()
+	router.Handle("/faults", &s.Faults)
+	router.HandleFunc("/hosts", s.get).Methods(http.MethodGet)
+	router.HandleFunc("/hosts/{name}", s.put).Methods(http.MethodPut)
+	router.HandleFunc("/hosts/{name}", s.remove).Methods(http.MethodDelete)
+	s.handler = s.guard(router)
+	return s
+}
+
+// ServeHTTP serves GET /hosts with the faults, and PUT and DELETE /hosts/{name} and /faults without them.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.handler.ServeHTTP(w, r)
+}
+
+// guard applies faults to readers only, so that tests can change the list during an outage.
+func (s *Server) guard(router http.Handler) http.Handler {
+	faulty := s.Faults.Wrap(router, "/faults")
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			faulty.ServeHTTP(w, r)
+			return
+		}
+		router.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) get(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	hosts := s.list.visible(time.Now())
+	s.mu.Unlock()
+	serve.JSON(w, http.StatusOK, hosts)
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	var host platform.Host
+	if err := json.NewDecoder(r.Body).Decode(&host); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	host.Name = mux.Vars(r)["name"]
+	if host.State == "" {
+		host.State = platform.HostLive
+	}
+	if host.State != platform.HostLive && host.State != platform.HostLeaving {
+		http.Error(w, "state must be live or leaving", http.StatusBadRequest)
+		return
+	}
+	s.Put(host)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) remove(w http.ResponseWriter, r *http.Request) {
+	s.Remove(mux.Vars(r)["name"])
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Put adds a host or replaces its row.
+func (s *Server) Put(host platform.Host) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list.put(time.Now(), host)
+}
+
+// Remove deletes a host.
+func (s *Server) Remove(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list.remove(time.Now(), name)
+}
--- /dev/null
+++ b/pkg/standin/log/server.go
@@ -0,0 +1,145 @@
+// Package log is a stand-in for the platform's append-only log service. It has no conditional append.
+package log
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"golang.org/x/time/rate"
+
+	"trefoilferry.example/ferry/pkg/platform/httplog"
+	"trefoilferry.example/ferry/pkg/standin/faults"
+	"trefoilferry.example/ferry/pkg/standin/serve"
+)
+
+const (
+	// maxRecordBytes bounds one record.
+	maxRecordBytes = 4 << 20
+	// defaultLimit and maxLimit bound the records of one read.
+	defaultLimit = 1000
+	maxLimit     = 10000
+)
+
+// Config is the behaviour of the log.
+type Config struct {
+	// MaxRecords is the number of records retained per stream; 0 means all.
+	MaxRecords int
+	// MaxAge is the age at which records expire; 0 means never.
+	MaxAge time.Duration
+	// AppendsPerSecond bounds appends over all streams; appends beyond it wait. 0 means no bound.
+	AppendsPerSecond float64
+}
+
+// Server is the stand-in. It is safe for concurrent use.
+type Server struct {
+	Faults faults.Panel
+
+	config  Config
+	limiter *rate.Limiter
+	handler http.Handler
+
+	mu      sync.Mutex
+	streams map[string]*stream
+	appends int
+}
+
+// New returns an empty log.
+func New(config Config) *Server {
+	s := &Server{config: config, streams: map[string]*stream{}}
+	if config.AppendsPerSecond > 0 {
+		s.limiter = rate.NewLimiter(rate.Limit(config.AppendsPerSecond), max(1, int(config.AppendsPerSecond/10)))
+	}
+	router := mux.NewRouter()
+	router.Handle("/faults", &s.Faults)
+	router.HandleFunc("/counters", s.counters).Methods(http.MethodGet)
+	router.HandleFunc("/streams/{stream}/records", s.append).Methods(http.MethodPost)
+	router.HandleFunc("/streams/{stream}/records", s.read).Methods(http.MethodGet)
+	s.handler = s.Faults.Wrap(router, "/faults", "/counters")
+	return s
+}
+
+// ServeHTTP serves the log protocol and the control paths /faults and /counters.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.handler.ServeHTTP(w, r)
+}
+
+func (s *Server) append(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRecordBytes))
+	if err != nil {
+		http.Error(w, "record is incomplete or too large", http.StatusBadRequest)
+		return
+	}
+	if s.limiter != nil && s.limiter.Wait(r.Context()) != nil {
+		http.Error(w, "rate exceeded", http.StatusServiceUnavailable)
+		return
+	}
+	s.mu.Lock()
+	offset := s.stream(mux.Vars(r)["stream"]).append(time.Now(), data)
+	s.appends++
+	s.mu.Unlock()
+	serve.JSON(w, http.StatusOK, httplog.AppendAnswer{Offset: offset})
+}
+
+func (s *Server) read(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseUint(r.FormValue("from"), 10, 64)
+	if err != nil || from == 0 {
+		http.Error(w, "from must be an offset, counted from 1", http.StatusBadRequest)
+		return
+	}
+	answer, status := s.records(mux.Vars(r)["stream"], from, readLimit(r.FormValue("limit")))
+	serve.JSON(w, status, answer)
+}
+
+func readLimit(value string) int {
+	limit, err := strconv.Atoi(value)
+	if err != nil || limit <= 0 {
+		return defaultLimit
+	}
+	return min(limit, maxLimit)
+}
+
+func (s *Server) records(name string, from uint64, limit int) (httplog.ReadAnswer, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stream := s.stream(name)
+	answer := httplog.ReadAnswer{Next: stream.next(), Oldest: stream.first, Records: []httplog.RecordData{}}
+	if from < stream.first {
+		return answer, http.StatusGone
+	}
+	for i, e := range stream.read(from, limit) {
+		answer.Records = append(answer.Records, httplog.RecordData{Offset: from + uint64(i), Data: e.data})
+	}
+	return answer, http.StatusOK
+}
+
+// stream returns a stream after dropping what has expired.
+func (s *Server) stream(name string) *stream {
+	found, ok := s.streams[name]
+	if !ok {
+		found = newStream()
+		s.streams[name] = found
+	}
+	found.expire(time.Now(), s.config.MaxRecords, s.config.MaxAge)
+	return found
+}
+
+// Counters are the figures at GET /counters.
+type Counters struct {
+	// Appends counts appends that took effect.
+	Appends int               `json:"appends"`
+	Next    map[string]uint64 `json:"next"`
+}
+
+func (s *Server) counters(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counters := Counters{Appends: s.appends, Next: map[string]uint64{}}
+	for name, stream := range s.streams {
+		counters.Next[name] = stream.next()
+	}
+	serve.JSON(w, http.StatusOK, counters)
+}
