--- /dev/null
+++ b/pkg/platform/httplog/log_test.go
@@ -0,0 +1,164 @@
+package httplog_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/platform/httplog"
+	"trefoilferry.example/ferry/pkg/platform/memlog"
+	"trefoilferry.example/ferry/pkg/standin/faults"
+	"trefoilferry.example/ferry/pkg/standin/log"
+)
+
+var background = context.Background()
+
+// Guards against a log client that differs from the log in memory, on which the folds are tested.
+func TestContract(t *testing.T) {
+	server := httptest.NewServer(log.New(log.Config{}))
+	defer server.Close()
+	logs := map[string]platform.Log{"memory": memlog.New(), "http": httplog.New(server.URL+"/", nil)}
+	for name, l := range logs {
+		t.Run(name, func(t *testing.T) {
+			for i, data := range []string{"a", "", "c"} {
+				offset, err := l.Append(background, "keys.S", []byte(data))
+				if err != nil || offset != uint64(i+1) {
+					t.Fatalf("got offset %d, %v", offset, err)
+				}
+			}
+			tests := []struct {
+				stream string
+				from   uint64
+				limit  int
+				want   string
+				next   uint64
+			}{
+				{"keys.S", 1, 10, "ac", 4}, {"keys.S", 2, 1, "", 4}, {"keys.S", 3, 1, "c", 4},
+				{"keys.S", 4, 10, "", 4}, {"keys.S", 9, 10, "", 4}, {"other", 1, 10, "", 1},
+			}
+			for _, test := range tests {
+				batch, err := l.Read(background, test.stream, test.from, test.limit)
+				got := ""
+				for i, r := range batch.Records {
+					got += string(r.Data)
+					if r.Offset != test.from+uint64(i) {
+						t.Errorf("%+v: got offset %d", test, r.Offset)
+					}
+				}
+				if err != nil || got != test.want || batch.Next != test.next || batch.Oldest != 1 {
+					t.Errorf("%+v: got %q, %+v, %v", test, got, batch, err)
+				}
+			}
+		})
+	}
+}
+
+// Guards against an append that may have taken effect but is reported as not run.
+func TestAppendFaults(t *testing.T) {
+	tests := map[string]struct {
+		faults  faults.Switches
+		outcome failure.Outcome
+		effects int
+	}{
+		"answer lost": {faults.Switches{LoseAnswerAfterEffect: 1}, failure.Unknown, 1},
+		"down":        {faults.Switches{Down: true}, failure.Unknown, 0},
+		"refused":     {faults.Switches{Refuse: true}, failure.Unknown, 0},
+		"slow":        {faults.Switches{DelayMillis: 2000}, failure.Unknown, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			standin := log.New(log.Config{})
+			server := httptest.NewServer(standin)
+			defer server.Close()
+			client := httplog.New(server.URL, nil)
+			standin.Faults.Set(test.faults)
+			ctx, cancel := context.WithTimeout(background, 300*time.Millisecond)
+			defer cancel()
+			_, err := client.Append(ctx, "config", []byte("x"))
+			if got := failure.From(err); err == nil || got.Code != failure.LogUnavailable || got.Outcome != test.outcome {
+				t.Fatalf("got %v (%v)", err, got.Outcome)
+			}
+			standin.Faults.Set(faults.Switches{})
+			batch, err := client.Read(background, "config", 1, 10)
+			if err != nil || len(batch.Records) != test.effects {
+				t.Fatalf("got %+v, %v", batch, err)
+			}
+		})
+	}
+}
+
+// Guards against unknown where nobody listens, which would block a retry that is safe.
+func TestNobodyListens(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	server.Close()
+	client := httplog.New(server.URL, nil)
+	_, err := client.Append(background, "config", nil)
+	if got := failure.From(err); got.Code != failure.LogUnavailable || got.Outcome != failure.NotRun {
+		t.Fatalf("got %v", err)
+	}
+	_, err = client.Read(background, "config", 1, 1)
+	if !failure.HasCode(err, failure.LogUnavailable) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+// Guards against readers that miss records without noticing, by count and by age.
+func TestRetention(t *testing.T) {
+	tests := map[string]struct {
+		config log.Config
+		wait   time.Duration
+		oldest uint64
+	}{
+		"by count": {log.Config{MaxRecords: 2}, 0, 4},
+		"by age":   {log.Config{MaxAge: 20 * time.Millisecond}, 60 * time.Millisecond, 6},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(log.New(test.config))
+			defer server.Close()
+			client := httplog.New(server.URL, nil)
+			for range 5 {
+				if _, err := client.Append(background, "config", []byte("x")); err != nil {
+					t.Fatal(err)
+				}
+			}
+			time.Sleep(test.wait)
+			batch, err := client.Read(background, "config", test.oldest-1, 10)
+			if !failure.HasCode(err, failure.OffsetExpired) || batch.Oldest != test.oldest || batch.Next != 6 {
+				t.Fatalf("got %+v, %v", batch, err)
+			}
+			batch, err = client.Read(background, "config", test.oldest, 10)
+			if err != nil || len(batch.Records) != int(6-test.oldest) {
+				t.Fatalf("got %+v, %v", batch, err)
+			}
+		})
+	}
+}
+
+// Guards against answers that are cut short or skip a record and so corrupt a fold.
+func TestDamagedAnswers(t *testing.T) {
+	answers := map[string]string{
+		"cut":           `{"next":3,"oldest":1,"records":[{"offset":1,"data":"YQ=="}`,
+		"gap":           `{"next":4,"oldest":1,"records":[{"offset":1,"data":"YQ=="},{"offset":3,"data":"YQ=="}]}`,
+		"wrong start":   `{"next":4,"oldest":1,"records":[{"offset":2,"data":"YQ=="}]}`,
+		"beyond end":    `{"next":1,"oldest":1,"records":[{"offset":1,"data":"YQ=="}]}`,
+		"no log at all": `<html>`,
+	}
+	for name, answer := range answers {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte(answer))
+		}))
+		client := httplog.New(server.URL, nil)
+		if batch, err := client.Read(background, "config", 1, 10); !failure.HasCode(err, failure.LogUnavailable) || len(batch.Records) != 0 {
+			t.Errorf("%s: got %+v, %v", name, batch, err)
+		}
+		if _, err := client.Append(background, "config", nil); failure.From(err).Outcome != failure.Unknown {
+			t.Errorf("%s: append got %v", name, err)
+		}
+		server.Close()
+	}
+}
