--- a/pkg/standin/engine/orders.go
+++ b/pkg/standin/engine/orders.go
@@ -146,35 +146,47 @@
 }
 
 func (s *Server) loadAdapter(order engine.Order) *failure.Failure {
-	if err := s.reserveAdapter(order); err != nil {
+	again, err := s.reserveAdapter(order)
+	if err != nil || again {
 		return err
 	}
 	fetched := s.fetch("adapter", order.Adapter, order.Bytes)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.changed()
 	model := s.memory.newest(order.Model)
 	_, present := adapterOf(model, order.Adapter)
 	if fetched != nil || model == nil || present {
 		s.memory.free(order.Bytes)
-		s.changed()
+	}
+	switch {
+	case fetched != nil:
 		return fetched
+	case model == nil:
+		return failure.New(failure.NotLoaded, failure.NotRun, "model of the adapter was unloaded")
+	case !present:
+		model.adapters[order.Adapter] = order.Bytes
+		s.counters.AdapterLoads++
 	}
-	model.adapters[order.Adapter] = order.Bytes
-	s.counters.AdapterLoads++
-	s.changed()
 	return nil
 }
 
-func (s *Server) reserveAdapter(order engine.Order) *failure.Failure {
+// reserveAdapter commits the memory of a load; an adapter that is loaded already needs nothing.
+func (s *Server) reserveAdapter(order engine.Order) (again bool, err *failure.Failure) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.memory.newest(order.Model) == nil {
-		return failure.New(failure.NotLoaded, failure.NotRun, "model of the adapter is not loaded")
+	model := s.memory.newest(order.Model)
+	if model == nil {
+		return false, failure.New(failure.NotLoaded, failure.NotRun, "model of the adapter is not loaded")
+	}
+	if _, present := adapterOf(model, order.Adapter); present {
+		return true, nil
 	}
 	if !s.memory.reserve(order.Bytes) {
-		return failure.New(failure.MemoryExhausted, failure.NotRun, "adapter does not fit")
+		return false, failure.New(failure.MemoryExhausted, failure.NotRun, "adapter does not fit")
 	}
-	return nil
+	s.changed()
+	return false, nil
 }
 
 func (s *Server) unloadAdapter(order engine.Order) *failure.Failure {
