object: read, validate and decode configuration objects

Cause: operators write objects in INI, and every process must give the same verdict on a published set.

Ruled out: rules in terms of the typed objects, because a later change of a type would change verdicts on old records.

--- /dev/null
+++ b/pkg/object/render.go
@@ -0,0 +1,35 @@
+package object
+
+import (
+	"fmt"
+	"strings"
+
+	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/object/rules1"
+)
+
+// Render returns objects as INI that a Source reads back to the same values.
+func Render(objects []*ferrypb.Object) string {
+	var b strings.Builder
+	for i, o := range objects {
+		if i > 0 {
+			b.WriteString("\n")
+		}
+		fmt.Fprintf(&b, "[%s %q]\n", o.Kind, o.Name)
+		kind, _ := rules1.FindKind(o.Kind)
+		for _, key := range kind.Keys {
+			if raw, ok := o.Values[key.Name]; ok {
+				b.WriteString(key.Name + " = " + quoted(raw) + "\n")
+			}
+		}
+	}
+	return b.String()
+}
+
+// quoted protects text that would read as a comment.
+func quoted(raw string) string {
+	if strings.ContainsAny(raw, "#;") {
+		return `"` + raw + `"`
+	}
+	return raw
+}
--- a/pkg/object/set.go
+++ b/pkg/object/set.go
@@ -16,6 +16,15 @@
 	caps       map[string]*Cap
 	placements map[string]*Placement
 	drains     map[string]*Drain
+	// Targets of caps and placements; the rules allow one each.
+	capByMember      map[member]*Cap
+	placementByModel map[string]*Placement
+}
+
+// member names the target of a cap.
+type member struct {
+	kind MemberKind
+	name string
 }
 
 // Model returns the model of that name.
@@ -66,3 +75,17 @@
 	}
 	return out
 }
+
+// Drains returns all drains in name order.
+func (s *Set) Drains() []*Drain { return sorted(s.drains) }
+
+// PlacementOf returns the placement of a model; false if every region may hold copies.
+func (s *Set) PlacementOf(model string) (*Placement, bool) {
+	return lookup(s.placementByModel, model)
+}
+
+// CapOf returns the cap of a member.
+func (s *Set) CapOf(kind MemberKind, name string) (*Cap, bool) {
+	found, ok := s.capByMember[member{kind, name}]
+	return found, ok
+}
--- /dev/null
+++ b/pkg/object/source.go
@@ -0,0 +1,122 @@
+package object
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+
+	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/inifile"
+	"trefoilferry.example/ferry/pkg/object/rules1"
+)
+
+// place names an object or a key of it.
+type place struct {
+	object string
+	key    string
+}
+
+// position is a line of a file.
+type position struct {
+	file string
+	line int
+}
+
+// Source holds objects read from files and remembers their lines.
+type Source struct {
+	// Objects are in file order.
+	Objects []*ferrypb.Object
+	places  map[place]position
+}
+
+// NewSource returns a source without objects.
+func NewSource() *Source {
+	return &Source{places: map[place]position{}}
+}
+
+// ReadFiles reads objects from files and returns every line that cannot be read. The set is not validated.
+func ReadFiles(paths ...string) (*Source, []Problem) {
+	s := NewSource()
+	var problems []Problem
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			problems = append(problems, Problem{File: path, Message: err.Error()})
+			continue
+		}
+		problems = append(problems, s.Add(path, data)...)
+	}
+	return s, problems
+}
+
+// Add reads one file; name stands for it in problems.
+func (s *Source) Add(name string, data []byte) []Problem {
+	file, faults := inifile.Parse(data)
+	var problems []Problem
+	for _, f := range faults {
+		problems = append(problems, Problem{File: name, Line: f.Line, Object: f.Section, Key: f.Key, Message: f.Message})
+	}
+	if file == nil {
+		return problems
+	}
+	for _, section := range file.Sections {
+		if p, ok := s.section(name, section); !ok {
+			problems = append(problems, p)
+		}
+	}
+	return problems
+}
+
+func (s *Source) section(file string, section inifile.Section) (Problem, bool) {
+	problem := Problem{File: file, Line: section.Line, Object: section.Name}
+	kind, name, ok := splitHeader(section.Name)
+	if !ok {
+		problem.Message = `section needs the form [kind "name"]`
+		return problem, false
+	}
+	if !slices.Contains(kindNames(), kind) {
+		problem.Message = rules1.UnknownKind + inifile.Suggest(kind, kindNames())
+		return problem, false
+	}
+	o := &ferrypb.Object{Kind: kind, Name: name, Values: map[string]string{}}
+	if first, ok := s.places[place{object: Label(o)}]; ok {
+		problem.Message = fmt.Sprintf("object is repeated; first at %s:%d", first.file, first.line)
+		return problem, false
+	}
+	s.places[place{object: Label(o)}] = position{file, section.Line}
+	for _, key := range section.Keys {
+		o.Values[key.Name] = key.Value
+		s.places[place{Label(o), key.Name}] = position{file, key.Line}
+	}
+	s.Objects = append(s.Objects, o)
+	return Problem{}, true
+}
+
+func splitHeader(header string) (kind, name string, ok bool) {
+	kind, name, ok = strings.Cut(header, " ")
+	name = strings.TrimSpace(name)
+	if !ok || len(name) < 3 || name[0] != '"' || name[len(name)-1] != '"' {
+		return "", "", false
+	}
+	return kind, name[1 : len(name)-1], true
+}
+
+// Locate returns the problems with the file and line of their object or key, if it comes from a file.
+func (s *Source) Locate(problems []Problem) []Problem {
+	out := slices.Clone(problems)
+	for i, p := range out {
+		at, ok := s.places[place{p.Object, p.Key}]
+		if !ok {
+			at = s.places[place{object: p.Object}]
+		}
+		out[i].File = at.file
+		out[i].Line = at.line
+	}
+	return out
+}
+
+// Label returns kind/name of an object.
+func Label(o *ferrypb.Object) string {
+	return o.Kind + "/" + o.Name
+}
