configlog: fold change sets and publish them

Cause: configuration must be decided identically everywhere, without conditional append and with answers that get lost.

Ruled out: one writer number for all change sets of a publisher, because readers that keep only the highest number drop an append that arrives late.

Change: Fold implements stream.Fold with tombstones, bounded history and duplicate ids ignored; Publisher searches for its own id before it sends again and starts over expired records from a usable checkpoint.

--- /dev/null
+++ b/pkg/configlog/checkpoint.go
@@ -0,0 +1,45 @@
+package configlog
+
+import (
+	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/object"
+)
+
+// Checkpoint returns the whole state in a fixed order. The messages are shared with the fold and must not be changed.
+func (f *Fold) Checkpoint() *ferrypb.Checkpoint {
+	state := &ferrypb.ConfigState{Offset: f.offset, History: f.history.list()}
+	for _, k := range sortedKeys(f.objects) {
+		state.Objects = append(state.Objects, f.objects[k])
+	}
+	for _, k := range sortedKeys(f.tombstones) {
+		state.Tombstones = append(state.Tombstones, &ferrypb.Tombstone{Key: k.message(), Version: f.tombstones[k]})
+	}
+	return &ferrypb.Checkpoint{Covers: f.offset, State: &ferrypb.Checkpoint_Config{Config: state}}
+}
+
+// Restore replaces the state by a checkpoint. A checkpoint of another stream fails with code RecordInvalid
+// and changes nothing.
+func (f *Fold) Restore(c *ferrypb.Checkpoint) error {
+	state := c.GetConfig()
+	if state == nil {
+		return failure.New(failure.RecordInvalid, failure.NotRun, "checkpoint holds no configuration")
+	}
+	if state.GetOffset() != c.GetCovers() {
+		return failure.New(failure.RecordInvalid, failure.NotRun, "checkpoint covers another offset than its state")
+	}
+	restored := NewFold()
+	restored.offset = state.GetOffset()
+	for _, o := range state.GetObjects() {
+		restored.objects[keyOf(o.GetObject())] = o
+	}
+	for _, t := range state.GetTombstones() {
+		restored.tombstones[keyFrom(t.GetKey())] = t.GetVersion()
+	}
+	for _, e := range state.GetHistory() {
+		restored.history.add(e)
+	}
+	restored.set = object.Decode(restored.offset, restored.Objects())
+	*f = *restored
+	return nil
+}
