configlog: make a fold over a large set cheaper

Ruled out: validating only the touched objects, because the verdict must be that of the frozen rules over the whole set.

Change: the table of kinds is built once, the typed set is decoded on demand, and sorting is left to the end of a verdict.

--- a/pkg/configlog/checkpoint.go
+++ b/pkg/configlog/checkpoint.go
@@ -3,7 +3,6 @@
 import (
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/failure"
-	"trefoilferry.example/ferry/pkg/object"
 )
 
 // Checkpoint returns the whole state in a fixed order. The messages are shared with the fold and must not be changed.
@@ -39,7 +38,6 @@
 	for _, e := range state.GetHistory() {
 		restored.history.add(e)
 	}
-	restored.set = object.Decode(restored.offset, restored.Objects())
 	*f = *restored
 	return nil
 }
--- a/pkg/configlog/fold.go
+++ b/pkg/configlog/fold.go
@@ -13,7 +13,8 @@
 	objects    map[key]*ferrypb.VersionedObject
 	tombstones map[key]uint64
 	history    *history
-	set        *object.Set
+	// set is decoded on demand; nil after a change. A replay of many records decodes it once.
+	set *object.Set
 }
 
 // NewFold returns a fold that has applied nothing.
@@ -22,7 +23,6 @@
 		objects:    map[key]*ferrypb.VersionedObject{},
 		tombstones: map[key]uint64{},
 		history:    newHistory(),
-		set:        object.Decode(0, nil),
 	}
 }
 
@@ -30,7 +30,12 @@
 func (f *Fold) Offset() uint64 { return f.offset }
 
 // Set returns the objects in force as an immutable set. It may be passed to other goroutines.
-func (f *Fold) Set() *object.Set { return f.set.At(f.offset) }
+func (f *Fold) Set() *object.Set {
+	if f.set == nil {
+		f.set = object.Decode(f.offset, f.Objects())
+	}
+	return f.set.At(f.offset)
+}
 
 // Apply applies the record at offset. A record that is no valid change set changes nothing but the offset,
 // and so does one at or below the offset already applied.
@@ -67,7 +72,7 @@
 		f.tombstones[k] = f.offset
 	}
 	f.dropTombstones()
-	f.set = object.Decode(f.offset, f.Objects())
+	f.set = nil
 }
 
 // tombstoneRetention is the number of records after which the version of a deleted object is forgotten,
--- a/pkg/configlog/judge.go
+++ b/pkg/configlog/judge.go
@@ -77,16 +77,17 @@
 	return "", true
 }
 
-// after returns the whole set as it would be with the change set in force.
+// after returns the whole set as it would be with the change set in force, in no particular order;
+// the verdict of the rules does not depend on it.
 func (f *Fold) after(cs *ferrypb.ChangeSet) []*ferrypb.Object {
 	touched := map[key]bool{}
 	for _, k := range touchedKeys(cs) {
 		touched[k] = true
 	}
 	out := make([]*ferrypb.Object, 0, len(f.objects)+len(cs.GetPuts()))
-	for _, k := range sortedKeys(f.objects) {
+	for k, o := range f.objects {
 		if !touched[k] {
-			out = append(out, f.objects[k].Object)
+			out = append(out, o.Object)
 		}
 	}
 	return append(out, cs.GetPuts()...)
--- a/pkg/object/rules1/spec.go
+++ b/pkg/object/rules1/spec.go
@@ -51,8 +51,13 @@
 	KindDrain     = "drain"
 )
 
-// Kinds returns the kinds in the order of the reference page.
-func Kinds() []Kind {
+// kinds is built once; a verdict looks kinds up several times for each object of the set.
+var kinds = buildKinds()
+
+// Kinds returns the kinds in the order of the reference page. They must not be changed.
+func Kinds() []Kind { return kinds }
+
+func buildKinds() []Kind {
 	return []Kind{
 		{Name: KindModel, Keys: modelKeys(), Doc: "A language model. Callers address it by its name."},
 		{Name: KindAdapter, Keys: adapterKeys(), Doc: "An adapter of a model. Callers address it as a model name; no model may have the same name."},
@@ -66,9 +71,9 @@
 
 // FindKind returns the kind of that name.
 func FindKind(name string) (Kind, bool) {
-	for _, kind := range Kinds() {
-		if kind.Name == name {
-			return kind, true
+	for i := range kinds {
+		if kinds[i].Name == name {
+			return kinds[i], true
 		}
 	}
 	return Kind{}, false
@@ -76,9 +81,9 @@
 
 // FindKey returns the key of that name.
 func (k Kind) FindKey(name string) (Key, bool) {
-	for _, key := range k.Keys {
-		if key.Name == name {
-			return key, true
+	for i := range k.Keys {
+		if k.Keys[i].Name == name {
+			return k.Keys[i], true
 		}
 	}
 	return Key{}, false
--- a/pkg/object/rules1/validate.go
+++ b/pkg/object/rules1/validate.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -73,7 +72,7 @@
 	if !validName(o.Name) {
 		v.add(o, "", "name needs 1 to "+strconv.Itoa(maxName)+" letters, digits, dots, underscores or hyphens and starts with a letter or digit")
 	}
-	for _, name := range slices.Sorted(maps.Keys(o.Values)) {
+	for name := range o.Values {
 		if _, ok := kind.FindKey(name); !ok {
 			v.add(o, name, UnknownKey)
 		}
