--- /dev/null
+++ b/pkg/frame/reader_test.go
@@ -0,0 +1,148 @@
+package frame
+
+import (
+	"bytes"
+	"io"
+	"testing"
+	"testing/iotest"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/failure"
+)
+
+var ident = Ident{RequestID: "r", AttemptID: "a", Incarnation: "i"}
+
+func answer(t testing.TB, parts ...string) []byte {
+	t.Helper()
+	var out bytes.Buffer
+	w := NewWriter(&out, nil, ident, nil)
+	if err := w.Accepted(&ferrypb.Accepted{Status: 200}); err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range parts {
+		if err := w.Data([]byte(p), 1); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := w.End(Summary{FinishReason: "stop"}); err != nil {
+		t.Fatal(err)
+	}
+	return out.Bytes()
+}
+
+func readAll(raw io.Reader, id Ident) (string, *Reader, error) {
+	r := NewReader(raw, id)
+	var text []byte
+	for {
+		f, err := r.Next()
+		if err == io.EOF {
+			return string(text), r, nil
+		}
+		if err != nil {
+			return string(text), r, err
+		}
+		text = append(text, f.GetData().GetPayload()...)
+	}
+}
+
+func reframe(t *testing.T, raw []byte, edit func([]*ferrypb.Frame) []*ferrypb.Frame) []byte {
+	t.Helper()
+	var frames []*ferrypb.Frame
+	in := bytes.NewReader(raw)
+	for in.Len() > 0 {
+		f := &ferrypb.Frame{}
+		if err := protodelim.UnmarshalFrom(in, f); err != nil {
+			t.Fatal(err)
+		}
+		frames = append(frames, f)
+	}
+	var out bytes.Buffer
+	for _, f := range edit(frames) {
+		if _, err := protodelim.MarshalTo(&out, f); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return out.Bytes()
+}
+
+// Guards against a short, repeated, crossed or altered answer that passes as complete.
+func TestReaderRefusesFaultyAnswers(t *testing.T) {
+	tests := map[string]struct {
+		edit func([]*ferrypb.Frame) []*ferrypb.Frame
+		want failure.Code
+	}{
+		"no end":          {func(f []*ferrypb.Frame) []*ferrypb.Frame { return f[:3] }, failure.Truncated},
+		"nothing":         {func([]*ferrypb.Frame) []*ferrypb.Frame { return nil }, failure.Truncated},
+		"repeated":        {func(f []*ferrypb.Frame) []*ferrypb.Frame { return append(f[:2:2], f[1:]...) }, failure.FrameMismatch},
+		"left out":        {func(f []*ferrypb.Frame) []*ferrypb.Frame { return append(f[:1:1], f[2:]...) }, failure.FrameMismatch},
+		"other request":   {func(f []*ferrypb.Frame) []*ferrypb.Frame { f[1].RequestId = "x"; return f }, failure.FrameMismatch},
+		"other attempt":   {func(f []*ferrypb.Frame) []*ferrypb.Frame { f[2].AttemptId = "x"; return f }, failure.FrameMismatch},
+		"other agent":     {func(f []*ferrypb.Frame) []*ferrypb.Frame { f[3].Incarnation = "x"; return f }, failure.FrameMismatch},
+		"altered":         {func(f []*ferrypb.Frame) []*ferrypb.Frame { f[1].GetData().Payload[0]++; return f }, failure.ChecksumInvalid},
+		"shortened":       {func(f []*ferrypb.Frame) []*ferrypb.Frame { f[1].GetData().Payload = nil; return f }, failure.Truncated},
+		"second accepted": {func(f []*ferrypb.Frame) []*ferrypb.Frame { f[1].Body = f[0].Body; return f }, failure.FrameMismatch},
+		"no body":         {func(f []*ferrypb.Frame) []*ferrypb.Frame { f[1].Body = nil; return f }, failure.FrameMismatch},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			raw := reframe(t, answer(t, "one ", "two"), tt.edit)
+			_, r, err := readAll(bytes.NewReader(raw), ident)
+			if !failure.HasCode(err, tt.want) || r.Complete() {
+				t.Fatalf("got %v, complete %v, want %s", err, r.Complete(), tt.want)
+			}
+			if failure.From(err).Outcome != failure.Unknown {
+				t.Fatal("a faulty answer must stay unknown")
+			}
+		})
+	}
+}
+
+// Guards against a cut at any byte that passes as complete.
+func TestReaderRefusesEveryPrefix(t *testing.T) {
+	raw := answer(t, "one ", "two")
+	for n := range raw {
+		_, r, err := readAll(iotest.OneByteReader(bytes.NewReader(raw[:n])), ident)
+		if !failure.HasCode(err, failure.Truncated) || r.Complete() {
+			t.Fatalf("prefix of %d bytes: %v", n, err)
+		}
+	}
+	text, r, err := readAll(bytes.NewReader(raw), ident)
+	if err != nil || text != "one two" || !r.Drained() {
+		t.Fatalf("whole answer: %q, %v", text, err)
+	}
+}
+
+// Guards against a not_run that is believed although the backend server had started to answer.
+func TestFailOutcome(t *testing.T) {
+	for _, accepted := range []bool{false, true} {
+		var out bytes.Buffer
+		w := NewWriter(&out, nil, ident, nil)
+		want := failure.NotRun
+		if accepted {
+			_ = w.Accepted(&ferrypb.Accepted{})
+			want = failure.Unknown
+		}
+		_ = w.Fail(failure.New(failure.Leaving, failure.NotRun, "leaving"))
+		_, _, err := readAll(&out, ident)
+		if f := failure.From(err); f.Code != failure.Leaving || f.Outcome != want {
+			t.Fatalf("accepted %v: %v %s", accepted, err, f.Outcome)
+		}
+	}
+}
+
+// Guards against a panic or an unbounded allocation on hostile bytes, and against success without a verified end.
+func FuzzReader(f *testing.F) {
+	f.Add(answer(f, "one ", "two"))
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x0f})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		text, r, err := readAll(bytes.NewReader(raw), ident)
+		if err != nil && r.Complete() {
+			t.Fatal("failed answer counts as complete")
+		}
+		if err == nil && (!r.Complete() || r.bytes != uint64(len(text))) {
+			t.Fatal("success without a verified end")
+		}
+	})
+}
