retry, routing: pure decisions on repeated attempts and on runners

Cause: the dispatcher of entry hosts needs decisions that can be tested over every case without sockets. Change: retry budget, backoff, Next and Combine; filters, choosers, scorers, pickers, policies and the suspect table. Conclusion: pkg/entry can be written as I/O around these decisions.

--- /dev/null
+++ b/pkg/retry/budget.go
@@ -0,0 +1,71 @@
+package retry
+
+import "time"
+
+// Limits are the settings of a Budget.
+type Limits struct {
+	// Ratio is the number of retries that each request adds to the budget.
+	Ratio float64
+	// PerSecond is the number of retries that each second adds.
+	PerSecond float64
+	// Burst is the largest number of retries that the budget holds.
+	Burst float64
+}
+
+// DefaultLimits permits retries for 10% of the requests plus 3 a second, so that a failing fleet
+// is not loaded with more than about a tenth of extra work.
+var DefaultLimits = Limits{Ratio: 0.1, PerSecond: 3, Burst: 20}
+
+// Budget is a token bucket of retries. It is pure and not safe for concurrent use.
+type Budget struct {
+	limits Limits
+	tokens float64
+	last   time.Time
+}
+
+// NewBudget returns a full budget.
+func NewBudget(limits Limits, now time.Time) *Budget {
+	return &Budget{limits: limits, tokens: limits.Burst, last: now}
+}
+
+// Request accounts one request of a caller.
+func (b *Budget) Request(now time.Time) {
+	b.refill(now)
+	b.add(b.limits.Ratio)
+}
+
+// Take spends one retry and reports whether there was one.
+func (b *Budget) Take(now time.Time) bool {
+	b.refill(now)
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// RetryAfter returns the time until the budget holds a retry again from time alone.
+func (b *Budget) RetryAfter(now time.Time) time.Duration {
+	b.refill(now)
+	missing := 1 - b.tokens
+	if missing <= 0 {
+		return 0
+	}
+	if b.limits.PerSecond <= 0 {
+		return time.Minute
+	}
+	return time.Duration(missing / b.limits.PerSecond * float64(time.Second))
+}
+
+func (b *Budget) refill(now time.Time) {
+	passed := now.Sub(b.last)
+	if passed <= 0 {
+		return
+	}
+	b.last = now
+	b.add(passed.Seconds() * b.limits.PerSecond)
+}
+
+func (b *Budget) add(tokens float64) {
+	b.tokens = min(b.tokens+tokens, b.limits.Burst)
+}
--- /dev/null
+++ b/pkg/retry/next.go
@@ -0,0 +1,80 @@
+package retry
+
+import (
+	"time"
+
+	"trefoilferry.example/ferry/pkg/failure"
+)
+
+// final lists the failures that a repetition cannot change.
+var final = map[failure.Code]bool{
+	failure.BadRequest:      true,
+	failure.NotFound:        true,
+	failure.MethodInvalid:   true,
+	failure.BodyTooLarge:    true,
+	failure.HeaderTooLarge:  true,
+	failure.RequestTimeout:  true,
+	failure.KeyMismatch:     true,
+	failure.KeyInProgress:   true,
+	failure.ClientCancelled: true,
+	failure.DeadlineExpired: true,
+	failure.LogUnavailable:  true,
+	failure.RetryBudget:     true,
+}
+
+// waiting lists the failures that pass once a runner becomes available.
+var waiting = map[failure.Code]bool{
+	failure.NoBackend: true,
+	failure.NotReady:  true,
+}
+
+// Next decides what follows a failed attempt. A zero deadline means none.
+func Next(s State, f *failure.Failure, idempotent bool, deadline time.Time) Decision {
+	if final[f.Code] {
+		return Decision{Action: GiveUp}
+	}
+	if !deadline.IsZero() && !s.Now.Add(s.Delay).Before(deadline) {
+		return Decision{Action: GiveUp}
+	}
+	if s.Delivered && !s.Resumable {
+		return Decision{Action: GiveUp}
+	}
+	if waiting[f.Code] && f.Outcome == failure.NotRun {
+		return Decision{Action: Wait, Delay: s.Delay}
+	}
+	if s.Attempts >= s.MaxAttempts {
+		return Decision{Action: GiveUp}
+	}
+	if s.Delivered {
+		return Decision{Action: Resume, Delay: s.Delay}
+	}
+	if repeatable(f, idempotent) {
+		return Decision{Action: Elsewhere, Delay: s.Delay}
+	}
+	return Decision{Action: GiveUp}
+}
+
+// repeatable reports whether the request may be sent again. An engine that failed gave no answer,
+// so idempotent work is repeated even when the engine had started it.
+func repeatable(f *failure.Failure, idempotent bool) bool {
+	switch f.Outcome {
+	case failure.NotRun:
+		return true
+	case failure.Unknown:
+		return idempotent
+	default:
+		return idempotent && f.Code == failure.EngineFailed
+	}
+}
+
+// Combine returns the outcome of a request from the outcome of its earlier attempts and the last one.
+// A refused last attempt does not undo the doubt about an earlier one.
+func Combine(earlier, last failure.Outcome) failure.Outcome {
+	if earlier == failure.Ran || last == failure.Ran {
+		return failure.Ran
+	}
+	if earlier == failure.Unknown || last == failure.Unknown {
+		return failure.Unknown
+	}
+	return failure.NotRun
+}
--- /dev/null
+++ b/pkg/routing/candidate.go
@@ -0,0 +1,27 @@
+package routing
+
+import "time"
+
+// Candidate is a runner that could serve a request.
+type Candidate struct {
+	Runner string
+	// Address is the IP address and port of the agent.
+	Address string
+	// Incarnation of the agent.
+	Incarnation   string
+	Region        string
+	FailureDomain string
+	// Leaving is set when the host list or the configuration takes the runner out of service.
+	Leaving bool
+	// Prediction is nil when no probe answered.
+	Prediction *Prediction
+}
+
+// Prediction is the answer of an agent to a probe.
+type Prediction struct {
+	Accepts bool
+	// Code is the failure code of a refusal.
+	Code string
+	// FirstToken is the predicted time to the first token.
+	FirstToken time.Duration
+}
--- /dev/null
+++ b/pkg/routing/pick_lowest.go
@@ -0,0 +1,15 @@
+package routing
+
+// LowestPicker takes the candidate with the lowest score; the runner's name decides between equal scores.
+type LowestPicker struct{}
+
+// Pick implements Picker.
+func (LowestPicker) Pick(_ *Query, scored []Scored) Candidate {
+	best := scored[0]
+	for _, s := range scored[1:] {
+		if s.Score < best.Score || (s.Score == best.Score && s.Candidate.Runner < best.Candidate.Runner) {
+			best = s
+		}
+	}
+	return best.Candidate
+}
--- /dev/null
+++ b/pkg/routing/routing_test.go
@@ -0,0 +1,149 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+var now = time.Unix(1000, 0)
+
+func query() *Query {
+	return &Query{Target: "m", PrefixHash: 7, Region: "a", Now: now, Rand: rand.New(rand.NewPCG(1, 2))}
+}
+
+func runners(spec ...string) []Candidate {
+	var out []Candidate
+	for _, s := range spec {
+		out = append(out, Candidate{Runner: s, Region: s[:1]})
+	}
+	return out
+}
+
+func names(candidates []Candidate) []string {
+	out := []string{}
+	for _, c := range candidates {
+		out = append(out, c.Runner)
+	}
+	return out
+}
+
+// Guards against work for leaving or failed runners, and against a model that is unreachable by suspicion alone.
+func TestFilters(t *testing.T) {
+	all := runners("b1", "a1", "a2")
+	leaving := runners("a1", "a2")
+	leaving[0].Leaving = true
+	tests := map[string]struct {
+		filter Filter
+		edit   func(*Query)
+		in     []Candidate
+		want   []string
+	}{
+		"leaving":     {LeavingFilter{}, func(*Query) {}, leaving, []string{"a2"}},
+		"tried":       {TriedFilter{}, func(q *Query) { q.Tried = map[string]bool{"a1": true} }, all, []string{"b1", "a2"}},
+		"suspect":     {SuspectFilter{}, func(q *Query) { q.Suspects = map[string]time.Time{"a1": now.Add(1)} }, all, []string{"b1", "a2"}},
+		"expired":     {SuspectFilter{}, func(q *Query) { q.Suspects = map[string]time.Time{"a1": now} }, all, []string{"b1", "a1", "a2"}},
+		"all suspect": {SuspectFilter{}, func(q *Query) { q.Suspects = map[string]time.Time{"a1": now.Add(1)} }, all[1:2], []string{"a1"}},
+		"region":      {RegionFilter{}, func(*Query) {}, all, []string{"a1", "a2", "b1"}},
+	}
+	for name, tt := range tests {
+		q := query()
+		tt.edit(q)
+		if got := names(tt.filter.Filter(q, tt.in)); !slices.Equal(got, tt.want) {
+			t.Errorf("%s: %v, want %v", name, got, tt.want)
+		}
+	}
+}
+
+// Guards against a prefix whose requests are spread over caches, and against doubled or remote candidates.
+func TestProbeChooser(t *testing.T) {
+	in := runners("a1", "a2", "a3", "a4", "a5", "b1")
+	owner := ""
+	for seed := range uint64(50) {
+		q := query()
+		q.Rand = rand.New(rand.NewPCG(seed, 0))
+		q.Rand.Shuffle(len(in), func(i, j int) { in[i], in[j] = in[j], in[i] })
+		got := names(ProbeChooser{}.Choose(q, in, 3))
+		if owner == "" {
+			owner = got[0]
+		}
+		if got[0] != owner || len(got) != 3 || slices.Contains(got, "b1") {
+			t.Fatalf("seed %d: %v, owner %s", seed, got, owner)
+		}
+		if slices.Sort(got); len(slices.Compact(got)) != 3 {
+			t.Fatalf("seed %d: doubled candidate in %v", seed, got)
+		}
+	}
+	if got := names(ProbeChooser{}.Choose(query(), runners("b1", "a1"), 3)); !slices.Equal(got, []string{"a1", "b1"}) {
+		t.Fatalf("remote does not fill the free slot: %v", got)
+	}
+}
+
+// Guards against keys that concentrate on one runner or move when another runner leaves.
+func TestKeyOwner(t *testing.T) {
+	in := runners("a1", "a2", "a3")
+	count := map[string]int{}
+	for i := range 3000 {
+		q := query()
+		q.Key = fmt.Sprint(i)
+		owner := KeyChooser{}.Choose(q, in, 3)[0]
+		count[owner.Runner]++
+		less := keep(in, func(c Candidate) bool { return c.Runner == owner.Runner || c.Runner == "a1" })
+		if got := (KeyChooser{}).Choose(q, less, 3)[0]; got.Runner != owner.Runner {
+			t.Fatalf("key %d moved from %s to %s", i, owner.Runner, got.Runner)
+		}
+	}
+	for r, n := range count {
+		if n < 800 || n > 1200 {
+			t.Errorf("%s owns %d of 3000 keys", r, n)
+		}
+	}
+}
+
+// Guards against a policy that ignores the prediction or the region's cost.
+func TestPolicies(t *testing.T) {
+	in := runners("a1", "b1")
+	in[0].Prediction = &Prediction{FirstToken: 150 * time.Millisecond}
+	in[1].Prediction = &Prediction{FirstToken: 100 * time.Millisecond}
+	for cost, want := range map[time.Duration]string{10 * time.Millisecond: "b1", 100 * time.Millisecond: "a1"} {
+		p, err := NewPolicy(PolicyProbe, cost)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, _ := p.Pick(query(), in); got.Runner != want {
+			t.Errorf("cost %v: %s, want %s", cost, got.Runner, want)
+		}
+	}
+	rr, _ := NewPolicy(PolicyRoundRobin, 0)
+	first, _ := rr.Pick(query(), in)
+	second, _ := rr.Pick(query(), in)
+	if first.Runner == second.Runner {
+		t.Error("round robin repeats a runner")
+	}
+	if _, err := NewPolicy("best", 0); err == nil {
+		t.Error("unknown policy accepted")
+	}
+}
+
+// Guards against a dead runner that is tried at a constant rate, and against a returned one that stays avoided.
+func TestSuspects(t *testing.T) {
+	s := NewSuspects()
+	at := now
+	var last time.Duration
+	for range 10 {
+		if !s.Fail("r", at) || s.Fail("r", at) {
+			t.Fatal("failure counted wrongly")
+		}
+		wait := s.Until()["r"].Sub(at)
+		if wait < last || wait > suspectLimit {
+			t.Fatalf("avoidance %v after %v", wait, last)
+		}
+		last = wait
+		at = at.Add(wait)
+	}
+	if last != suspectLimit || !s.Answered("r") || len(s.Until()) != 0 {
+		t.Fatal("avoidance does not grow to its bound or is not lifted")
+	}
+}
--- /dev/null
+++ b/pkg/routing/score_region.go
@@ -0,0 +1,17 @@
+package routing
+
+import "time"
+
+// RegionCostScorer adds a cost to candidates of other regions, because they are farther away
+// and their traffic is billed.
+type RegionCostScorer struct {
+	Cost time.Duration
+}
+
+// Score implements Scorer.
+func (s RegionCostScorer) Score(q *Query, c Candidate) time.Duration {
+	if c.Region == q.Region {
+		return 0
+	}
+	return s.Cost
+}
