failure, routing: unauthorized code, version of candidates, local chooser

Cause: an unknown workspace had no code, and the dispatcher must tell model versions apart. Ruled out: bad_request for an unknown workspace, because it hides a missing permission. Change: code unauthorized (401); Candidate.Version; policies without probes stay in the region. Measured: go test of frame, retry, routing and failure passes.

--- a/pkg/failure/code.go
+++ b/pkg/failure/code.go
@@ -8,6 +8,7 @@
 // Codes of requests that break the callers' interface.
 const (
 	BadRequest      Code = "bad_request"
+	Unauthorized    Code = "unauthorized"
 	NotFound        Code = "not_found"
 	MethodInvalid   Code = "method_not_allowed"
 	BodyTooLarge    Code = "body_too_large"
@@ -59,6 +60,7 @@
 
 var statusByCode = map[Code]int{
 	BadRequest:       http.StatusBadRequest,
+	Unauthorized:     http.StatusUnauthorized,
 	NotFound:         http.StatusNotFound,
 	MethodInvalid:    http.StatusMethodNotAllowed,
 	BodyTooLarge:     http.StatusRequestEntityTooLarge,
--- a/pkg/frame/summary.go
+++ b/pkg/frame/summary.go
@@ -4,7 +4,7 @@
 type Summary struct {
 	// FinishReason is the reason of a generation's end in OpenAI terms.
 	FinishReason string
-	// PromptTokens and CompletionTokens count this attempt's tokens.
+	// PromptTokens and CompletionTokens are counted as the engine does: resumed tokens are included.
 	PromptTokens     uint32
 	CompletionTokens uint32
 }
--- a/pkg/retry/next.go
+++ b/pkg/retry/next.go
@@ -9,6 +9,7 @@
 // final lists the failures that a repetition cannot change.
 var final = map[failure.Code]bool{
 	failure.BadRequest:      true,
+	failure.Unauthorized:    true,
 	failure.NotFound:        true,
 	failure.MethodInvalid:   true,
 	failure.BodyTooLarge:    true,
--- a/pkg/routing/candidate.go
+++ b/pkg/routing/candidate.go
@@ -11,6 +11,8 @@
 	Incarnation   string
 	Region        string
 	FailureDomain string
+	// Version of the model that the runner holds; empty for services.
+	Version string
 	// Leaving is set when the host list or the configuration takes the runner out of service.
 	Leaving bool
 	// Prediction is nil when no probe answered.
--- a/pkg/routing/policy.go
+++ b/pkg/routing/policy.go
@@ -27,7 +27,7 @@
 func NewPolicy(name string, regionCost time.Duration) (*Policy, error) {
 	p := &Policy{
 		Filters: []Filter{LeavingFilter{}, TriedFilter{}, SuspectFilter{}, RegionFilter{}},
-		Chooser: AllChooser{},
+		Chooser: LocalChooser{},
 		Scorers: []Scorer{RegionCostScorer{Cost: regionCost}},
 	}
 	switch name {
