Add the agent's admission queue

Cause: an agent must refuse early what cannot meet its target, share slots under caps and keep long prefills from blocking short requests.

Ruled out: a queue with its own goroutine or clock, which table tests could not drive.

Change: pkg/queue holds a pure queue ordered by due time with a bounded head start per priority, caps on slots and queued requests, and a bound on long prefills in flight.

Measured: go test -race ./pkg/queue passes, including a rapid property test over caps, loss, double starts and starvation.

Conclusion: the exec server of the agent can build on it.

--- /dev/null
+++ b/pkg/queue/caps.go
@@ -0,0 +1,46 @@
+package queue
+
+import (
+	"math"
+
+	"trefoilferry.example/ferry/pkg/object"
+)
+
+// memberCap is the limit of one member on this runner.
+type memberCap struct {
+	share     float64
+	maxQueued int
+}
+
+// capTable holds the limits by member.
+type capTable map[member]memberCap
+
+// newCapTable keeps the tightest limit where several caps name one member.
+func newCapTable(caps []*object.Cap) capTable {
+	out := capTable{}
+	for _, c := range caps {
+		m := member{c.MemberKind, c.Member}
+		limit := memberCap{share: c.Share, maxQueued: c.MaxQueued}
+		if old, ok := out[m]; ok {
+			limit = tighter(limit, old)
+		}
+		out[m] = limit
+	}
+	return out
+}
+
+func tighter(a, b memberCap) memberCap {
+	out := memberCap{share: min(a.share, b.share), maxQueued: a.maxQueued}
+	if out.maxQueued == 0 || (b.maxQueued > 0 && b.maxQueued < out.maxQueued) {
+		out.maxQueued = b.maxQueued
+	}
+	return out
+}
+
+// slotLimit returns the slots that the member may hold under contention. At least one, so that no member starves.
+func (c memberCap) slotLimit(slots int) int {
+	return max(1, int(math.Floor(c.share*float64(slots)+shareTolerance)))
+}
+
+// shareTolerance absorbs the rounding of shares such as 0.1 in binary.
+const shareTolerance = 1e-9
--- /dev/null
+++ b/pkg/queue/prediction.go
@@ -0,0 +1,17 @@
+package queue
+
+import (
+	"time"
+
+	"trefoilferry.example/ferry/pkg/failure"
+)
+
+// Prediction tells how a request would be served if it came now.
+type Prediction struct {
+	// FirstToken is the time until the first token.
+	FirstToken time.Duration
+	// BetweenTokens is the time between tokens; 0 while unknown.
+	BetweenTokens time.Duration
+	// Refusal is nil if the request would be admitted.
+	Refusal *failure.Failure
+}
--- /dev/null
+++ b/pkg/queue/property_test.go
@@ -0,0 +1,164 @@
+package queue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"trefoilferry.example/ferry/pkg/object"
+)
+
+// reference is an independent account of what the queue holds.
+type reference struct {
+	slots   int
+	shares  map[string]float64
+	waiting map[string]Request
+	running map[string]Request
+	started map[string]bool
+	ended   map[string]bool
+}
+
+func (m *reference) overCap(r Request) bool {
+	share, ok := m.shares[r.Workspace]
+	if !ok {
+		return false
+	}
+	held := 0
+	for _, other := range m.running {
+		if other.Workspace == r.Workspace {
+			held++
+		}
+	}
+	return held >= max(1, int(share*float64(m.slots)+1e-9))
+}
+
+func (m *reference) apply(t *rapid.T, started []Request, refused []Refused) {
+	for _, r := range refused {
+		if _, ok := m.waiting[r.ID]; !ok {
+			t.Fatalf("%s refused but not waiting", r.ID)
+		}
+		delete(m.waiting, r.ID)
+		m.ended[r.ID] = true
+	}
+	for _, r := range started {
+		if m.started[r.ID] {
+			t.Fatalf("%s started twice", r.ID)
+		}
+		if _, ok := m.waiting[r.ID]; !ok {
+			t.Fatalf("%s started but not waiting", r.ID)
+		}
+		if m.overCap(r) {
+			for _, other := range m.waiting {
+				if !m.overCap(other) {
+					t.Fatalf("%s of a member over its cap started while %s waits", r.ID, other.ID)
+				}
+			}
+		}
+		delete(m.waiting, r.ID)
+		m.running[r.ID] = r
+		m.started[r.ID] = true
+		if len(m.running) > m.slots {
+			t.Fatalf("%d running in %d slots", len(m.running), m.slots)
+		}
+	}
+}
+
+func drawRequest(t *rapid.T, n int, now time.Time) Request {
+	r := Request{
+		ID:           fmt.Sprintf("r%d", n),
+		Workspace:    rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "workspace"),
+		Model:        "m",
+		Priority:     int32(rapid.IntRange(-3, 3).Draw(t, "priority")),
+		Arrived:      now,
+		PromptTokens: uint32(rapid.IntRange(1, 6000).Draw(t, "tokens")),
+	}
+	if rapid.Bool().Draw(t, "target") {
+		r.FirstTokenBy = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "due")) * time.Millisecond)
+	}
+	return r
+}
+
+// Guards against broken caps, lost requests, double starts and starvation under any order of calls.
+func TestQueueProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 8).Draw(t, "slots")
+		q := New(DefaultConfig(), Rates{Slots: slots, PrefillTokensPerSecond: 10_000, DecodeTokensPerSecond: 25})
+		m := &reference{slots: slots, shares: map[string]float64{}, waiting: map[string]Request{},
+			running: map[string]Request{}, started: map[string]bool{}, ended: map[string]bool{}}
+		m.shares["a"] = rapid.Float64Range(0.1, 1).Draw(t, "shareA")
+		m.shares["b"] = rapid.Float64Range(0.1, 1).Draw(t, "shareB")
+		q.SetCaps([]*object.Cap{
+			{MemberKind: object.MemberWorkspace, Member: "a", Share: m.shares["a"]},
+			{MemberKind: object.MemberWorkspace, Member: "b", Share: m.shares["b"]},
+		})
+		now := epoch
+		n := 0
+		steps := rapid.IntRange(1, 120).Draw(t, "steps")
+		for range steps {
+			switch rapid.IntRange(0, 4).Draw(t, "op") {
+			case 0, 1:
+				n++
+				r := drawRequest(t, n, now)
+				if q.Offer(now, r) == nil {
+					m.waiting[r.ID] = r
+				}
+			case 2:
+				started, refused := q.Next(now)
+				m.apply(t, started, refused)
+			case 3:
+				now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "pass")) * time.Millisecond)
+			case 4:
+				finishOne(q, m, now)
+			}
+			if q.Waiting() != len(m.waiting) || q.Running() != len(m.running) {
+				t.Fatalf("queue has %d+%d, want %d+%d", q.Waiting(), q.Running(), len(m.waiting), len(m.running))
+			}
+		}
+		drainAll(t, q, m, now)
+	})
+}
+
+func finishOne(q *Queue, m *reference, now time.Time) {
+	first := ""
+	for id := range m.running {
+		if first == "" || id < first {
+			first = id
+		}
+	}
+	if first == "" {
+		return
+	}
+	q.Finish(now, first)
+	delete(m.running, first)
+	m.ended[first] = true
+}
+
+// drainAll finishes running requests one by one while short urgent ones keep arriving; every waiting request must end.
+func drainAll(t *rapid.T, q *Queue, m *reference, now time.Time) {
+	old := map[string]bool{}
+	for id := range m.waiting {
+		old[id] = true
+	}
+	for i := 0; len(old) > 0; i++ {
+		if i > 2000 {
+			t.Fatalf("requests starve: %v", old)
+		}
+		now = now.Add(50 * time.Millisecond)
+		r := Request{ID: fmt.Sprintf("late%d", i), Workspace: "c", Model: "m", Priority: 10, Arrived: now,
+			FirstTokenBy: now.Add(time.Second), PromptTokens: 10}
+		if q.Offer(now, r) == nil {
+			m.waiting[r.ID] = r
+		}
+		started, refused := q.Next(now)
+		m.apply(t, started, refused)
+		finishOne(q, m, now)
+		finishOne(q, m, now)
+		for id := range old {
+			if m.started[id] || m.ended[id] {
+				delete(old, id)
+			}
+		}
+	}
+}
