--- /dev/null
+++ b/pkg/engine/body_test.go
@@ -0,0 +1,112 @@
+package engine
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"trefoilferry.example/ferry/pkg/failure"
+)
+
+// Guards against callers who set the engine's own fields, such as the priority, and against lost caller fields.
+func TestGenerateBody(t *testing.T) {
+	tests := map[string]struct {
+		req  GenerateRequest
+		want string
+	}{
+		"plain": {
+			GenerateRequest{Model: "m", Body: []byte(`{"prompt":"a","seed":7}`)},
+			`{"model":"m","priority":0,"prompt":"a","seed":7,"stream":true,"stream_options":{"include_usage":true}}`,
+		},
+		"caller's fields replaced": {
+			GenerateRequest{Model: "m", Priority: -1, Body: []byte(`{"model":"x","stream":false,"priority":9,"adapter":"y","resume_text":"z","resume_tokens":3}`)},
+			`{"model":"m","priority":-1,"stream":true,"stream_options":{"include_usage":true}}`,
+		},
+		"resume": {
+			GenerateRequest{Model: "m", Adapter: "a", ResumeText: "t ", ResumeTokens: 1, Body: []byte(`{}`)},
+			`{"adapter":"a","model":"m","priority":0,"resume_text":"t ","resume_tokens":1,"stream":true,"stream_options":{"include_usage":true}}`,
+		},
+		"large numbers kept": {
+			GenerateRequest{Model: "m", Body: []byte(`{"seed":9007199254740993}`)},
+			`{"model":"m","priority":0,"seed":9007199254740993,"stream":true,"stream_options":{"include_usage":true}}`,
+		},
+	}
+	for name, test := range tests {
+		got, err := generateBody(test.req)
+		if err != nil || string(got) != test.want {
+			t.Errorf("%s: got %s, %v", name, got, err)
+		}
+	}
+	for _, body := range []string{``, `null`, `[]`, `"x"`, `{`} {
+		_, err := generateBody(GenerateRequest{Body: []byte(body)})
+		if got := failure.From(err); got.Code != failure.BadRequest || got.Outcome != failure.NotRun {
+			t.Errorf("%q: got %v", body, err)
+		}
+	}
+}
+
+// Guards against prompts that agents and engines read differently, which would make prefix predictions wrong.
+func TestPromptText(t *testing.T) {
+	tests := map[string]struct {
+		chat bool
+		body string
+		want string
+		bad  bool
+	}{
+		"string":          {false, `{"prompt":"a b"}`, "a b", false},
+		"list":            {false, `{"prompt":["a","b"]}`, "ab", false},
+		"tokens":          {false, `{"prompt":[1,2]}`, "", true},
+		"missing":         {false, `{}`, "", true},
+		"messages":        {true, `{"messages":[{"role":"system","content":"s"},{"role":"user","content":"u"}]}`, "system: s\nuser: u\n", false},
+		"parts":           {true, `{"messages":[{"role":"user","content":[{"type":"text","text":"a"},{"type":"text","text":"b"}]}]}`, "user: ab\n", false},
+		"no messages":     {true, `{"messages":[]}`, "", true},
+		"message of none": {true, `{"messages":[{"role":"user"}]}`, "", true},
+	}
+	for name, test := range tests {
+		got, err := PromptText(test.chat, []byte(test.body))
+		if got != test.want || failure.HasCode(err, failure.BadRequest) != test.bad {
+			t.Errorf("%s: got %q, %v", name, got, err)
+		}
+	}
+}
+
+// Guards against prefix hashes that collide over models or adapters, or that depend on the rest of the prompt.
+func TestPrefixHashes(t *testing.T) {
+	common := strings.Repeat("x", 2*blockBytes)
+	base := PrefixHashes("m", "", common)
+	longer := PrefixHashes("m", "", common+strings.Repeat("y", blockBytes+1))
+	if len(base) != 2 || len(longer) != 3 || base[0] != longer[0] || base[1] != longer[1] || base[0] == base[1] {
+		t.Fatalf("got %v and %v", base, longer)
+	}
+	long := strings.Repeat("x", 9*blockBytes)
+	if RoutingPrefix("m", "", long) != PrefixHashes("m", "", long)[routingBlocks-1] ||
+		RoutingPrefix("m", "", common) != base[1] || RoutingPrefix("m", "", "short") != 0 {
+		t.Fatal("routing prefix is not the one that cache events name")
+	}
+	for _, other := range [][]uint64{PrefixHashes("n", "", common), PrefixHashes("m", "a", common)} {
+		if other[0] == base[0] {
+			t.Fatal("hash does not depend on model and adapter")
+		}
+	}
+}
+
+// Guards against events that are read as text of the wrong choice or with a wrong token count.
+func TestEventChunk(t *testing.T) {
+	tests := map[string]Chunk{
+		`{"choices":[{"text":"a","finish_reason":null}]}`:                                               {Text: "a", Tokens: 1},
+		`{"choices":[{"delta":{"content":"ab"}}],"tokens":2}`:                                           {Text: "ab", Tokens: 2},
+		`{"choices":[{"delta":{"role":"assistant","content":""}}]}`:                                     {},
+		`{"choices":[{"delta":{},"finish_reason":"stop"}]}`:                                             {FinishReason: "stop"},
+		`{"choices":[],"usage":{"prompt_tokens":1,"completion_tokens":2,"total_tokens":3}}`:             {PromptTokens: 1, CompletionTokens: 2},
+		`{"choices":[{"text":"","finish_reason":"length"}],"tokens":0,"usage":{"completion_tokens":4}}`: {FinishReason: "length", CompletionTokens: 4},
+	}
+	for data, want := range tests {
+		var event StreamEvent
+		if err := json.Unmarshal([]byte(data), &event); err != nil {
+			t.Fatal(err)
+		}
+		if got := event.chunk(); got != want {
+			t.Errorf("%s: got %+v, want %+v", data, got, want)
+		}
+	}
+}
--- a/pkg/engine/prompt.go
+++ b/pkg/engine/prompt.go
@@ -16,6 +16,9 @@
 	BlockTokens = 64
 	// blockBytes is the length of one block of the prefix cache.
 	blockBytes = BlockTokens * BytesPerToken
+	// routingBlocks is the number of blocks that choose a runner: enough to tell system prompts apart, and few
+	// enough that the turns of one conversation stay together.
+	routingBlocks = 4
 )
 
 // PromptText returns the prompt of a caller's body: the prompt of a completion, or role and text of all messages of
@@ -89,3 +92,13 @@
 	}
 	return hashes
 }
+
+// RoutingPrefix returns the element of PrefixHashes that requests carry to choose a runner and to predict its cached
+// tokens: the one of the first 4 blocks, or of all whole blocks of a shorter prompt; 0 for less than one block.
+func RoutingPrefix(model, adapter, prompt string) uint64 {
+	hashes := PrefixHashes(model, adapter, prompt[:min(len(prompt), routingBlocks*blockBytes)])
+	if len(hashes) == 0 {
+		return 0
+	}
+	return hashes[len(hashes)-1]
+}
