--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -81,11 +81,17 @@
 	return orderFailure(resp)
 }
 
-// Report returns the load report. Failures have code ConnectFailed, ConnectionLost or EngineFailed.
+// Report returns the load report. Failures have code ConnectFailed, ConnectionLost or EngineFailed. A report that
+// names no instance is refused: an empty JSON object would look like an engine with nothing loaded.
 func (c *Client) Report(ctx context.Context) (Report, error) {
 	var report Report
-	err := c.get(ctx, "/report", &report)
-	return report, err
+	if err := c.get(ctx, "/report", &report); err != nil {
+		return Report{}, err
+	}
+	if report.Instance == "" {
+		return Report{}, failure.New(failure.EngineFailed, failure.Ran, "report names no instance")
+	}
+	return report, nil
 }
 
 // CacheEvents returns the events from a sequence number on. Failures are those of Report.
--- a/pkg/platform/httphosts/hosts.go
+++ b/pkg/platform/httphosts/hosts.go
@@ -43,5 +43,8 @@
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(&hosts); err != nil {
 		return nil, failure.Wrap(failure.HostsUnavailable, failure.Unknown, "host list is incomplete", err)
 	}
+	if hosts == nil {
+		return nil, failure.New(failure.HostsUnavailable, failure.Unknown, "host list is null")
+	}
 	return hosts, nil
 }
--- a/pkg/platform/httphosts/hosts_test.go
+++ b/pkg/platform/httphosts/hosts_test.go
@@ -60,6 +60,10 @@
 		_, _ = w.Write([]byte(`[{"name":"r1"},`))
 	}))
 	defer cut.Close()
+	null := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`null`))
+	}))
+	defer null.Close()
 	gone := httptest.NewServer(http.NotFoundHandler())
 	gone.Close()
 	tests := map[string]struct {
@@ -69,6 +73,7 @@
 		"down":    {server.URL, faults.Switches{Down: true}},
 		"refused": {server.URL, faults.Switches{Refuse: true}},
 		"cut":     {cut.URL, faults.Switches{}},
+		"null":    {null.URL, faults.Switches{}},
 		"gone":    {gone.URL, faults.Switches{}},
 		"absent":  {server.URL + "/elsewhere", faults.Switches{}},
 	}
--- a/pkg/platform/httplog/answers.go
+++ b/pkg/platform/httplog/answers.go
@@ -24,6 +24,15 @@
 	Data []byte `json:"data"`
 }
 
+// check refuses answers without the bounds of the stream, such as an empty JSON object of another server, which
+// would look like an empty stream.
+func (a ReadAnswer) check() error {
+	if a.Oldest == 0 || a.Next < a.Oldest {
+		return failure.New(failure.LogUnavailable, failure.Unknown, "answer of the log service has no valid bounds")
+	}
+	return nil
+}
+
 // batch checks that the records start at from and have no gaps, because a fold must see every record once.
 func (a ReadAnswer) batch(from uint64) (platform.Batch, error) {
 	batch := platform.Batch{Next: a.Next, Oldest: a.Oldest}
--- a/pkg/platform/httplog/log.go
+++ b/pkg/platform/httplog/log.go
@@ -69,6 +69,9 @@
 	if err := decode(resp.Body, &answer); err != nil {
 		return platform.Batch{}, err
 	}
+	if err := answer.check(); err != nil {
+		return platform.Batch{}, err
+	}
 	if resp.StatusCode == http.StatusGone {
 		batch := platform.Batch{Next: answer.Next, Oldest: answer.Oldest}
 		return batch, failure.New(failure.OffsetExpired, failure.NotRun, "records are no longer retained")
--- a/pkg/platform/httplog/log_test.go
+++ b/pkg/platform/httplog/log_test.go
@@ -53,6 +53,10 @@
 					t.Errorf("%+v: got %q, %+v, %v", test, got, batch, err)
 				}
 			}
+			batch, err := l.Read(background, "keys.S", 0, 10)
+			if !failure.HasCode(err, failure.OffsetExpired) || batch.Next != 4 || batch.Oldest != 1 {
+				t.Errorf("offset 0: got %+v, %v", batch, err)
+			}
 		})
 	}
 }
@@ -146,6 +150,8 @@
 		"gap":           `{"next":4,"oldest":1,"records":[{"offset":1,"data":"YQ=="},{"offset":3,"data":"YQ=="}]}`,
 		"wrong start":   `{"next":4,"oldest":1,"records":[{"offset":2,"data":"YQ=="}]}`,
 		"beyond end":    `{"next":1,"oldest":1,"records":[{"offset":1,"data":"YQ=="}]}`,
+		"no bounds":     `{}`,
+		"no answer":     `null`,
 		"no log at all": `<html>`,
 	}
 	for name, answer := range answers {
--- a/pkg/standin/engine/contract_test.go
+++ b/pkg/standin/engine/contract_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"trefoilferry.example/ferry/pkg/engine"
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/standin/answer"
@@ -21,6 +23,11 @@
 
 const tokensWanted = 12
 
+// Guards against goroutines of streams, batches and clients that outlive their use.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
 func start(t *testing.T, config standin.Config) (*standin.Server, *engine.Client) {
 	t.Helper()
 	if config.Scale == 0 {
@@ -289,3 +296,19 @@
 		}
 	}
 }
+
+// Guards against reports that are empty or cut, which would make an agent believe that its engine holds nothing.
+func TestReportFaults(t *testing.T) {
+	for body, code := range map[string]failure.Code{
+		`{}`: failure.EngineFailed, `null`: failure.EngineFailed, `{"instance":"a"`: failure.ConnectionLost, `<`: failure.ConnectionLost,
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, body)
+		}))
+		report, err := engine.NewClient(server.URL, nil).Report(context.Background())
+		if !failure.HasCode(err, code) || report.Instance != "" {
+			t.Errorf("%s: got %+v, %v", body, report, err)
+		}
+		server.Close()
+	}
+}
