ctl: operators' commands as a library

Cause: operators publish, validate and inspect through one client with stable exit codes and JSON.

Ruled out: sending every object of the files in each change set, because it conflicts with changes that do not overlap.

--- a/pkg/configlog/fold.go
+++ b/pkg/configlog/fold.go
@@ -113,3 +113,15 @@
 
 // Verdict returns the verdict on the change set of that id; false if it is unknown or forgotten.
 func (f *Fold) Verdict(id string) (*ferrypb.HistoryEntry, bool) { return f.history.find(id) }
+
+// LastChange returns the offset of the last accepted change set; 0 for none.
+func (f *Fold) LastChange() uint64 {
+	var last uint64
+	for _, o := range f.objects {
+		last = max(last, o.Version)
+	}
+	for _, version := range f.tombstones {
+		last = max(last, version)
+	}
+	return last
+}
--- /dev/null
+++ b/pkg/ctl/exit.go
@@ -0,0 +1,37 @@
+package ctl
+
+import "trefoilferry.example/ferry/pkg/failure"
+
+// Exit codes of ferryctl.
+const (
+	ExitDone        = 0
+	ExitFailure     = 1
+	ExitUsage       = 2
+	ExitInvalid     = 3
+	ExitConflict    = 4
+	ExitUnavailable = 5
+)
+
+// ExitCode returns the exit code for the result of a command.
+func ExitCode(err error) int {
+	if err == nil {
+		return ExitDone
+	}
+	switch failure.From(err).Code {
+	case failure.BadRequest:
+		return ExitUsage
+	case failure.ObjectInvalid, failure.PublishInvalid:
+		return ExitInvalid
+	case failure.PublishConflict:
+		return ExitConflict
+	case failure.LogUnavailable:
+		return ExitUnavailable
+	default:
+		return ExitFailure
+	}
+}
+
+// usage returns a failure for a command line that cannot be carried out.
+func usage(message string) error {
+	return failure.New(failure.BadRequest, failure.NotRun, message)
+}
--- /dev/null
+++ b/pkg/ctl/status.go
@@ -0,0 +1,159 @@
+package ctl
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/platform"
+)
+
+// StatusResult tells where the configuration is in force.
+type StatusResult struct {
+	// Wanted is the offset of the last accepted change, from the log or, with the log out, the largest
+	// offset of any process.
+	Wanted uint64 `json:"wanted_offset"`
+	// LogAvailable is false if Wanted does not come from the log.
+	LogAvailable bool          `json:"log_available"`
+	Processes    []ProcessView `json:"processes"`
+	// Behind names the processes that have not applied Wanted.
+	Behind []string `json:"behind"`
+	// Unreachable names the hosts that did not answer.
+	Unreachable []string `json:"unreachable"`
+}
+
+// ProcessView is the state of one process.
+type ProcessView struct {
+	Process       string `json:"process"`
+	Role          string `json:"role"`
+	Address       string `json:"address"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failure_domain"`
+	ConfigOffset  uint64 `json:"config_offset"`
+	// ConfigAgeMillis is the age of the process's last successful read of the stream.
+	ConfigAgeMillis int64  `json:"config_age_millis"`
+	PlacementOffset uint64 `json:"placement_offset"`
+	Ready           bool   `json:"ready"`
+	Leaving         bool   `json:"leaving"`
+	Behind          bool   `json:"behind"`
+	// HostState is the state in the platform's list; empty if the list was not asked.
+	HostState string `json:"host_state,omitempty"`
+	// Error tells why the host did not answer.
+	Error string `json:"error,omitempty"`
+}
+
+// Text returns one line for each process and a summary.
+func (r *StatusResult) Text() string {
+	text := table("PROCESS\tROLE\tREGION\tDOMAIN\tCONFIG\tPLACEMENT\tAGE\tSTATE", len(r.Processes), func(w *tabwriter.Writer, i int) {
+		p := r.Processes[i]
+		age := time.Duration(p.ConfigAgeMillis) * time.Millisecond
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\n", p.Process, p.Role, p.Region, p.FailureDomain, p.ConfigOffset, p.PlacementOffset, age, p.state())
+	})
+	source := "log"
+	if !r.LogAvailable {
+		source = "processes; log unavailable"
+	}
+	return text + fmt.Sprintf("offset %d from %s: %d of %d in force, %d behind, %d unreachable\n", r.Wanted, source,
+		len(r.Processes)-len(r.Behind)-len(r.Unreachable), len(r.Processes), len(r.Behind), len(r.Unreachable))
+}
+
+func (p ProcessView) state() string {
+	if p.Error != "" {
+		return "unreachable"
+	}
+	state := "not ready"
+	if p.Ready {
+		state = "ready"
+	}
+	if p.Leaving {
+		state = "leaving"
+	}
+	if p.Behind {
+		state += ", behind"
+	}
+	return state
+}
+
+// Status asks every daemon what is in force there.
+// Failures: HostsUnavailable, or PeerUnavailable if no daemon answers. A log that is out is no failure.
+func (c *Client) Status(ctx context.Context) (*StatusResult, error) {
+	hosts, err := c.targets(ctx)
+	if err != nil {
+		return nil, err
+	}
+	wanted, fromLog := c.lastChange(ctx)
+	answers, errs := ask(ctx, c, hosts, func(ctx context.Context, peer ferrypb.Peer) (*ferrypb.StatusResponse, error) {
+		return peer.Status(ctx, &ferrypb.StatusRequest{})
+	})
+	if err := noneReached(errs); err != nil {
+		return nil, err
+	}
+	result := &StatusResult{Wanted: wanted, LogAvailable: fromLog, Behind: []string{}, Unreachable: []string{}}
+	for i, host := range hosts {
+		result.Processes = append(result.Processes, processView(host, answers[i], errs[i]))
+	}
+	result.summarize()
+	return result, nil
+}
+
+// lastChange returns the offset of the last accepted change; false if the log is out or not given.
+func (c *Client) lastChange(ctx context.Context) (uint64, bool) {
+	if c.Log == nil {
+		return 0, false
+	}
+	p, err := c.synced(ctx)
+	if err != nil {
+		return 0, false
+	}
+	return p.Fold().LastChange(), true
+}
+
+func processView(host platform.Host, s *ferrypb.StatusResponse, err error) ProcessView {
+	view := ProcessView{
+		Process:       host.Name,
+		Role:          string(host.Role),
+		Address:       host.Address,
+		Region:        host.Region,
+		FailureDomain: host.FailureDomain,
+		HostState:     string(host.State),
+	}
+	if err != nil {
+		view.Error = err.Error()
+		return view
+	}
+	view.Process = cmp.Or(s.GetProcess(), view.Process)
+	view.Role = cmp.Or(s.GetRole(), view.Role)
+	view.Region = cmp.Or(s.GetRegion(), view.Region)
+	view.FailureDomain = cmp.Or(s.GetFailureDomain(), view.FailureDomain)
+	view.ConfigOffset = s.GetConfigOffset()
+	view.ConfigAgeMillis = s.GetConfigAgeMillis()
+	view.PlacementOffset = s.GetPlacementOffset()
+	view.Ready = s.GetReady()
+	view.Leaving = s.GetLeaving()
+	return view
+}
+
+func (r *StatusResult) summarize() {
+	slices.SortStableFunc(r.Processes, func(a, b ProcessView) int {
+		return cmp.Or(cmp.Compare(a.Region, b.Region), cmp.Compare(a.Process, b.Process))
+	})
+	if !r.LogAvailable {
+		for _, p := range r.Processes {
+			r.Wanted = max(r.Wanted, p.ConfigOffset)
+		}
+	}
+	for i := range r.Processes {
+		p := &r.Processes[i]
+		p.Behind = p.Error == "" && p.ConfigOffset < r.Wanted
+		if p.Behind {
+			r.Behind = append(r.Behind, p.Process)
+		}
+		if p.Error != "" {
+			r.Unreachable = append(r.Unreachable, p.Process)
+		}
+	}
+}
--- a/pkg/object/rules.go
+++ b/pkg/object/rules.go
@@ -32,14 +32,15 @@
 func suggestion(p rules1.Problem) string {
 	switch p.Message {
 	case rules1.UnknownKind:
-		return inifile.Suggest(p.Kind, kindNames())
+		return inifile.Suggest(p.Kind, KindNames())
 	case rules1.UnknownKey:
 		return inifile.Suggest(p.Key, keyNames(p.Kind))
 	}
 	return ""
 }
 
-func kindNames() []string {
+// KindNames returns the names of all kinds.
+func KindNames() []string {
 	var names []string
 	for _, kind := range rules1.Kinds() {
 		names = append(names, kind.Name)
@@ -55,3 +56,9 @@
 	}
 	return names
 }
+
+// KnownKind reports whether there are objects of that kind.
+func KnownKind(name string) bool {
+	_, ok := rules1.FindKind(name)
+	return ok
+}
--- a/pkg/object/source.go
+++ b/pkg/object/source.go
@@ -75,8 +75,8 @@
 		problem.Message = `section needs the form [kind "name"]`
 		return problem, false
 	}
-	if !slices.Contains(kindNames(), kind) {
-		problem.Message = rules1.UnknownKind + inifile.Suggest(kind, kindNames())
+	if !slices.Contains(KindNames(), kind) {
+		problem.Message = rules1.UnknownKind + inifile.Suggest(kind, KindNames())
 		return problem, false
 	}
 	o := &ferrypb.Object{Kind: kind, Name: name, Values: map[string]string{}}
@@ -120,3 +120,8 @@
 func Label(o *ferrypb.Object) string {
 	return o.Kind + "/" + o.Name
 }
+
+// Put adds an object without values that comes from no file.
+func (s *Source) Put(kind, name string) {
+	s.Objects = append(s.Objects, &ferrypb.Object{Kind: kind, Name: name})
+}
