Add the launcher of a loopback cluster and the demo

Cause: the demo, the integration tests and the load tool all need the whole system as real processes. Ruled out: starting daemons inside the test process, since kills and pauses need processes. Change: internal/cluster starts stand-ins, agents and entry hosts from a specification, optionally behind fault proxies; ferry-demo uses it.

--- /dev/null
+++ b/cmd/ferry-demo/main.go
@@ -0,0 +1,50 @@
+// Command ferry-demo runs the whole system on loopback, for a first look and for CI.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"trefoilferry.example/ferry/internal/demo"
+)
+
+func main() {
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "ferry-demo:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	bin := &cli.StringFlag{Name: "bin", Usage: "directory of the programs", Value: programDir()}
+	return &cli.Command{
+		Name:  "ferry-demo",
+		Usage: "run trefoilferry on loopback with stand-ins for the platform",
+		Flags: []cli.Flag{bin},
+		Commands: []*cli.Command{
+			{Name: "run", Usage: "send sample requests, show what happened and stop", Action: func(ctx context.Context, c *cli.Command) error {
+				return demo.New(c.String("bin"), os.Stdout).Run(ctx)
+			}},
+			{Name: "up", Usage: "keep the system running until interrupted", Action: func(ctx context.Context, c *cli.Command) error {
+				return demo.New(c.String("bin"), os.Stdout).Up(ctx)
+			}},
+		},
+	}
+}
+
+// programDir is the directory of this program; the other programs are built beside it.
+func programDir() string {
+	path, err := os.Executable()
+	if err != nil {
+		return "."
+	}
+	return filepath.Dir(path)
+}
--- /dev/null
+++ b/internal/cluster/entry.go
@@ -0,0 +1,56 @@
+package cluster
+
+import "trefoilferry.example/ferry/pkg/platform"
+
+// Entry is a running entry host.
+type Entry struct {
+	Spec    EntrySpec
+	Process *Process
+	// URL is the base URL for callers.
+	URL string
+	// Control and Admin are IP addresses with ports.
+	Control string
+	Admin   string
+
+	callers string
+}
+
+func (c *Cluster) newEntry(spec EntrySpec) (*Entry, error) {
+	addresses, err := freeAddresses(3)
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{Spec: spec, callers: addresses[0], Control: addresses[1], Admin: addresses[2]}
+	e.URL = "http://" + e.callers
+	path, err := c.writeSettings(spec.Name, c.entrySettings(e).with(c.spec.EntrySettings))
+	if err != nil {
+		return nil, err
+	}
+	e.Process = NewProcess(spec.Name, c.spec.Mirror, c.binaries.Path("ferry-entry"), "--settings", path)
+	return e, nil
+}
+
+func (c *Cluster) entrySettings(e *Entry) settingsFile {
+	return settingsFile{
+		"host.name":           e.Spec.Name,
+		"host.region":         e.Spec.Region,
+		"host.failure_domain": e.Spec.FailureDomain,
+		"listen.callers":      e.callers,
+		"listen.control":      e.Control,
+		"listen.admin":        e.Admin,
+		"platform.log_url":    "http://" + via(c.LogProxy, c.LogURL[len("http://"):]),
+		"platform.hosts_url":  c.HostsURL,
+		"drain.grace":         "300ms",
+	}
+}
+
+func (e *Entry) host(state platform.HostState) platform.Host {
+	return platform.Host{
+		Name:          e.Spec.Name,
+		Role:          platform.RoleEntry,
+		Address:       e.Control,
+		Region:        e.Spec.Region,
+		FailureDomain: e.Spec.FailureDomain,
+		State:         state,
+	}
+}
--- /dev/null
+++ b/internal/cluster/restart.go
@@ -0,0 +1,18 @@
+package cluster
+
+import "context"
+
+// StartAgent starts the agent of a runner again after it has ended.
+func (c *Cluster) StartAgent(ctx context.Context, r *Runner) error {
+	return c.launch(ctx, r.Agent, r.control)
+}
+
+// StartBackend starts the engine or service of a runner again, with nothing loaded.
+func (c *Cluster) StartBackend(ctx context.Context, r *Runner) error {
+	return c.launch(ctx, r.Backend, r.backendAddress)
+}
+
+// StartEntry starts an entry host again after it has ended.
+func (c *Cluster) StartEntry(ctx context.Context, e *Entry) error {
+	return c.launch(ctx, e.Process, e.callers)
+}
--- /dev/null
+++ b/internal/cluster/runner.go
@@ -0,0 +1,97 @@
+package cluster
+
+import (
+	"fmt"
+
+	"trefoilferry.example/ferry/pkg/faultproxy"
+	"trefoilferry.example/ferry/pkg/platform"
+)
+
+// Runner is a running backend server with its agent.
+type Runner struct {
+	Spec    RunnerSpec
+	Backend *Process
+	Agent   *Process
+	// BackendURL is the base URL of the engine or service, without a fault proxy.
+	BackendURL string
+	// Control is the address that other processes use, Admin the admin address.
+	Control string
+	Admin   string
+	// AgentProxy and BackendProxy stand before agent and backend server when the specification asks for proxies.
+	AgentProxy   *faultproxy.Proxy
+	BackendProxy *faultproxy.Proxy
+
+	backendAddress string
+	control        string
+}
+
+func (c *Cluster) newRunner(spec RunnerSpec) (*Runner, error) {
+	addresses, err := freeAddresses(3)
+	if err != nil {
+		return nil, err
+	}
+	r := &Runner{Spec: spec, backendAddress: addresses[0], control: addresses[1], Admin: addresses[2]}
+	r.BackendURL = "http://" + r.backendAddress
+	if r.AgentProxy, err = c.proxy(r.control); err != nil {
+		return nil, err
+	}
+	if r.BackendProxy, err = c.proxy(r.backendAddress); err != nil {
+		return nil, err
+	}
+	r.Control = via(r.AgentProxy, r.control)
+	r.Backend = c.backend(r)
+	path, err := c.writeSettings(spec.Name, c.agentSettings(r).with(c.spec.AgentSettings))
+	if err != nil {
+		return nil, err
+	}
+	r.Agent = NewProcess(spec.Name, c.spec.Mirror, c.binaries.Path("ferry-agent"), "--settings", path)
+	return r, nil
+}
+
+func (c *Cluster) backend(r *Runner) *Process {
+	if r.Spec.Service != "" {
+		args := append([]string{"--name", r.Spec.Service}, r.Spec.Args...)
+		return c.standin(r.Spec.Name+"-service", "service", r.backendAddress, args...)
+	}
+	args := []string{"--memory", fmt.Sprint(r.Spec.MemoryBytes), "--store", c.StoreURL}
+	if r.Spec.HonoursFencing {
+		args = append(args, "--honour-fencing")
+	}
+	return c.standin(r.Spec.Name+"-engine", "engine", r.backendAddress, append(args, r.Spec.Args...)...)
+}
+
+func (c *Cluster) agentSettings(r *Runner) settingsFile {
+	values := settingsFile{
+		"host.name":           r.Spec.Name,
+		"host.region":         r.Spec.Region,
+		"host.failure_domain": r.Spec.FailureDomain,
+		"listen.control":      r.control,
+		"listen.advertise":    r.Control,
+		"listen.admin":        r.Admin,
+		"platform.log_url":    "http://" + via(c.LogProxy, c.LogURL[len("http://"):]),
+		"platform.hosts_url":  c.HostsURL,
+		"backend.url":         "http://" + via(r.BackendProxy, r.backendAddress),
+	}
+	if r.Spec.Service != "" {
+		return values.with(map[string]string{"backend.kind": "service", "backend.service": r.Spec.Service})
+	}
+	return values.with(map[string]string{
+		"backend.kind":              "engine",
+		"backend.honours_fencing":   fmt.Sprint(r.Spec.HonoursFencing),
+		"backend.memory_bytes":      fmt.Sprint(r.Spec.MemoryBytes),
+		"backend.accelerators":      fmt.Sprint(max(1, r.Spec.Accelerators)),
+		"backend.adapter_in_flight": fmt.Sprint(max(1, c.spec.Store.AdaptersInFlight)),
+		"backend.store_concurrency": fmt.Sprint(max(1, c.spec.Store.Concurrent)),
+	})
+}
+
+func (r *Runner) host(state platform.HostState) platform.Host {
+	return platform.Host{
+		Name:          r.Spec.Name,
+		Role:          platform.RoleRunner,
+		Address:       r.Control,
+		Region:        r.Spec.Region,
+		FailureDomain: r.Spec.FailureDomain,
+		State:         state,
+	}
+}
--- /dev/null
+++ b/internal/cluster/spec.go
@@ -0,0 +1,59 @@
+package cluster
+
+import (
+	"io"
+	"time"
+)
+
+// Spec describes a system to run on loopback.
+type Spec struct {
+	// Entries are the entry hosts.
+	Entries []EntrySpec
+	// Runners are the backend servers with their agents.
+	Runners []RunnerSpec
+	// Store are the limits of the weight store.
+	Store StoreSpec
+	// HostLag is the time before the host list shows a change.
+	HostLag time.Duration
+	// LogMaxAge is the retention of the log; 0 keeps everything.
+	LogMaxAge time.Duration
+	// Proxied puts a fault proxy before the log, each agent and each backend server.
+	Proxied bool
+	// EntrySettings and AgentSettings replace settings of every daemon, as section.key to value.
+	EntrySettings map[string]string
+	AgentSettings map[string]string
+	// Mirror receives the output of all processes, if set.
+	Mirror io.Writer
+}
+
+// EntrySpec describes one entry host.
+type EntrySpec struct {
+	Name          string
+	Region        string
+	FailureDomain string
+}
+
+// RunnerSpec describes one backend server with its agent.
+type RunnerSpec struct {
+	Name          string
+	Region        string
+	FailureDomain string
+	// Service is the name of the plain service; empty runs a model engine.
+	Service string
+	// MemoryBytes is the accelerator memory of an engine.
+	MemoryBytes uint64
+	// Accelerators is the number of accelerators of an engine.
+	Accelerators int
+	// HonoursFencing makes the engine refuse orders with an old fencing number.
+	HonoursFencing bool
+	// Args are further flags of the engine or service stand-in.
+	Args []string
+}
+
+// StoreSpec are the limits of the weight store.
+type StoreSpec struct {
+	LoadsPerSecond   float64
+	Concurrent       int
+	AdaptersInFlight int
+	LoadTime         time.Duration
+}
--- /dev/null
+++ b/internal/cluster/view.go
@@ -0,0 +1,124 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+
+	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/failure"
+)
+
+// ModelNames are the published names that callers may use as a model.
+type ModelNames struct {
+	Models   []string
+	Adapters []string
+}
+
+// getAnswer is the part of ferryctl's JSON output for get that is used here.
+type getAnswer struct {
+	Objects []struct {
+		Kind string `json:"kind"`
+		Name string `json:"name"`
+	} `json:"objects"`
+}
+
+// ModelNames returns the published models and adapters in name order.
+func (c *Cluster) ModelNames(ctx context.Context) (ModelNames, error) {
+	out, err := c.Ferryctl(ctx, "get", "--json")
+	if err != nil {
+		return ModelNames{}, err
+	}
+	var answer getAnswer
+	if err := json.Unmarshal([]byte(out), &answer); err != nil {
+		return ModelNames{}, failure.Wrap(failure.Internal, failure.Ran, "output of ferryctl get not understood", err)
+	}
+	var names ModelNames
+	for _, o := range answer.Objects {
+		switch o.Kind {
+		case "model":
+			names.Models = append(names.Models, o.Name)
+		case "adapter":
+			names.Adapters = append(names.Adapters, o.Name)
+		}
+	}
+	return names, nil
+}
+
+// FirstModel returns a published model; empty if there is none.
+func (c *Cluster) FirstModel(ctx context.Context) string {
+	names, err := c.ModelNames(ctx)
+	if err != nil || len(names.Models) == 0 {
+		return ""
+	}
+	return names.Models[0]
+}
+
+// PlacedModels returns how many published models have a ready copy, and how many are published.
+func (c *Cluster) PlacedModels(ctx context.Context) (ready, published int, err error) {
+	names, err := c.ModelNames(ctx)
+	if err != nil {
+		return 0, 0, err
+	}
+	copies, err := c.ReadyCopies(ctx)
+	if err != nil {
+		return 0, 0, err
+	}
+	for _, name := range names.Models {
+		if copies[name] > 0 {
+			ready++
+		}
+	}
+	return ready, len(names.Models), nil
+}
+
+// readyState is the state of a loaded model in the status of its agent.
+const readyState = "ready"
+
+// ReadyCopies returns the number of ready copies of each model as the agents report them.
+// Agents that do not answer count as holding nothing.
+func (c *Cluster) ReadyCopies(ctx context.Context) (map[string]int, error) {
+	copies := map[string]int{}
+	for _, r := range c.Runners {
+		status, err := c.AgentStatus(ctx, r)
+		if err != nil {
+			continue
+		}
+		for _, m := range status.Models {
+			if m.State == readyState {
+				copies[m.Model]++
+			}
+		}
+	}
+	return copies, ctx.Err()
+}
+
+// AgentStatus asks an agent for its status, without a fault proxy.
+func (c *Cluster) AgentStatus(ctx context.Context, r *Runner) (*ferrypb.StatusResponse, error) {
+	return c.peerStatus(ctx, r.control)
+}
+
+// EntryStatus asks an entry host for its status.
+func (c *Cluster) EntryStatus(ctx context.Context, e *Entry) (*ferrypb.StatusResponse, error) {
+	return c.peerStatus(ctx, e.Control)
+}
+
+func (c *Cluster) peerStatus(ctx context.Context, address string) (*ferrypb.StatusResponse, error) {
+	peer := ferrypb.NewPeerProtobufClient("http://"+address, c.client)
+	status, err := peer.Status(ctx, &ferrypb.StatusRequest{})
+	if err != nil {
+		return nil, failure.Wrap(failure.PeerUnavailable, failure.Unknown, address, err)
+	}
+	return status, nil
+}
+
+// Daemons returns the processes of all entry hosts and agents.
+func (c *Cluster) Daemons() []*Process {
+	var out []*Process
+	for _, e := range c.Entries {
+		out = append(out, e.Process)
+	}
+	for _, r := range c.Runners {
+		out = append(out, r.Agent)
+	}
+	return out
+}
