--- a/cmd/ferry-demo/main.go
+++ b/cmd/ferry-demo/main.go
@@ -15,14 +15,18 @@
 )
 
 func main() {
-	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer cancel()
-	if err := command().Run(ctx, os.Args); err != nil {
+	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "ferry-demo:", err)
 		os.Exit(1)
 	}
 }
 
+func run() error {
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	return command().Run(ctx, os.Args)
+}
+
 func command() *cli.Command {
 	bin := &cli.StringFlag{Name: "bin", Usage: "directory of the programs", Value: programDir()}
 	return &cli.Command{
--- a/internal/cluster/control.go
+++ b/internal/cluster/control.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		return 0, failure.Wrap(failure.PeerUnavailable, failure.Unknown, url, err)
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 	_, _ = io.Copy(io.Discard, resp.Body)
 	return resp.StatusCode, nil
 }
@@ -100,7 +100,7 @@
 	if err != nil {
 		return failure.Wrap(failure.PeerUnavailable, failure.Unknown, url, err)
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode >= http.StatusBadRequest {
 		text, _ := io.ReadAll(resp.Body)
 		return failure.New(failure.Internal, failure.Ran, url+": "+resp.Status+" "+string(text))
--- a/internal/demo/booking.go
+++ b/internal/demo/booking.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -43,12 +42,12 @@
 	if err != nil {
 		return "", failure.Wrap(failure.ConnectionLost, failure.Unknown, "booking failed", err)
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
 	if err != nil || resp.StatusCode != http.StatusOK {
 		return "", failure.Wrap(failure.ServiceFailed, failure.Unknown, "booking answered "+resp.Status+": "+string(body), err)
 	}
-	fmt.Fprintf(d.out, "through %s: %s replayed=%q %s\n", d.cluster.Entries[entry].Spec.Name, resp.Status,
+	d.printf("through %s: %s replayed=%q %s\n", d.cluster.Entries[entry].Spec.Name, resp.Status,
 		resp.Header.Get("Idempotent-Replayed"), strings.TrimSpace(string(body)))
 	return string(body), nil
 }
@@ -70,7 +69,7 @@
 		}
 		total += counts.Keys[bookingKey]
 	}
-	fmt.Fprintf(d.out, "the booking ran %d time(s)\n", total)
+	d.printf("the booking ran %d time(s)\n", total)
 	if total != 1 {
 		return failure.New(failure.Internal, failure.Ran, "the booking did not run exactly once")
 	}
--- a/internal/demo/chat.go
+++ b/internal/demo/chat.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"strings"
 
@@ -47,7 +46,7 @@
 		return "", failure.Wrap(failure.Internal, failure.Unknown, "chat failed", err)
 	}
 	requestID := header.Get("X-Request-Id")
-	fmt.Fprintf(d.out, "request %s finished with %q: %s\n", requestID, finish, text.String())
+	d.printf("request %s finished with %q: %s\n", requestID, finish, text.String())
 	if text.Len() == 0 || finish == "" {
 		return "", failure.New(failure.Truncated, failure.Ran, "the answer is not whole")
 	}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return failure.Wrap(failure.Internal, failure.NotRun, "no directory for settings", err)
 	}
-	defer os.RemoveAll(dir)
+	defer func() { _ = os.RemoveAll(dir) }()
 	if err := d.start(ctx, dir); err != nil {
 		return err
 	}
@@ -100,7 +100,7 @@
 
 func (d *Demo) publish(ctx context.Context) error {
 	out, err := d.cluster.Ferryctl(ctx, "publish", d.profile.ConfigFile)
-	fmt.Fprint(d.out, out)
+	d.printf("%s", out)
 	if err != nil {
 		return err
 	}
@@ -109,7 +109,7 @@
 }
 
 func (d *Demo) step(format string, args ...any) {
-	fmt.Fprintf(d.out, "\n== "+format+"\n", args...)
+	d.printf("\n== "+format+"\n", args...)
 }
 
 // printLogs shows the end of each daemon's output after a failure.
@@ -120,18 +120,23 @@
 		if len(text) > shown {
 			text = text[len(text)-shown:]
 		}
-		fmt.Fprintf(d.out, "-- %s\n%s\n", p.Name, text)
+		d.printf("-- %s\n%s\n", p.Name, text)
 	}
 }
 
 func (d *Demo) printAddresses() {
 	d.step("the system is running; interrupt to stop it")
 	for _, e := range d.cluster.Entries {
-		fmt.Fprintf(d.out, "callers   %s  (%s)\n", e.URL, e.Spec.Name)
+		d.printf("callers   %s  (%s)\n", e.URL, e.Spec.Name)
 	}
-	fmt.Fprintf(d.out, "operators %s --log-url %s --hosts-url %s status\n",
+	d.printf("operators %s --log-url %s --hosts-url %s status\n",
 		filepath.Join(d.binaries.Dir, "ferryctl"), d.cluster.LogURL, d.cluster.HostsURL)
-	fmt.Fprintf(d.out, "try       curl -N %s/v1/chat/completions -H 'Content-Type: application/json' "+
+	d.printf("try       curl -N %s/v1/chat/completions -H 'Content-Type: application/json' "+
 		"-d '{\"model\":\"%s\",\"stream\":true,\"max_tokens\":32,\"messages\":[{\"role\":\"user\",\"content\":\"Which glazing for a north roof?\"}]}'\n",
 		d.cluster.Entries[0].URL, d.cluster.FirstModel(context.Background()))
 }
+
+// printf writes to the report; a report that cannot be written does not fail the demo.
+func (d *Demo) printf(format string, args ...any) {
+	_, _ = fmt.Fprintf(d.out, format, args...)
+}
--- a/internal/demo/exercise.go
+++ b/internal/demo/exercise.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 
 	"trefoilferry.example/ferry/pkg/failure"
 )
@@ -51,7 +50,7 @@
 	} {
 		d.step("%s", view.title)
 		out, err := d.cluster.Ferryctl(ctx, view.args...)
-		fmt.Fprint(d.out, out)
+		d.printf("%s", out)
 		if err != nil {
 			return err
 		}
--- a/internal/demo/placed.go
+++ b/internal/demo/placed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 )
 
 // waitPlaced waits until each published model has a ready copy.
@@ -13,6 +12,6 @@
 		ready, wanted, err = d.cluster.PlacedModels(ctx)
 		return err == nil && wanted > 0 && ready == wanted
 	})
-	fmt.Fprintf(d.out, "%d of %d models have a ready copy\n", ready, wanted)
+	d.printf("%d of %d models have a ready copy\n", ready, wanted)
 	return err
 }
