--- a/pkg/configlog/reader.go
+++ b/pkg/configlog/reader.go
@@ -75,8 +75,9 @@
 			return err
 		}
 		for _, record := range batch.Records {
-			c := r.decode(record).GetCheckpoint()
-			if r.usable(c, max(oldest, batch.Oldest)) && r.fold.Restore(c) == nil {
+			e := r.decode(record)
+			c := e.GetCheckpoint()
+			if e.GetFormat() == Format && r.usable(c, max(oldest, batch.Oldest)) && r.fold.Restore(c) == nil {
 				return nil
 			}
 		}
--- a/pkg/ctl/commands.go
+++ b/pkg/ctl/commands.go
@@ -32,7 +32,7 @@
 		Flags: []cli.Flag{
 			a.authorFlag(),
 			&cli.StringSliceFlag{Name: flagDelete, Usage: "delete the object `KIND/NAME`; may be repeated"},
-			&cli.BoolFlag{Name: flagReplaceAll, Usage: "delete every object that the files do not hold"},
+			&cli.BoolFlag{Name: flagReplaceAll, Usage: "delete every object that the files do not hold, except drains"},
 			&cli.BoolFlag{Name: flagDryRun, Usage: "validate against what is in force and publish nothing"},
 		},
 		Action: a.action(needsLog, publish),
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -101,10 +101,13 @@
 	b.want(ExitDone, "nothing was published", "publish", "--dry-run", one)
 	b.want(ExitDone, "delete adapter/x", "publish", one, "--delete", "adapter/x")
 	b.want(ExitDone, "nothing to change", "publish", one, "--delete", "adapter/x")
+	b.want(ExitDone, "accepted", "drain", "r1")
 	b.want(ExitDone, "delete model/b", "publish", "--replace-all", one)
-	if stdout := b.want(ExitDone, "version = 2", "get"); strings.Contains(stdout, `"b"`) {
+	stdout := b.want(ExitDone, "version = 2", "get")
+	if strings.Contains(stdout, `"b"`) || !strings.Contains(stdout, `[drain "r1"]`) {
 		t.Fatal(stdout)
 	}
+	b.want(ExitDone, "delete drain/r1", "publish", "--replace-all", "--delete", "drain/r1", one)
 	b.want(ExitDone, "tester", "history")
 }
 
--- a/pkg/ctl/exit.go
+++ b/pkg/ctl/exit.go
@@ -24,7 +24,7 @@
 		return ExitInvalid
 	case failure.PublishConflict:
 		return ExitConflict
-	case failure.LogUnavailable:
+	case failure.LogUnavailable, failure.PublishUnknown:
 		return ExitUnavailable
 	default:
 		return ExitFailure
--- a/pkg/ctl/publish.go
+++ b/pkg/ctl/publish.go
@@ -18,7 +18,8 @@
 	Source *object.Source
 	// Deletes are objects as kind/name.
 	Deletes []string
-	// ReplaceAll deletes every object that the source does not hold.
+	// ReplaceAll deletes every object that the source does not hold, except drains: a drain belongs to a
+	// runner that is about to be taken away, and files that do not know of it must not put it back in service.
 	ReplaceAll bool
 	// DryRun validates against the log and appends nothing.
 	DryRun bool
@@ -100,12 +101,12 @@
 func (o PublishOptions) change(f *configlog.Fold) (configlog.Change, []object.Problem) {
 	change := configlog.Change{Puts: o.Source.Objects, Author: o.Author}
 	put := map[string]bool{}
-	for _, object := range o.Source.Objects {
-		put[label(object)] = true
+	for _, wanted := range o.Source.Objects {
+		put[label(wanted)] = true
 	}
 	if o.ReplaceAll {
 		for _, current := range f.Objects() {
-			if !put[label(current)] {
+			if !put[label(current)] && current.Kind != object.KindDrain {
 				change.Deletes = append(change.Deletes, &ferrypb.ObjectKey{Kind: current.Kind, Name: current.Name})
 			}
 		}
@@ -126,7 +127,7 @@
 		case f.Version(kind, bare) == 0:
 			message := "object to delete does not exist" + inifile.Suggest(name, labels(f.Objects()))
 			problems = append(problems, object.Problem{Object: name, Message: message})
-		case !o.ReplaceAll:
+		case !o.ReplaceAll || kind == object.KindDrain:
 			change.Deletes = append(change.Deletes, &ferrypb.ObjectKey{Kind: kind, Name: bare})
 		}
 	}
