ferry-standin: engines ignore fencing unless told otherwise

Ruled out: a change of the launcher, since a switch that is off by default is the usual form of a flag.

--- a/cmd/ferry-standin/engine.go
+++ b/cmd/ferry-standin/engine.go
@@ -24,7 +24,7 @@
 			&cli.IntFlag{Name: "max-running", Value: standard.MaxRunning, Usage: "largest batch"},
 			&cli.IntFlag{Name: "max-waiting", Usage: "longest queue; 0 means no bound"},
 			&cli.IntFlag{Name: "cache-blocks", Value: standard.CacheBlocks, Usage: "size of the prefix cache, in blocks of 64 tokens"},
-			&cli.BoolFlag{Name: "honour-fencing", Value: true, Usage: "refuse orders with an old fencing number"},
+			&cli.BoolFlag{Name: "honour-fencing", Usage: "refuse orders with an old fencing number; without it the number is ignored"},
 			&cli.DurationFlag{Name: "report-lag", Usage: "age of the state in load reports"},
 			&cli.DurationFlag{Name: "cache-event-lag", Usage: "delay of cache events"},
 			&cli.IntFlag{Name: "cache-event-gap", Usage: "lose every n-th cache event; 0 loses none"},
--- a/cmd/ferry-standin/main_test.go
+++ b/cmd/ferry-standin/main_test.go
@@ -31,7 +31,7 @@
 		"log":     {"log", "--max-records", "10"},
 		"hosts":   {"hosts", "--lag", "10ms"},
 		"store":   {"store", "--scale", "10"},
-		"engine":  {"engine", "--memory", "100", "--honour-fencing=false"},
+		"engine":  {"engine", "--memory", "100", "--honour-fencing"},
 		"service": {"service", "--delay", "1ms"},
 		"proxy":   {"proxy", "--target", "127.0.0.1:1"},
 	}
--- a/pkg/standin/engine/config.go
+++ b/pkg/standin/engine/config.go
@@ -36,7 +36,7 @@
 
 // Default is a mid-size engine: 12,000 prompt tokens/s, 40 tokens/s per request, 32 requests at once.
 func Default() Config {
-	return Config{PrefillRate: 12000, DecodeRate: 40, MaxRunning: 32, CacheBlocks: 4096, HonourFencing: true, Scale: 1}
+	return Config{PrefillRate: 12000, DecodeRate: 40, MaxRunning: 32, CacheBlocks: 4096, Scale: 1}
 }
 
 // scaled returns the configuration with Scale applied and defaults for missing rates.
