ctl: read state from daemons while the log is out

Cause: get and history failed during a log outage although every daemon holds the accepted configuration.

Ruled out: a second reading loop; stream.Follower already restores from peers.

Change: ctl.Client.state falls back to the daemons and names its source; change sets carry no writer name, so that checkpoints do not keep one for each change set.

Conclusion: operators keep their view in an outage; publishing still needs the log.

--- a/pkg/configlog/publisher.go
+++ b/pkg/configlog/publisher.go
@@ -69,13 +69,11 @@
 	return nil, unresolved(cs, err)
 }
 
-// encode uses one writer for each change set: a publisher whose appends arrive out of order would
-// otherwise lose the earlier one at readers that keep only the highest number of a writer.
+// encode leaves the writer and its sequence number empty. The id of the change set identifies the record, and
+// the fold ignores a second copy. A writer name for each change set would stay in every checkpoint for weeks.
 func (p *Publisher) encode(cs *ferrypb.ChangeSet) ([]byte, error) {
 	data, err := proto.Marshal(&ferrypb.Envelope{
 		Format:     Format,
-		Writer:     "publish/" + cs.GetId(),
-		WriterSeq:  1,
 		Lamport:    p.reader.lamport + 1,
 		UnixMillis: p.clock.Now().UnixMilli(),
 		Payload:    &ferrypb.Envelope_ChangeSet{ChangeSet: cs},
--- a/pkg/configlog/reader.go
+++ b/pkg/configlog/reader.go
@@ -77,7 +77,7 @@
 		for _, record := range batch.Records {
 			e := r.decode(record)
 			c := e.GetCheckpoint()
-			if e.GetFormat() == Format && r.usable(c, max(oldest, batch.Oldest)) && r.fold.Restore(c) == nil {
+			if e.GetFormat() == Format && c.GetCovers() < record.Offset && r.usable(c, max(oldest, batch.Oldest)) && r.fold.Restore(c) == nil {
 				return nil
 			}
 		}
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -14,8 +14,10 @@
 
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/clock"
+	"trefoilferry.example/ferry/pkg/configlog"
 	"trefoilferry.example/ferry/pkg/platform"
 	"trefoilferry.example/ferry/pkg/platform/memlog"
+	"trefoilferry.example/ferry/pkg/stream"
 )
 
 // bench runs command lines against a log in memory and stand-in daemons.
@@ -144,6 +146,7 @@
 	ferrypb.Peer
 	status   *ferrypb.StatusResponse
 	timeline *ferrypb.TimelineResponse
+	follower *stream.Follower
 }
 
 func (d *daemon) Status(context.Context, *ferrypb.StatusRequest) (*ferrypb.StatusResponse, error) {
@@ -154,6 +157,10 @@
 	return d.timeline, nil
 }
 
+func (d *daemon) ReadStream(_ context.Context, r *ferrypb.ReadStreamRequest) (*ferrypb.ReadStreamResponse, error) {
+	return d.follower.ReadStream(r), nil
+}
+
 func (b *bench) daemon(name string, d *daemon) {
 	server := httptest.NewServer(ferrypb.NewPeerServer(d))
 	b.t.Cleanup(server.Close)
@@ -187,3 +194,20 @@
 		t.Fatal(stdout)
 	}
 }
+
+// Guards against operators who are blind during an outage of the log, and who take the view of a daemon for that of the log.
+func TestReadsDuringOutage(t *testing.T) {
+	b := newBench(t)
+	b.want(ExitDone, "accepted at offset 1", "publish", b.file(twoModels))
+	// The short tail makes the daemon serve a checkpoint.
+	follower := stream.NewFollower(stream.FollowerConfig{Stream: configlog.Stream, Fold: configlog.NewFold(), Log: b.log, KeepRecords: 1})
+	b.want(ExitDone, "accepted at offset 2", "drain", "r1")
+	if _, err := follower.Poll(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	b.log.SetDown(true)
+	b.want(ExitUnavailable, "log_unavailable", "get")
+	b.daemon("e1", &daemon{follower: follower})
+	b.want(ExitDone, "as in force at the daemons\n[adapter", "get")
+	b.want(ExitDone, `"source": "daemons"`, "history", "--json")
+}
--- a/pkg/ctl/get.go
+++ b/pkg/ctl/get.go
@@ -12,7 +12,9 @@
 // GetResult holds objects in force.
 type GetResult struct {
 	// Offset of the last record read.
-	Offset  uint64       `json:"offset"`
+	Offset uint64 `json:"offset"`
+	// Source is SourceLog or SourceDaemons.
+	Source  string       `json:"source"`
 	Objects []ObjectView `json:"objects"`
 
 	raw []*ferrypb.Object
@@ -28,7 +30,15 @@
 }
 
 // Text returns the objects as INI that can be published again.
-func (r *GetResult) Text() string { return object.Render(r.raw) }
+func (r *GetResult) Text() string { return sourceNote(r.Source) + object.Render(r.raw) }
+
+// sourceNote returns an INI comment for a state that may lack the newest changes.
+func sourceNote(source string) string {
+	if source == SourceDaemons {
+		return "# log unavailable; as in force at the daemons\n"
+	}
+	return ""
+}
 
 // Get returns the objects of a kind and name; empty ones match all.
 // Failures: NotFound for a name without an object, LogUnavailable, OffsetExpired.
@@ -36,18 +46,18 @@
 	if kind != "" && !object.KnownKind(kind) {
 		return nil, usage("unknown kind " + kind + inifile.Suggest(kind, object.KindNames()))
 	}
-	p, err := c.synced(ctx)
+	fold, source, err := c.state(ctx)
 	if err != nil {
 		return nil, err
 	}
-	result := &GetResult{Offset: p.Fold().Offset(), Objects: []ObjectView{}}
-	for _, o := range p.Fold().Objects() {
+	result := &GetResult{Offset: fold.Offset(), Source: source, Objects: []ObjectView{}}
+	for _, o := range fold.Objects() {
 		if (kind == "" || kind == o.Kind) && (name == "" || name == o.Name) {
-			result.add(o, p.Fold().Version(o.Kind, o.Name))
+			result.add(o, fold.Version(o.Kind, o.Name))
 		}
 	}
 	if name != "" && len(result.raw) == 0 {
-		message := "no " + kind + " " + name + inifile.Suggest(kind+"/"+name, labels(p.Fold().Objects()))
+		message := "no " + kind + " " + name + inifile.Suggest(kind+"/"+name, labels(fold.Objects()))
 		return nil, failure.New(failure.NotFound, failure.NotRun, message).WithObject(kind + "/" + name)
 	}
 	return result, nil
--- a/pkg/ctl/history.go
+++ b/pkg/ctl/history.go
@@ -12,6 +12,8 @@
 
 // HistoryResult holds the verdicts on the last change sets, newest first.
 type HistoryResult struct {
+	// Source is SourceLog or SourceDaemons.
+	Source  string        `json:"source"`
 	Entries []HistoryView `json:"entries"`
 }
 
@@ -32,7 +34,7 @@
 
 // Text returns one line for each verdict.
 func (r *HistoryResult) Text() string {
-	return table("OFFSET\tTIME\tAUTHOR\tCHANGES\tVERDICT", len(r.Entries), func(w *tabwriter.Writer, i int) {
+	return sourceNote(r.Source) + table("OFFSET\tTIME\tAUTHOR\tCHANGES\tVERDICT", len(r.Entries), func(w *tabwriter.Writer, i int) {
 		e := r.Entries[i]
 		_, _ = fmt.Fprintf(w, "%d\t%s\t%s\t%d\t%s\n", e.Offset, e.Time.Format(time.RFC3339), e.Author, e.Changes, e.verdict())
 	})
@@ -55,12 +57,12 @@
 // History returns up to limit verdicts, newest first; 0 means all that are kept.
 // Failures have code LogUnavailable or OffsetExpired.
 func (c *Client) History(ctx context.Context, limit int) (*HistoryResult, error) {
-	p, err := c.synced(ctx)
+	fold, source, err := c.state(ctx)
 	if err != nil {
 		return nil, err
 	}
-	entries := p.Fold().History()
-	result := &HistoryResult{Entries: []HistoryView{}}
+	entries := fold.History()
+	result := &HistoryResult{Source: source, Entries: []HistoryView{}}
 	for i := len(entries) - 1; i >= 0 && (limit == 0 || len(result.Entries) < limit); i-- {
 		result.Entries = append(result.Entries, viewOf(entries[i]))
 	}
