--- a/pkg/inifile/parse.go
+++ b/pkg/inifile/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"gopkg.in/ini.v1"
 )
@@ -77,7 +78,11 @@
 				problems = append(problems, Problem{Line: key.Line, Section: section.Name, Key: key.Name, Message: "key cannot be read"})
 				continue
 			}
-			sections[i].Keys[j].Value = source.Key(key.Name).Value()
+			value := source.Key(key.Name).Value()
+			if strings.Contains(value, `"`) {
+				problems = append(problems, Problem{Line: key.Line, Section: section.Name, Key: key.Name, Message: "value has a stray double quote"})
+			}
+			sections[i].Keys[j].Value = value
 		}
 	}
 	if len(problems) > 0 {
--- a/pkg/object/render.go
+++ b/pkg/object/render.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/inifile"
 	"trefoilferry.example/ferry/pkg/object/rules1"
 )
 
@@ -19,17 +20,9 @@
 		kind, _ := rules1.FindKind(o.Kind)
 		for _, key := range kind.Keys {
 			if raw, ok := o.Values[key.Name]; ok {
-				b.WriteString(key.Name + " = " + quoted(raw) + "\n")
+				b.WriteString(key.Name + " = " + inifile.Quote(raw) + "\n")
 			}
 		}
 	}
 	return b.String()
 }
-
-// quoted protects text that would read as a comment.
-func quoted(raw string) string {
-	if strings.ContainsAny(raw, "#;") {
-		return `"` + raw + `"`
-	}
-	return raw
-}
--- /dev/null
+++ b/pkg/object/roundtrip_test.go
@@ -0,0 +1,27 @@
+package object
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+)
+
+// Guards against a value that get prints such that publishing it again changes it: comments, quotes and escapes.
+func TestRenderedValuesReadBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.StringOfN(rapid.SampledFrom([]rune("ab \"'`#;\\=%()[]$:,\t")), 0, 12, -1).Draw(t, "text")
+		first := NewSource()
+		if problems := first.Add("a", []byte("[model \"m\"]\nversion = "+text+"\nbytes = 1\n")); len(problems) > 0 {
+			return
+		}
+		rendered := Render(first.Objects)
+		second := NewSource()
+		if problems := second.Add("b", []byte(rendered)); len(problems) > 0 {
+			t.Fatalf("%q: %v", rendered, problems)
+		}
+		if !proto.Equal(first.Objects[0], second.Objects[0]) {
+			t.Fatalf("%q became %q through %q", first.Objects[0].Values, second.Objects[0].Values, rendered)
+		}
+	})
+}
--- a/pkg/settings/print.go
+++ b/pkg/settings/print.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/inifile"
 )
 
 // Print writes the values of dst as an INI file that Load reads back to the same values.
@@ -17,7 +18,7 @@
 		}
 		fmt.Fprintf(&b, "[%s]\n", s.name)
 		for _, f := range s.fields {
-			b.WriteString(strings.TrimRight(f.key+" = "+quoted(format(f.value)), " ") + "\n")
+			b.WriteString(strings.TrimRight(f.key+" = "+inifile.Quote(format(f.value)), " ") + "\n")
 		}
 	}
 	if _, err := io.WriteString(w, b.String()); err != nil {
@@ -25,11 +26,3 @@
 	}
 	return nil
 }
-
-// quoted protects text that would read as a comment.
-func quoted(text string) string {
-	if strings.ContainsAny(text, "#;") {
-		return `"` + text + `"`
-	}
-	return text
-}
