--- a/pkg/ctl/commands.go
+++ b/pkg/ctl/commands.go
@@ -14,6 +14,7 @@
 	flagDelete     = "delete"
 	flagReplaceAll = "replace-all"
 	flagDryRun     = "dry-run"
+	flagWait       = "wait"
 	flagLimit      = "limit"
 	flagRequest    = "request"
 	flagObject     = "object"
@@ -34,6 +35,7 @@
 			&cli.StringSliceFlag{Name: flagDelete, Usage: "delete the object `KIND/NAME`; may be repeated"},
 			&cli.BoolFlag{Name: flagReplaceAll, Usage: "delete every object that the files do not hold, except drains"},
 			&cli.BoolFlag{Name: flagDryRun, Usage: "validate against what is in force and publish nothing"},
+			&cli.DurationFlag{Name: flagWait, Usage: "wait up to `TIME` until the change is in force at every daemon"},
 		},
 		Action: a.action(needsLog, publish),
 	}
@@ -45,6 +47,9 @@
 	if len(files) == 0 && (len(deletes) == 0 || cmd.Bool(flagReplaceAll)) {
 		return nil, usage("publish needs at least one file")
 	}
+	if cmd.Duration(flagWait) > 0 && cmd.String(flagHosts) == "" && len(cmd.StringSlice(flagDaemon)) == 0 {
+		return nil, usage("--" + flagWait + " needs --" + flagHosts + " or at least one --" + flagDaemon)
+	}
 	source, err := Load(files)
 	if err != nil {
 		return nil, err
@@ -55,6 +60,7 @@
 		ReplaceAll: cmd.Bool(flagReplaceAll),
 		DryRun:     cmd.Bool(flagDryRun),
 		Author:     cmd.String(flagAuthor),
+		Wait:       cmd.Duration(flagWait),
 	}))
 }
 
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -181,6 +181,15 @@
 	b.want(ExitFailure, "no daemon answered", "status", "--daemon", "127.0.0.1:1")
 }
 
+// Guards against a wait that reports a change as in force although a daemon is behind, or that fails an accepted change.
+func TestPublishWaits(t *testing.T) {
+	b := newBench(t)
+	b.daemon("e1", &daemon{status: &ferrypb.StatusResponse{Process: "e1", ConfigOffset: 1}})
+	b.want(ExitDone, "in force everywhere", "publish", "--wait", "5s", b.file(twoModels))
+	one := b.file("[model \"a\"]\nversion = 2\nbytes = 8GiB\n")
+	b.want(ExitDone, "not in force at e1", "publish", "--wait", "10ms", one)
+}
+
 // Guards against a timeline that lists an effect before its cause or ignores the filter of an old daemon.
 func TestTimeline(t *testing.T) {
 	b := newBench(t)
--- a/pkg/ctl/publish.go
+++ b/pkg/ctl/publish.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/configlog"
@@ -24,6 +25,8 @@
 	// DryRun validates against the log and appends nothing.
 	DryRun bool
 	Author string
+	// Wait is the longest time to wait until every daemon that answers has the change in force; 0 means not to wait.
+	Wait time.Duration
 }
 
 // PublishResult is the result of a publication.
@@ -36,6 +39,10 @@
 	Puts    []string `json:"puts"`
 	Deletes []string `json:"deletes"`
 	DryRun  bool     `json:"dry_run"`
+	// InForce is present after a wait and tells whether every daemon has the change in force.
+	InForce *bool `json:"in_force,omitempty"`
+	// Missing names the daemons that are behind or did not answer at the end of the wait.
+	Missing []string `json:"missing,omitempty"`
 }
 
 // Text returns one line for each changed object and one for the offset.
@@ -55,6 +62,12 @@
 	default:
 		fmt.Fprintf(&b, "accepted at offset %d\n", r.Offset)
 	}
+	if r.InForce != nil && *r.InForce {
+		b.WriteString("in force everywhere\n")
+	}
+	if len(r.Missing) > 0 {
+		b.WriteString("not in force at " + strings.Join(r.Missing, ", ") + "\n")
+	}
 	return b.String()
 }
 
@@ -83,6 +96,7 @@
 	}
 	result.ID = cs.GetId()
 	result.Offset = entry.GetOffset()
+	c.await(ctx, result, o.Wait)
 	return result, nil
 }
 
