configlog: refuse a checkpoint with a version without an object

Cause: such a checkpoint made the next verdict dereference a nil object.

Ruled out: dropping the entry, because the state would then differ from that of other processes without notice.

Change: Restore fails with RecordInvalid and changes nothing.

Measured: go test -race ./pkg/configlog passes with the new case.

Conclusion: a faulty checkpoint is refused like one of another stream.

--- a/pkg/configlog/checkpoint.go
+++ b/pkg/configlog/checkpoint.go
@@ -30,6 +30,9 @@
 	restored := NewFold()
 	restored.offset = state.GetOffset()
 	for _, o := range state.GetObjects() {
+		if o.GetObject() == nil {
+			return failure.New(failure.RecordInvalid, failure.NotRun, "checkpoint holds a version without an object")
+		}
 		restored.objects[keyOf(o.GetObject())] = o
 	}
 	for _, t := range state.GetTombstones() {
--- a/pkg/configlog/fold_test.go
+++ b/pkg/configlog/fold_test.go
@@ -184,6 +184,10 @@
 	if err := f.Restore(&ferrypb.Checkpoint{Covers: 9000, State: &ferrypb.Checkpoint_Keys{}}); err == nil {
 		t.Fatal("restored")
 	}
+	broken := &ferrypb.ConfigState{Offset: 9000, Objects: []*ferrypb.VersionedObject{{Version: 3}}}
+	if err := f.Restore(&ferrypb.Checkpoint{Covers: 9000, State: &ferrypb.Checkpoint_Config{Config: broken}}); err == nil {
+		t.Fatal("restored a version without an object")
+	}
 	if _, forgotten := f.Verdict("0"); len(f.History()) != historyLimit || forgotten || f.Version("model", "a") != f.Offset() {
 		t.Fatal("history or state is wrong")
 	}
