--- /dev/null
+++ b/pkg/entry/hinter.go
@@ -0,0 +1,95 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/clock"
+	"trefoilferry.example/ferry/pkg/routing"
+	"trefoilferry.example/ferry/pkg/timeline"
+)
+
+const (
+	// hintInterval bounds hints to one a second per model.
+	hintInterval = time.Second
+	// hintRunners is the number of runners that get a hint; the second covers a loss of the first.
+	hintRunners = 2
+	// hintTimeout bounds a hint call; a lost hint is repeated by the next one.
+	hintTimeout = 500 * time.Millisecond
+)
+
+// Hinter tells agents without a copy about demand that the copies cannot meet.
+type Hinter struct {
+	agents Agents
+	entry  string
+	ring   *timeline.Ring
+	clock  clock.Clock
+
+	mu     sync.Mutex
+	unmet  map[string]int
+	sentAt map[string]time.Time
+}
+
+func newHinter(p DispatcherParts) *Hinter {
+	return &Hinter{agents: p.Agents, entry: p.Entry, ring: p.Ring, clock: p.Clock, unmet: map[string]int{}, sentAt: map[string]time.Time{}}
+}
+
+// missed counts a request that no probed copy can meet in time, and sends hints if one is due.
+func (h *Hinter) missed(ctx context.Context, snapshot *Snapshot, model string) {
+	rate, due := h.count(model, h.clock.Now())
+	if !due {
+		return
+	}
+	for _, c := range hintTargets(model, snapshot.marked(snapshot.Routes.Others(model))) {
+		message := &ferrypb.HintRequest{
+			Model:          model,
+			UnmetPerSecond: rate,
+			Entry:          h.entry,
+			ConfigOffset:   snapshot.ConfigOffset,
+			Lamport:        h.ring.Tick(),
+		}
+		go h.send(context.WithoutCancel(ctx), c.Address, message)
+	}
+}
+
+// count returns the rate of unmet requests since the last hint and whether a hint is due.
+func (h *Hinter) count(model string, now time.Time) (float64, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.unmet[model]++
+	passed := now.Sub(h.sentAt[model])
+	if passed < hintInterval {
+		return 0, false
+	}
+	// After a pause the rate is that of the last second, not an average over the pause.
+	if passed > 2*hintInterval {
+		passed = hintInterval
+	}
+	rate := float64(h.unmet[model]) / passed.Seconds()
+	h.unmet[model] = 0
+	h.sentAt[model] = now
+	return rate, true
+}
+
+// hintTargets returns the rendezvous owners of the model among runners that may take a copy.
+func hintTargets(model string, others []routing.Candidate) []routing.Candidate {
+	rest := routing.LeavingFilter{}.Filter(nil, others)
+	var out []routing.Candidate
+	for len(out) < hintRunners && len(rest) > 0 {
+		i := routing.Rendezvous(model, rest)
+		out = append(out, rest[i])
+		rest = append(rest[:i:i], rest[i+1:]...)
+	}
+	return out
+}
+
+func (h *Hinter) send(ctx context.Context, address string, message *ferrypb.HintRequest) {
+	ctx, cancel := context.WithTimeout(ctx, hintTimeout)
+	defer cancel()
+	response, err := h.agents.Hint(ctx, address, message)
+	if err == nil {
+		h.ring.Observe(response.GetLamport())
+	}
+}
--- /dev/null
+++ b/pkg/entry/read_body.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"trefoilferry.example/ferry/pkg/failure"
+)
+
+// writeGrace is the time for an answer to reach a slow caller after the request's deadline.
+const writeGrace = 5 * time.Second
+
+// readBody reads the whole body within the limits. After a failure the connection is not reused,
+// so that left-over bytes of a broken request are never read as another request.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *failure.Failure) {
+	control := http.NewResponseController(w)
+	// Deadlines fail only for writers without a connection, as in tests.
+	_ = control.SetReadDeadline(s.clock.Now().Add(s.settings.Limits.BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.settings.Limits.BodyBytes))
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		return nil, bodyFailure(err)
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	_ = control.SetWriteDeadline(s.clock.Now().Add(s.settings.Limits.RequestTimeout + writeGrace))
+	return body, nil
+}
+
+func bodyFailure(err error) *failure.Failure {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return failure.Wrap(failure.BodyTooLarge, failure.NotRun, "the request body is too large", err)
+	}
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return failure.Wrap(failure.RequestTimeout, failure.NotRun, "the request body did not arrive in time", err)
+	}
+	return failure.Wrap(failure.BadRequest, failure.NotRun, "the request body cannot be read", err)
+}
--- /dev/null
+++ b/pkg/entry/write_failure.go
@@ -0,0 +1,81 @@
+package entry
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+
+	"trefoilferry.example/ferry/pkg/failure"
+)
+
+// Headers of the callers' interface.
+const (
+	headerRequestID  = "X-Request-Id"
+	headerOutcome    = "X-Ferry-Outcome"
+	headerWorkspace  = "X-Workspace"
+	headerKey        = "Idempotency-Key"
+	headerRetryAfter = "Retry-After"
+)
+
+// errorBody is the body of an error answer.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message   string `json:"message"`
+	Type      string `json:"type"`
+	Code      string `json:"code"`
+	Outcome   string `json:"outcome"`
+	RequestID string `json:"request_id"`
+}
+
+func failureBody(requestID string, f *failure.Failure) []byte {
+	body := errorBody{Error: errorDetail{
+		Message:   f.Message,
+		Type:      errorType(f.Code.Status()),
+		Code:      string(f.Code),
+		Outcome:   string(f.Outcome),
+		RequestID: requestID,
+	}}
+	// A struct of strings always encodes.
+	data, _ := json.Marshal(body)
+	return data
+}
+
+// errorType returns the error type in OpenAI terms.
+func errorType(status int) string {
+	switch {
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	default:
+		return "server_error"
+	}
+}
+
+// writeFailure answers with an error. Nothing may have been written before.
+func writeFailure(w http.ResponseWriter, requestID string, f *failure.Failure) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(headerRequestID, requestID)
+	h.Set(headerOutcome, string(f.Outcome))
+	if seconds := retryAfter(f); seconds > 0 {
+		h.Set(headerRetryAfter, strconv.Itoa(seconds))
+	}
+	w.WriteHeader(f.Code.Status())
+	_, _ = w.Write(failureBody(requestID, f))
+}
+
+// retryAfter returns the advice in whole seconds; refusals for lack of capacity without advice give one second.
+func retryAfter(f *failure.Failure) int {
+	if f.RetryAfter > 0 {
+		return int(math.Ceil(f.RetryAfter.Seconds()))
+	}
+	if f.Code.Status() == http.StatusServiceUnavailable || f.Code.Status() == http.StatusTooManyRequests {
+		return 1
+	}
+	return 0
+}
