entry: control state, sources, peer service and daemon wiring

Ruled out: reading the streams in the control goroutine, because a slow log would hold up suspicion and drain.

--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -23,7 +23,7 @@
 	message := d.message(snapshot, j, c)
 	d.noteStarted(j, c, message.GetAttemptId())
 	d.metrics.attempts.Inc()
-	answer, err := d.executor.Exec(watch, c.Address, message, j.body())
+	answer, err := d.executor.Exec(watch, c.Address, message, j.request.Body)
 	if err != nil {
 		d.suspectOn(ctx, c, err)
 		return err
--- a/pkg/entry/endpoint.go
+++ b/pkg/entry/endpoint.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"regexp"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -15,6 +16,9 @@
 // told its failure to the caller returns it wrapped as told.
 type operation func(w http.ResponseWriter, r *http.Request, id string) *failure.Failure
 
+// writeGrace is the time for an answer to reach a slow caller after the request's deadline.
+const writeGrace = 5 * time.Second
+
 // requestIDPattern admits the usual identifiers; others are replaced, because ids go into logs and headers.
 var requestIDPattern = regexp.MustCompile(`^[A-Za-z0-9._:-]{1,128}$`)
 
@@ -27,6 +31,7 @@
 		if s.snapshots.Load().Draining {
 			t.Header().Set("Connection", "close")
 		}
+		s.limitWriting(w)
 		s.ring.Add(timeline.Event{Kind: timeline.RequestReceived, RequestID: id, Detail: kind})
 		f := s.admit(r)
 		if f == nil {
@@ -39,6 +44,15 @@
 	})
 }
 
+// limitWriting bounds the time in which a caller reads its answer. The deadline of an earlier request
+// on the connection would else stay in force.
+func (s *Server) limitWriting(w http.ResponseWriter) {
+	limits := s.settings.Limits
+	deadline := s.clock.Now().Add(limits.BodyTimeout + limits.RequestTimeout + writeGrace)
+	// It fails only for writers without a connection, as in tests.
+	_ = http.NewResponseController(w).SetWriteDeadline(deadline)
+}
+
 func requestID(r *http.Request) string {
 	if id := r.Header.Get(headerRequestID); requestIDPattern.MatchString(id) {
 		return id
--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -68,7 +68,8 @@
 	return out
 }
 
-// left returns the tokens that may still be generated; 0 means no limit by the caller.
+// left returns the tokens that may still be generated; 0 means no limit by the caller. The body keeps the caller's
+// max_tokens, because engines count resumed tokens in it.
 func (j *job) left() uint32 {
 	if j.request.MaxTokens == 0 || j.tokens >= j.request.MaxTokens {
 		return 0
--- /dev/null
+++ b/pkg/entry/module.go
@@ -0,0 +1,189 @@
+package entry
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/fx"
+
+	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/clock"
+	"trefoilferry.example/ferry/pkg/eventlog"
+	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/platform/httphosts"
+	"trefoilferry.example/ferry/pkg/platform/httplog"
+	"trefoilferry.example/ferry/pkg/routing"
+	"trefoilferry.example/ferry/pkg/timeline"
+)
+
+// stopMargin is added to the drain times, so that the stop ends by itself.
+const stopMargin = 10 * time.Second
+
+// Incarnation identifies this process.
+type Incarnation string
+
+// controlClient makes the calls between processes.
+type controlClient *http.Client
+
+// NewApp returns the daemon as an fx application that logs to w. Check its Err before it runs.
+func NewApp(settings *Settings, w io.Writer, extra ...fx.Option) *fx.App {
+	return fx.New(append([]fx.Option{
+		fx.NopLogger,
+		fx.Supply(settings),
+		fx.Provide(func() io.Writer { return w }),
+		fx.StopTimeout(settings.Drain.Grace + settings.Drain.Timeout + stopMargin),
+		Module,
+	}, extra...)...)
+}
+
+// Module wires the daemon.
+var Module = fx.Module("entry",
+	fx.Provide(
+		func() clock.Clock { return clock.System{} },
+		func() Incarnation { return Incarnation(uuid.NewString()) },
+		newLogger,
+		newRing,
+		prometheus.NewRegistry,
+		func(r *prometheus.Registry) *Metrics { return NewMetrics(r) },
+		NewSnapshots,
+		NewControlLoop,
+		newControlClient,
+		func(s *Settings) platform.Log { return httplog.New(s.Platform.LogURL, nil) },
+		func(s *Settings) platform.HostList { return httphosts.New(s.Platform.HostsURL, nil) },
+		newSources,
+		newParts,
+		NewDispatcher,
+		NewServer,
+		newPeer,
+		newDaemon,
+	),
+	fx.Invoke(func(lifecycle fx.Lifecycle, d *Daemon) {
+		lifecycle.Append(fx.Hook{OnStart: d.Start, OnStop: d.Stop})
+	}),
+)
+
+func newLogger(s *Settings, w io.Writer) (*eventlog.Logger, error) {
+	level, err := log.ParseLevel(s.Log.Level)
+	if err != nil {
+		return nil, failure.Wrap(failure.SettingsInvalid, failure.NotRun, "log level is unknown", err)
+	}
+	return eventlog.NewLogger(w, eventlog.Format(s.Log.Format), level, s.Host.Name), nil
+}
+
+func newRing(s *Settings, i Incarnation, c clock.Clock) *timeline.Ring {
+	return timeline.NewRing(s.Host.Name, string(i), timeline.DefaultCapacity, c.Now)
+}
+
+func newControlClient(s *Settings, m *Metrics) controlClient {
+	dialer := &net.Dialer{Timeout: s.Limits.ConnectTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         m.countedDial(dialer.DialContext),
+		MaxIdleConnsPerHost: maxIdlePerAgent,
+		IdleConnTimeout:     s.Limits.IdleTimeout,
+		DisableCompression:  true,
+	}}
+}
+
+type sourcesIn struct {
+	fx.In
+	Settings    *Settings
+	Incarnation Incarnation
+	Snapshots   *Snapshots
+	Loop        *ControlLoop
+	Log         platform.Log
+	Hosts       platform.HostList
+	Client      controlClient
+	Clock       clock.Clock
+	Ring        *timeline.Ring
+	Events      *eventlog.Logger
+}
+
+func newSources(in sourcesIn) *Sources {
+	return NewSources(SourceParts{
+		Settings:    in.Settings,
+		Incarnation: string(in.Incarnation),
+		Snapshots:   in.Snapshots,
+		Loop:        in.Loop,
+		Log:         in.Log,
+		Hosts:       in.Hosts,
+		Control:     in.Client,
+		Clock:       in.Clock,
+		Ring:        in.Ring,
+		Events:      in.Events,
+		Seed:        seed(in.Incarnation),
+	})
+}
+
+// seed differs from process to process, so that hosts that start together do not choose alike.
+func seed(i Incarnation) uint64 { return xxhash.Sum64String(string(i)) }
+
+type partsIn struct {
+	fx.In
+	Settings    *Settings
+	Incarnation Incarnation
+	Snapshots   *Snapshots
+	Loop        *ControlLoop
+	Client      controlClient
+	Clock       clock.Clock
+	Ring        *timeline.Ring
+	Log         *eventlog.Logger
+	Metrics     *Metrics
+}
+
+func newParts(in partsIn) (DispatcherParts, error) {
+	policy, err := routing.NewPolicy(in.Settings.Routing.Policy, in.Settings.Routing.RegionCost)
+	if err != nil {
+		return DispatcherParts{}, err
+	}
+	return DispatcherParts{
+		Settings:  in.Settings,
+		Entry:     string(in.Incarnation),
+		Snapshots: in.Snapshots,
+		Policy:    policy,
+		Executor:  NewExecutor(in.Settings.Limits.ConnectTimeout, in.Settings.Limits.IdleTimeout),
+		Agents:    NewTwirpAgents(in.Client),
+		Reporter:  in.Loop,
+		Clock:     in.Clock,
+		Ring:      in.Ring,
+		Log:       in.Log,
+		Metrics:   in.Metrics,
+		Seed:      seed(in.Incarnation),
+	}, nil
+}
+
+func newPeer(p DispatcherParts, sources *Sources) *Peer {
+	return &Peer{
+		settings:    p.Settings,
+		incarnation: p.Entry,
+		snapshots:   p.Snapshots,
+		followers:   sources.followers,
+		reporter:    p.Reporter,
+		ring:        p.Ring,
+		clock:       p.Clock,
+	}
+}
+
+func newDaemon(p DispatcherParts, loop *ControlLoop, sources *Sources, server *Server, peer *Peer, registry *prometheus.Registry, shutdown fx.Shutdowner) *Daemon {
+	limits := p.Settings.Limits
+	return &Daemon{
+		settings: p.Settings,
+		loop:     loop,
+		sources:  sources,
+		executor: p.Executor,
+		clock:    p.Clock,
+		ring:     p.Ring,
+		log:      p.Log,
+		metrics:  p.Metrics,
+		callers:  server.httpServer(),
+		control:  &http.Server{Handler: ferrypb.NewPeerServer(peer), ReadHeaderTimeout: limits.HeaderTimeout},
+		admin:    &http.Server{Handler: adminHandler(p.Snapshots, registry), ReadHeaderTimeout: limits.HeaderTimeout},
+		failed:   func(error) { _ = shutdown.Shutdown(fx.ExitCode(1)) },
+	}
+}
--- a/pkg/entry/openai_request.go
+++ b/pkg/entry/openai_request.go
@@ -83,9 +83,10 @@
 		if *given < 1 || *given > most {
 			return 0, badRequest("max_tokens is out of range")
 		}
-		if limit == 0 || uint32(*given) < limit {
-			limit = uint32(*given)
+		if limit != 0 && uint32(*given) != limit {
+			return 0, badRequest("max_tokens and max_completion_tokens differ")
 		}
+		limit = uint32(*given)
 	}
 	return limit, nil
 }
--- /dev/null
+++ b/pkg/entry/peer.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"context"
+
+	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/clock"
+	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/stream"
+	"trefoilferry.example/ferry/pkg/timeline"
+)
+
+// role is the role that Status reports.
+const role = "entry"
+
+// Peer serves the twirp calls of other processes and operators.
+type Peer struct {
+	settings    *Settings
+	incarnation string
+	snapshots   *Snapshots
+	followers   map[string]*stream.Follower
+	reporter    Reporter
+	ring        *timeline.Ring
+	clock       clock.Clock
+}
+
+var _ ferrypb.Peer = (*Peer)(nil)
+
+// ReadStream returns records from memory. Unknown streams fail with code NotFound.
+func (p *Peer) ReadStream(_ context.Context, r *ferrypb.ReadStreamRequest) (*ferrypb.ReadStreamResponse, error) {
+	p.ring.Observe(r.GetLamport())
+	p.reporter.Observed(r.GetConfigOffset())
+	follower, ok := p.followers[r.GetStream()]
+	if !ok {
+		return nil, failure.New(failure.NotFound, failure.NotRun, "stream is not followed here")
+	}
+	response := follower.ReadStream(r)
+	response.ConfigOffset = p.snapshots.Load().ConfigOffset
+	response.Lamport = p.ring.Tick()
+	return response, nil
+}
+
+// Status reports what is in force.
+func (p *Peer) Status(context.Context, *ferrypb.StatusRequest) (*ferrypb.StatusResponse, error) {
+	snapshot := p.snapshots.Load()
+	host := p.settings.Host
+	out := &ferrypb.StatusResponse{
+		Process:         host.Name,
+		Incarnation:     p.incarnation,
+		Role:            role,
+		Address:         p.settings.Listen.Control,
+		Region:          host.Region,
+		FailureDomain:   host.FailureDomain,
+		ConfigOffset:    snapshot.ConfigOffset,
+		PlacementOffset: snapshot.PlacementOffset,
+		Ready:           snapshot.Ready(),
+		Leaving:         snapshot.Draining,
+		ConfigAgeMillis: -1,
+	}
+	if f, ok := p.followers[streamConfig]; ok {
+		if age := f.Age(p.clock.Now()); age >= 0 {
+			out.ConfigAgeMillis = age.Milliseconds()
+		}
+	}
+	return out, nil
+}
+
+// Timeline returns the events of the ring.
+func (p *Peer) Timeline(_ context.Context, r *ferrypb.TimelineRequest) (*ferrypb.TimelineResponse, error) {
+	filter := timeline.Filter{RequestID: r.GetRequestId(), Object: r.GetObject(), Host: r.GetHost()}
+	return p.ring.Snapshot(filter, int(r.GetMax())), nil
+}
--- a/pkg/entry/read_body.go
+++ b/pkg/entry/read_body.go
@@ -10,9 +10,6 @@
 	"trefoilferry.example/ferry/pkg/failure"
 )
 
-// writeGrace is the time for an answer to reach a slow caller after the request's deadline.
-const writeGrace = 5 * time.Second
-
 // readBody reads the whole body within the limits. After a failure the connection is not reused,
 // so that left-over bytes of a broken request are never read as another request.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *failure.Failure) {
@@ -25,7 +22,6 @@
 		return nil, bodyFailure(err)
 	}
 	_ = control.SetReadDeadline(time.Time{})
-	_ = control.SetWriteDeadline(s.clock.Now().Add(s.settings.Limits.RequestTimeout + writeGrace))
 	return body, nil
 }
 
--- /dev/null
+++ b/pkg/entry/routes.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"cmp"
+	"slices"
+
+	"trefoilferry.example/ferry/pkg/placement"
+	"trefoilferry.example/ferry/pkg/routing"
+)
+
+// placementRoutes is the RouteTable over a snapshot of the placement stream.
+type placementRoutes struct {
+	snapshot *placement.Snapshot
+}
+
+// NewRoutes returns the route table of a placement snapshot.
+func NewRoutes(s *placement.Snapshot) RouteTable { return placementRoutes{snapshot: s} }
+
+// Holders implements RouteTable.
+func (p placementRoutes) Holders(model string) []routing.Candidate {
+	var out []routing.Candidate
+	for _, c := range p.snapshot.Ready(model) {
+		runner, ok := p.snapshot.Runner(c.Runner)
+		if !ok {
+			continue
+		}
+		candidate := candidateOf(runner)
+		candidate.Version = c.Version
+		out = append(out, candidate)
+	}
+	return byName(out)
+}
+
+// Others implements RouteTable.
+func (p placementRoutes) Others(model string) []routing.Candidate {
+	holds := map[string]bool{}
+	for _, c := range p.snapshot.Copies(model) {
+		holds[c.Runner] = true
+	}
+	var out []routing.Candidate
+	for _, r := range p.snapshot.Runners() {
+		if r.Service == "" && !holds[r.Name] {
+			out = append(out, candidateOf(r))
+		}
+	}
+	return out
+}
+
+// Providers implements RouteTable.
+func (p placementRoutes) Providers(service string) []routing.Candidate {
+	var out []routing.Candidate
+	for _, r := range p.snapshot.ServiceRunners(service) {
+		out = append(out, candidateOf(r))
+	}
+	return out
+}
+
+// Knows implements RouteTable.
+func (p placementRoutes) Knows(runner string) bool {
+	_, ok := p.snapshot.Runner(runner)
+	return ok
+}
+
+func candidateOf(r placement.Runner) routing.Candidate {
+	return routing.Candidate{
+		Runner:        r.Name,
+		Address:       r.Address,
+		Incarnation:   r.Incarnation,
+		Region:        r.Region,
+		FailureDomain: r.FailureDomain,
+	}
+}
+
+func byName(candidates []routing.Candidate) []routing.Candidate {
+	slices.SortFunc(candidates, func(a, b routing.Candidate) int {
+		return cmp.Or(cmp.Compare(a.Runner, b.Runner), cmp.Compare(a.Version, b.Version))
+	})
+	return candidates
+}
--- a/pkg/entry/sink_stream.go
+++ b/pkg/entry/sink_stream.go
@@ -29,14 +29,15 @@
 
 // Data implements Sink.
 func (s *streamSink) Data(payload []byte) error {
-	text := append(s.rest, payload...)
-	whole := wholeRunes(text)
-	s.rest = append([]byte(nil), text[whole:]...)
+	s.rest = append(s.rest, payload...)
+	whole := wholeRunes(s.rest)
 	if whole == 0 {
 		return nil
 	}
+	text := string(s.rest[:whole])
+	s.rest = s.rest[whole:]
 	first := !s.delivered
-	return s.event("", s.form.chunk(string(text[:whole]), first, ""))
+	return s.event("", s.form.chunk(text, first, ""))
 }
 
 // Discard implements Sink.
