--- /dev/null
+++ b/pkg/settings/daemons_test.go
@@ -0,0 +1,40 @@
+package settings_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"trefoilferry.example/ferry/pkg/entry"
+	"trefoilferry.example/ferry/pkg/settings"
+)
+
+const settingsPage = "../../docs/settings.md"
+
+var update = flag.Bool("update", false, "rewrite docs/settings.md from the struct tags")
+
+// Guards against a settings page that names keys, defaults or ranges which the daemons do not have.
+func TestSettingsPageMatchesDaemons(t *testing.T) {
+	daemons := map[string]any{
+		"ferry-entry": &entry.Settings{},
+	}
+	data, err := os.ReadFile(settingsPage)
+	if err != nil {
+		t.Fatal(err)
+	}
+	page := string(data)
+	for name, dst := range daemons {
+		if page, err = settings.UpdatePage(page, name, dst); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if *update {
+		if err := os.WriteFile(settingsPage, []byte(page), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	if page != string(data) {
+		t.Fatal("docs/settings.md differs; run: go test ./pkg/settings -update")
+	}
+}
