--- /dev/null
+++ b/test/integration/caller_test.go
@@ -0,0 +1,190 @@
+package integration
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"trefoilferry.example/ferry/pkg/standin/answer"
+)
+
+// result is what a caller saw of one request.
+type result struct {
+	status    int
+	outcome   string
+	code      string
+	requestID string
+	header    http.Header
+	text      string
+	finish    string
+	done      bool
+	streamErr string
+	err       error
+}
+
+// callerClient has no timeout of its own; contexts bound the calls.
+var callerClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+
+type chatBody struct {
+	Model     string        `json:"model"`
+	Stream    bool          `json:"stream"`
+	MaxTokens int           `json:"max_tokens"`
+	Messages  []chatMessage `json:"messages"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// chatChunk holds the fields of whole answers and of stream chunks.
+type chatChunk struct {
+	Choices []struct {
+		Delta        chatMessage `json:"delta"`
+		Message      chatMessage `json:"message"`
+		FinishReason string      `json:"finish_reason"`
+	} `json:"choices"`
+	Error struct {
+		Code    string `json:"code"`
+		Outcome string `json:"outcome"`
+	} `json:"error"`
+}
+
+// uniquePrompt returns a prompt that no other request uses.
+func uniquePrompt() string { return "survey dossier " + uuid.NewString() }
+
+// chat sends one chat request and reads the whole answer. onText is called after each piece of a stream.
+func chat(ctx context.Context, baseURL, model, prompt string, tokens int, stream bool, onText func(total string)) result {
+	body, err := json.Marshal(chatBody{Model: model, Stream: stream, MaxTokens: tokens, Messages: []chatMessage{{Role: "user", Content: prompt}}})
+	if err != nil {
+		return result{err: err}
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, baseURL+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return result{err: err}
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := callerClient.Do(req)
+	if err != nil {
+		return result{err: err}
+	}
+	defer resp.Body.Close()
+	res := newResult(resp)
+	if !stream || resp.StatusCode != http.StatusOK {
+		return res.readWhole(resp.Body)
+	}
+	return res.readStream(resp.Body, onText)
+}
+
+func newResult(resp *http.Response) result {
+	return result{
+		status: resp.StatusCode, header: resp.Header,
+		outcome: resp.Header.Get("X-Ferry-Outcome"), requestID: resp.Header.Get("X-Request-Id"),
+	}
+}
+
+func (r result) readWhole(body io.Reader) result {
+	data, err := io.ReadAll(body)
+	if err != nil {
+		r.err = err
+		return r
+	}
+	var chunk chatChunk
+	if err := json.Unmarshal(data, &chunk); err != nil {
+		r.err = err
+		return r
+	}
+	r.code = chunk.Error.Code
+	if len(chunk.Choices) == 1 {
+		r.text = chunk.Choices[0].Message.Content
+		r.finish = chunk.Choices[0].FinishReason
+		r.done = true
+	}
+	return r
+}
+
+func (r result) readStream(body io.Reader, onText func(string)) result {
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(nil, 1<<20)
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			r.done = true
+			continue
+		}
+		var chunk chatChunk
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			r.err = err
+			return r
+		}
+		r = r.add(chunk)
+		if onText != nil {
+			onText(r.text)
+		}
+	}
+	r.err = scanner.Err()
+	return r
+}
+
+func (r result) add(chunk chatChunk) result {
+	if chunk.Error.Code != "" {
+		r.streamErr = chunk.Error.Code
+		r.outcome = chunk.Error.Outcome
+	}
+	for _, choice := range chunk.Choices {
+		r.text += choice.Delta.Content
+		if choice.FinishReason != "" {
+			r.finish = choice.FinishReason
+		}
+	}
+	return r
+}
+
+// whole reports whether the caller got exactly the answer to its own request.
+func (r result) whole(model, adapter, prompt string, tokens int) bool {
+	return r.err == nil && r.done && r.finish != "" && r.text == expectedText(model, adapter, prompt, tokens)
+}
+
+// call sends one service request.
+func call(ctx context.Context, method, url, key, body string) result {
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return result{err: err}
+	}
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := callerClient.Do(req)
+	if err != nil {
+		return result{err: err}
+	}
+	defer resp.Body.Close()
+	res := newResult(resp)
+	data, err := io.ReadAll(resp.Body)
+	res.text, res.err = string(data), err
+	var chunk chatChunk
+	if json.Unmarshal(data, &chunk) == nil {
+		res.code = chunk.Error.Code
+	}
+	return res
+}
+
+// limited returns a context for one request of a test.
+func limited(d time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), d)
+}
+
+// expectedText is the text that the engine stand-in generates for one user message.
+func expectedText(model, adapter, prompt string, tokens int) string {
+	return answer.Text(model, adapter, "user: "+prompt+"\n", 0, tokens)
+}
