Log restored states and stale relays of stream followers

Cause: operators could not see that a process started from a checkpoint or left its relays, and every daemon would have to assemble the input of the checkpoint decision itself.

Ruled out: a line for every failed relay call, which repeats each 250 ms.

Change: events F0120 to F0122; Follower.CheckpointInput and Follower.CheckpointRecord.

--- a/pkg/stream/apply.go
+++ b/pkg/stream/apply.go
@@ -86,5 +86,6 @@
 	f.seqs = restoreWriterSeqs(c.WriterSeqs)
 	f.tail.reset()
 	f.served = nil
+	f.cfg.Logger.Log(eventlog.StateRestored, "stream", f.cfg.Stream, "offset", c.Covers)
 	return true
 }
--- a/pkg/stream/follower.go
+++ b/pkg/stream/follower.go
@@ -40,9 +40,10 @@
 	oldest   uint64
 
 	// Fields of the polling goroutine.
-	logDown  bool
-	relayAt  time.Time
-	nextPeer int
+	logDown     bool
+	relayAt     time.Time
+	relaysStale bool
+	nextPeer    int
 }
 
 // NewFollower returns a follower that starts after the fold's offset.
@@ -156,6 +157,19 @@
 	return f.oldest
 }
 
+// CheckpointInput returns what a Checkpointer decides on.
+func (f *Follower) CheckpointInput(now time.Time) CheckpointInput {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return CheckpointInput{Now: now, Offset: f.cfg.Fold.Offset(), Oldest: f.oldest, Newest: f.newest, CaughtUp: f.logEnd}
+}
+
+// CheckpointRecord returns a record with the current state. A process appends it with a writer of its own id, so that an
+// unresolved append of the process's other records does not delay it.
+func (f *Follower) CheckpointRecord() *ferrypb.Envelope {
+	return &ferrypb.Envelope{Payload: &ferrypb.Envelope_Checkpoint{Checkpoint: f.Checkpoint()}}
+}
+
 // Checkpoint returns the state of the fold with the writers' sequence numbers.
 func (f *Follower) Checkpoint() *ferrypb.Checkpoint {
 	f.mu.Lock()
--- a/pkg/stream/source_peer.go
+++ b/pkg/stream/source_peer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/platform"
 )
@@ -35,10 +36,25 @@
 	for _, r := range relays {
 		if f.readRelay(ctx, r.Address) {
 			f.relayAt = f.cfg.Now()
+			f.noteRelays(false)
 			return true
 		}
 	}
-	return f.cfg.Now().Sub(f.relayAt) < f.cfg.StaleAfter
+	stale := f.cfg.Now().Sub(f.relayAt) >= f.cfg.StaleAfter
+	f.noteRelays(stale)
+	return !stale
+}
+
+func (f *Follower) noteRelays(stale bool) {
+	if stale == f.relaysStale {
+		return
+	}
+	f.relaysStale = stale
+	event := eventlog.RelaysFresh
+	if stale {
+		event = eventlog.RelaysStale
+	}
+	f.cfg.Logger.Log(event, "stream", f.cfg.Stream)
 }
 
 // readRelay reads one relay up to its end and reports whether its data is fresh.
