--- /dev/null
+++ b/pkg/entry/limits_test.go
@@ -0,0 +1,119 @@
+package entry
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"trefoilferry.example/ferry/pkg/failure"
+)
+
+// Guards against a broken request that is served, answered without a clear code, or leaves a trace in the next answer.
+func TestBrokenRequests(t *testing.T) {
+	a := newFakeAgent(t, "a", 0, tellStory)
+	f := newFixture(t, func(s *Settings) { s.Limits.BodyBytes = 1000; s.Limits.HeaderBytes = 2000 }, a)
+	chat := "/v1/chat/completions"
+	tests := map[string]struct {
+		method, path, body string
+		header             []string
+		want               failure.Code
+	}{
+		"not json":          {"POST", chat, "{", nil, failure.BadRequest},
+		"no model":          {"POST", chat, `{"messages":[]}`, nil, failure.BadRequest},
+		"no messages":       {"POST", chat, `{"model":"m"}`, nil, failure.BadRequest},
+		"unknown model":     {"POST", chat, `{"model":"x","messages":[{"role":"user","content":"hi"}]}`, nil, failure.NotFound},
+		"two choices":       {"POST", chat, chatBody + `"n":2}`, nil, failure.BadRequest},
+		"too many tokens":   {"POST", "/v1/completions", `{"model":"m","prompt":"x","max_tokens":101}`, nil, failure.BadRequest},
+		"large body":        {"POST", chat, strings.Repeat("x", 1001), nil, failure.BodyTooLarge},
+		"large header":      {"POST", chat, "", []string{"X-Large", strings.Repeat("x", 2000)}, failure.HeaderTooLarge},
+		"unknown workspace": {"POST", chat, chatBody + `"n":1}`, []string{headerWorkspace, "w"}, failure.Unauthorized},
+		"unknown path":      {"GET", "/v2", "", nil, failure.NotFound},
+		"wrong method":      {"GET", chat, "", nil, failure.MethodInvalid},
+		"unknown service":   {"GET", "/services/none/x", "", nil, failure.NotFound},
+		"bad key":           {"POST", "/services/booking/x", "", []string{headerKey, "a b"}, failure.BadRequest},
+	}
+	for name, tt := range tests {
+		response, body := f.call(t, tt.method, tt.path, tt.body, tt.header...)
+		var e errorBody
+		if err := json.Unmarshal([]byte(body), &e); err != nil || e.Error.Code != string(tt.want) || response.StatusCode != tt.want.Status() || e.Error.Outcome != "not_run" {
+			t.Errorf("%s: %d %s", name, response.StatusCode, body)
+		}
+	}
+	if a.count() != 0 {
+		t.Fatalf("%d broken requests reached the agent", a.count())
+	}
+	if _, body := f.call(t, "POST", chat, chatBody+`"n":1}`); !strings.Contains(body, strings.Join(story, "")) {
+		t.Fatalf("answer after broken requests: %s", body)
+	}
+}
+
+// Guards against a slow body that holds a request open, and against its rest being read as another request.
+func TestSlowBody(t *testing.T) {
+	f := newFixture(t, func(s *Settings) { s.Limits.BodyTimeout = 100 * time.Millisecond }, newFakeAgent(t, "a", 0, tellStory))
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = conn.Write([]byte("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{"))
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	buffer := make([]byte, 4096)
+	n, err := conn.Read(buffer)
+	if err != nil || !strings.HasPrefix(string(buffer[:n]), "HTTP/1.1 408") || !strings.Contains(string(buffer[:n]), "Connection: close") {
+		t.Fatalf("%v %q", err, buffer[:n])
+	}
+}
+
+// Guards against a refusal while a holder is about to become ready, and against a wait beyond the deadline.
+func TestWaitsForHolder(t *testing.T) {
+	f := newFixture(t, func(s *Settings) { s.Limits.RequestTimeout = 400 * time.Millisecond })
+	response, _ := f.call(t, "POST", "/v1/chat/completions", chatBody+`"n":1}`)
+	if got := response.Header.Get(headerOutcome); response.StatusCode == http.StatusOK || got != "not_run" {
+		t.Fatalf("%d %s", response.StatusCode, got)
+	}
+	a := newFakeAgent(t, "a", 0, tellStory)
+	time.AfterFunc(100*time.Millisecond, func() { f.publish(a) })
+	if response, body := f.call(t, "POST", "/v1/chat/completions", chatBody+`"n":1}`); response.StatusCode != http.StatusOK {
+		t.Fatalf("%d %s", response.StatusCode, body)
+	}
+}
+
+// Guards against retries beyond the budget, and against a refusal without advice.
+func TestEmptyBudgetRefusesEarly(t *testing.T) {
+	a := newFakeAgent(t, "a", 0, faults["refuses"])
+	f := newFixture(t, func(s *Settings) { s.Retry.Burst = 1; s.Retry.PerSecond = 0; s.Retry.Ratio = 0 }, a)
+	_, _ = f.call(t, "POST", "/v1/chat/completions", chatBody+`"n":1}`)
+	before := a.count()
+	response, body := f.call(t, "POST", "/v1/chat/completions", chatBody+`"n":1}`)
+	if response.StatusCode != 503 || response.Header.Get(headerRetryAfter) == "" || !strings.Contains(body, string(failure.RetryBudget)) || a.count() != before+1 {
+		t.Fatalf("%d calls after %d: %d %s", a.count(), before, response.StatusCode, body)
+	}
+}
+
+// Guards against a request that fails because probes are lost, and against demand that no agent hears of.
+func TestProbesAndHints(t *testing.T) {
+	silent := newFakeAgent(t, "a", 0, tellStory)
+	silent.unprobe = true
+	f := newFixture(t, nil, silent)
+	if response, body := f.call(t, "POST", "/v1/chat/completions", chatBody+`"n":1}`); response.StatusCode != 200 {
+		t.Fatalf("no probe answered: %d %s", response.StatusCode, body)
+	}
+	slow := newFakeAgent(t, "slow", time.Minute, tellStory)
+	other := newFakeAgent(t, "other", 0, tellStory)
+	f.publish(slow)
+	next := *f.snapshots.Load()
+	next.Routes = fakeRoutes{agents: []*fakeAgent{slow}, others: []*fakeAgent{other}}
+	f.snapshots.Store(&next)
+	for range 5 {
+		_, _ = f.call(t, "POST", "/v1/chat/completions", chatBody+`"n":1}`)
+	}
+	time.Sleep(100 * time.Millisecond)
+	other.mu.Lock()
+	defer other.mu.Unlock()
+	if other.hints != 1 {
+		t.Fatalf("%d hints within a second, want 1", other.hints)
+	}
+}
