entry: tests of the daemon on a log in memory

Cause: the graceful stop and the follow-up of configuration were not proved on the wired daemon. Ruled out: unit tests of the stop alone, because cut requests show only on sockets. Change: the fx application runs against memlog and a fake agent; connection reuse is checked.

--- a/pkg/entry/harness_test.go
+++ b/pkg/entry/harness_test.go
@@ -38,6 +38,7 @@
 	body    []byte
 	ctx     context.Context
 	ident   frame.Ident
+	remote  string
 }
 
 // fakeAgent serves Agent and the exec call by a script.
@@ -95,7 +96,7 @@
 	w.Header().Set("Content-Type", frame.ContentType)
 	ident := frame.Ident{RequestID: request.GetRequestId(), AttemptID: request.GetAttemptId(), Incarnation: a.name}
 	flush := func() { _ = http.NewResponseController(w).Flush() }
-	a.exec(t, &execCall{w: frame.NewWriter(w, flush, ident, nil), out: w, request: request, body: data, ctx: r.Context(), ident: ident})
+	a.exec(t, &execCall{w: frame.NewWriter(w, flush, ident, nil), out: w, request: request, body: data, ctx: r.Context(), ident: ident, remote: r.RemoteAddr})
 }
 
 func (a *fakeAgent) count() int {
