entry: wait for restarting holders; hints, polls and usage made exact

Cause: a restart of the only holder outlasts four attempts; caps caused hints; offsets ahead caused repeated polls; the host list costs 130 KB a read at the target size. Ruled out: more attempts, because they would also repeat refusals for lack of capacity. Change: refusals by absent runners end in a wait up to the deadline; hints only for lack of capacity; one poll per observed offset; setting hosts_interval. Conclusion: a model stays reachable over a restart of its only holder.

--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -132,7 +132,7 @@
 	case *ferrypb.Frame_Data:
 		return false, d.data(j, c, body.Data)
 	case *ferrypb.Frame_End:
-		return true, j.sink.End(j.usage(body.End.GetFinishReason(), body.End.GetPromptTokens()))
+		return true, j.sink.End(j.usage(body.End))
 	default:
 		return false, failure.New(failure.FrameMismatch, failure.Unknown, "unexpected frame")
 	}
@@ -148,8 +148,8 @@
 }
 
 func (d *Dispatcher) data(j *job, c routing.Candidate, data *ferrypb.Data) error {
-	d.observeToken(j)
 	if j.request.generation() {
+		d.observeToken(j)
 		j.text = append(j.text, data.GetPayload()...)
 		j.tokens += data.GetTokens()
 		j.version = c.Version
@@ -168,12 +168,17 @@
 	j.lastAt = now
 }
 
-// usage counts the tokens that the caller received, over all attempts.
-func (j *job) usage(finish string, promptTokens uint32) Usage {
-	j.promptTokens = max(j.promptTokens, promptTokens)
-	prompt := j.promptTokens
-	if prompt == 0 {
-		prompt = j.request.PromptTokens
+// usage counts the tokens that the caller received, over all attempts. Counts that the frames lack are those of the engine.
+func (j *job) usage(end *ferrypb.End) Usage {
+	u := Usage{FinishReason: end.GetFinishReason(), PromptTokens: end.GetPromptTokens(), CompletionTokens: j.tokens}
+	if u.FinishReason == "" {
+		u.FinishReason = "stop"
 	}
-	return Usage{FinishReason: finish, PromptTokens: prompt, CompletionTokens: j.tokens}
+	if u.PromptTokens == 0 {
+		u.PromptTokens = j.request.PromptTokens
+	}
+	if u.CompletionTokens == 0 {
+		u.CompletionTokens = end.GetCompletionTokens()
+	}
+	return u
 }
--- a/pkg/entry/control_loop.go
+++ b/pkg/entry/control_loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"trefoilferry.example/ferry/pkg/clock"
 	"trefoilferry.example/ferry/pkg/eventlog"
@@ -18,10 +19,12 @@
 	snapshots *Snapshots
 	events    chan ControlEvent
 	poke      chan struct{}
-	clock     clock.Clock
-	ring      *timeline.Ring
-	log       *eventlog.Logger
-	metrics   *Metrics
+	// poked is the highest offset for which a read was asked.
+	poked   atomic.Uint64
+	clock   clock.Clock
+	ring    *timeline.Ring
+	log     *eventlog.Logger
+	metrics *Metrics
 }
 
 // NewControlLoop returns a loop that publishes to snapshots.
@@ -87,9 +90,11 @@
 	}
 }
 
-// Observed implements Reporter.
+// Observed implements Reporter. Each offset asks for one read only: while the log is out, reads at the rate of
+// messages would delay its return.
 func (l *ControlLoop) Observed(offset uint64) {
-	if offset <= l.snapshots.Load().ConfigOffset {
+	known := l.poked.Load()
+	if offset <= max(known, l.snapshots.Load().ConfigOffset) || !l.poked.CompareAndSwap(known, offset) {
 		return
 	}
 	select {
--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -25,8 +25,6 @@
 	tokens uint32
 	// version of the model that generated text.
 	version string
-	// promptTokens is the highest count that an engine reported.
-	promptTokens uint32
 	// firstAt and lastAt are the times of the first and the last data.
 	firstAt time.Time
 	lastAt  time.Time
--- a/pkg/entry/prober.go
+++ b/pkg/entry/prober.go
@@ -135,12 +135,21 @@
 	return out
 }
 
-// missesTarget reports whether no candidate that answered can meet the target.
+// missesTarget reports whether every candidate that answered lacks the capacity to meet the target.
+// Refusals for other reasons, such as a cap, would not be cured by another copy.
 func missesTarget(answered []routing.Candidate, target time.Duration) bool {
 	for _, c := range answered {
-		if c.Prediction.Accepts && (target == 0 || c.Prediction.FirstToken <= target) {
+		if !lacksCapacity(c.Prediction, target) {
 			return false
 		}
 	}
 	return true
 }
+
+func lacksCapacity(p *routing.Prediction, target time.Duration) bool {
+	if p.Accepts {
+		return target > 0 && p.FirstToken > target
+	}
+	code := failure.Code(p.Code)
+	return code == failure.TargetMissed || code == failure.Overloaded
+}
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -37,8 +37,10 @@
 	LogURL       string        `key:"log_url" required:"true" doc:"base URL of the log service"`
 	HostsURL     string        `key:"hosts_url" required:"true" doc:"base URL of the host list"`
 	PollInterval time.Duration `key:"poll_interval" default:"250ms" min:"10ms" max:"1s" doc:"pause between two reads of a stream"`
-	UseRelays    bool          `key:"use_relays" default:"false" doc:"read streams from two hosts of the failure domain instead of the log"`
-	LogRetention time.Duration `key:"log_retention" default:"1h" min:"1s" doc:"time for which the log keeps records"`
+	// HostsInterval is longer than PollInterval, because every read returns the whole list: 1,100 hosts are about 130 KB.
+	HostsInterval time.Duration `key:"hosts_interval" default:"2s" min:"10ms" max:"1m" doc:"pause between two reads of the host list"`
+	UseRelays     bool          `key:"use_relays" default:"false" doc:"read streams from two hosts of the failure domain instead of the log"`
+	LogRetention  time.Duration `key:"log_retention" default:"1h" min:"1s" doc:"time for which the log keeps records"`
 }
 
 // LimitSettings bound what callers may send and how long the daemon waits.
--- a/pkg/entry/sources.go
+++ b/pkg/entry/sources.go
@@ -87,7 +87,7 @@
 		}
 		p.Loop.Send(ctx, HostsRead{Hosts: hosts})
 	}
-	s.pollers = append(s.pollers, &poller{read: read, interval: p.Settings.Platform.PollInterval, clock: p.Clock})
+	s.pollers = append(s.pollers, &poller{read: read, interval: p.Settings.Platform.HostsInterval, clock: p.Clock})
 }
 
 func (p SourceParts) source(name string, fold stream.Fold) *streamSource {
--- a/pkg/entry/try.go
+++ b/pkg/entry/try.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 
+	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/routing"
 )
@@ -11,7 +12,7 @@
 // try makes one attempt: it selects a runner and runs the exec call there.
 func (d *Dispatcher) try(ctx context.Context, j *job) error {
 	if j.started() && j.exhausted() {
-		return j.sink.End(j.usage("length", 0))
+		return j.sink.End(j.usage(&ferrypb.End{FinishReason: "length"}))
 	}
 	snapshot := d.snapshots.Load()
 	chosen, err := d.choose(ctx, snapshot, j)
--- /dev/null
+++ b/pkg/entry/unavailable.go
@@ -0,0 +1,38 @@
+package entry
+
+import "trefoilferry.example/ferry/pkg/failure"
+
+// absent lists the refusals of runners that are restarting, leaving or not loaded. They pass without a change in load.
+var absent = map[failure.Code]bool{
+	failure.ConnectFailed:    true,
+	failure.Leaving:          true,
+	failure.NotLoaded:        true,
+	failure.WrongIncarnation: true,
+}
+
+// unavailable turns the refusal of the last holder into NoBackend, so that the request waits for a holder up to
+// its deadline: a restart takes longer than all attempts. Other refusals stay bounded by the number of attempts.
+func (d *Dispatcher) unavailable(j *job, f *failure.Failure) *failure.Failure {
+	if f.Outcome != failure.NotRun || !absent[f.Code] {
+		return f
+	}
+	if j.attempts < d.settings.Retry.MaxAttempts && d.untried(j) {
+		return f
+	}
+	return failure.Wrap(failure.NoBackend, failure.NotRun, "no runner is available for "+j.request.object(), f)
+}
+
+// untried reports whether a runner is left that has not failed the request.
+func (d *Dispatcher) untried(j *job) bool {
+	snapshot := d.snapshots.Load()
+	candidates := snapshot.Providers(j.request.Target)
+	if j.request.generation() {
+		candidates = j.usable(snapshot.Holders(j.request.Target))
+	}
+	for _, c := range candidates {
+		if !c.Leaving && !j.tried[c.Runner] {
+			return true
+		}
+	}
+	return false
+}
