Add the agent: core, exec server, control service and daemon

Cause: each backend server needs a process that admits work, gives the engine its orders and records what is placed where.

Ruled out: decisions in the goroutines that do the I/O, which event tables could not drive; a memory account of the agent's own beside placement.Ledger.

Change: pkg/agent holds a deterministic Core from events to actions, one control goroutine, the exec server, the twirp services, the prefix index, metrics and the fx module; cmd/ferry-agent is the thin daemon.

Measured: go test -race ./pkg/agent passes against the stand-in engine and service and the in-memory log.

Conclusion: a request path with generations and keyless service calls can run.

--- /dev/null
+++ b/cmd/ferry-agent/main.go
@@ -0,0 +1,35 @@
+// Command ferry-agent runs the agent beside one backend server.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"trefoilferry.example/ferry/pkg/agent"
+	"trefoilferry.example/ferry/pkg/settings"
+)
+
+func main() {
+	command := &cli.Command{
+		Name:   "ferry-agent",
+		Usage:  "serve requests at one backend server",
+		Flags:  settings.Flags(),
+		Action: run,
+	}
+	if err := command.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, cmd *cli.Command) error {
+	var s agent.Settings
+	done, err := settings.FromCommand(cmd, os.Stdout, &s)
+	if err != nil || done {
+		return err
+	}
+	return agent.Run(ctx, &s)
+}
--- /dev/null
+++ b/pkg/agent/checkpoint.go
@@ -0,0 +1,34 @@
+package agent
+
+import (
+	"context"
+
+	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/eventlog"
+	"trefoilferry.example/ferry/pkg/stream"
+)
+
+// poll appends a checkpoint when one is due.
+func (s *checkpointSource) poll(ctx context.Context) {
+	due := s.decide.Due(stream.CheckpointInput{
+		Now:      s.now(),
+		Offset:   s.follower.Offset(),
+		Oldest:   s.follower.Oldest(),
+		Newest:   s.follower.NewestCheckpoint(),
+		CaughtUp: s.follower.CaughtUp(),
+	})
+	if !due {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	checkpoint := s.follower.Checkpoint()
+	_, err := s.writer.Append(ctx, &ferrypb.Envelope{Payload: &ferrypb.Envelope_Checkpoint{Checkpoint: checkpoint}})
+	if err != nil {
+		// A late copy of a checkpoint is still correct, so nothing waits for this one.
+		s.writer.Forget()
+		s.logger.Log(eventlog.CheckpointFailed, "stream", s.stream, "error", err)
+		return
+	}
+	s.logger.Log(eventlog.CheckpointWritten, "stream", s.stream, "covers", checkpoint.GetCovers())
+}
--- /dev/null
+++ b/pkg/agent/core_events.go
@@ -0,0 +1,85 @@
+package agent
+
+import (
+	"time"
+
+	"trefoilferry.example/ferry/pkg/eventlog"
+)
+
+func (Tick) apply(*Core) {}
+
+func (e ReportRead) apply(c *Core) {
+	if c.report.Instance != "" && c.report.Instance != e.Report.Instance {
+		c.engineReplaced()
+	}
+	c.report = e.Report
+	c.reportAt = c.now
+	c.reportOld = false
+	c.noteLost()
+	if c.ledger != nil {
+		c.ledger.Report(e.Report)
+	}
+	c.adapters.reconcile(c.now, e.Report)
+}
+
+// engineReplaced drops what concerns the former engine process.
+func (c *Core) engineReplaced() {
+	c.fenceAcked = false
+	c.adapters.forgetResidents()
+}
+
+func (e ReportFailed) apply(c *Core) {
+	if !c.reportOld {
+		c.log(eventlog.EngineLost, "error", e.Err)
+	}
+	c.reportOld = true
+}
+
+func (e PlacementRead) apply(c *Core) {
+	if e.Offset < c.placementOffset {
+		return
+	}
+	c.placement = e.Placement
+	c.placementOffset = e.Offset
+	c.placementKnown = c.placementKnown || e.CaughtUp
+	c.noteCopies()
+	c.readOwnStart()
+}
+
+func (e ConfigRead) apply(c *Core) {
+	c.configKnown = c.configKnown || e.CaughtUp
+	if c.set == nil || e.Set.Offset >= c.set.Offset {
+		c.set = e.Set
+	}
+}
+
+func (e HostsRead) apply(c *Core) {
+	c.hosts = e.Hosts
+	c.hostsAt = c.now
+	c.memo.made = time.Time{}
+}
+
+func (e PingDone) apply(c *Core) {
+	c.watch.answered(c.now, e.Runner, e.Err == nil)
+}
+
+func (e HintReceived) apply(c *Core) {
+	c.demand.hint(c.now, e.Model, e.UnmetPerSecond)
+}
+
+func (e AdapterWanted) apply(c *Core) {
+	c.adapters.want(c.now, e)
+}
+
+func (e AdapterDropped) apply(c *Core) {
+	c.adapters.drop(c.now, e.Request)
+}
+
+func (e WorkCounted) apply(c *Core) {
+	c.work = e
+	c.demand.served(c.now, e.Served)
+}
+
+func (StopRequested) apply(c *Core) {
+	c.stopping = true
+}
--- /dev/null
+++ b/pkg/agent/effects.go
@@ -0,0 +1,139 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/clock"
+	"trefoilferry.example/ferry/pkg/engine"
+	"trefoilferry.example/ferry/pkg/eventlog"
+	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/object"
+	"trefoilferry.example/ferry/pkg/queue"
+	"trefoilferry.example/ferry/pkg/stream"
+	"trefoilferry.example/ferry/pkg/timeline"
+)
+
+const (
+	// pingTimeout bounds one ping; it stays below the watch interval.
+	pingTimeout = 800 * time.Millisecond
+	// resolvePause is the pause between two tries to settle an append without an answer.
+	resolvePause = 500 * time.Millisecond
+)
+
+// Pinger asks another agent whether it is alive.
+type Pinger interface {
+	Ping(ctx context.Context, address string) error
+}
+
+// Effects carries out the actions of the core. Calls to other processes run in their own goroutines.
+type Effects struct {
+	Send     func(Event)
+	View     *atomic.Pointer[View]
+	Work     *Work
+	Gate     *Gate
+	Adapters *Adapters
+	Engine   engine.Engine
+	Writer   *stream.Writer
+	Pinger   Pinger
+	Clock    clock.Clock
+	Logger   *eventlog.Logger
+	Ring     *timeline.Ring
+	Metrics  *Metrics
+	// OrderTimeout bounds the wait for the answer to an order.
+	OrderTimeout time.Duration
+	// Changed is called when placement records or the engine should be read at once.
+	Changed func()
+	// Stopped is called once all work is finished after a stop request.
+	Stopped func()
+
+	ctx     context.Context
+	running sync.WaitGroup
+	set     *object.Set
+}
+
+// Start sets the context of all calls; it is called before Do.
+func (f *Effects) Start(ctx context.Context) { f.ctx = ctx }
+
+// Wait returns once all calls have ended.
+func (f *Effects) Wait() { f.running.Wait() }
+
+// Do carries out one action without blocking. Only the control goroutine calls it.
+func (f *Effects) Do(a Action) {
+	switch a := a.(type) {
+	case AppendRecord:
+		f.running.Go(func() { f.append(a) })
+	case SendOrder:
+		f.running.Go(func() { f.order(a.Order) })
+	case SendPing:
+		f.running.Go(func() { f.ping(a) })
+	case CloseTarget:
+		f.Work.Close(a.Target)
+	case OpenTarget:
+		f.Work.Open(a.Target)
+	case SetRefusal:
+		f.Work.SetRefusal(a.Failure)
+	case AnswerAdapter:
+		f.Adapters.Answer(a.Request, a.Err)
+	case PublishView:
+		f.publish(a.View)
+	case WriteLog:
+		f.Logger.Log(a.Event, a.Fields...)
+	case AddTimeline:
+		f.Ring.Add(a.Event)
+	case Stop:
+		f.Stopped()
+	}
+}
+
+// append stores a record and reports only a settled result: an append whose answer was lost is resolved until it is
+// known whether the record is in the log.
+func (f *Effects) append(a AppendRecord) {
+	envelope := &ferrypb.Envelope{Payload: &ferrypb.Envelope_Placement{Placement: a.Record}}
+	offset, err := f.Writer.Append(f.ctx, envelope)
+	for err != nil && failure.From(err).Outcome == failure.Unknown {
+		select {
+		case <-f.ctx.Done():
+			return
+		case <-f.Clock.After(resolvePause):
+		}
+		offset, err = f.Writer.Resolve(f.ctx)
+	}
+	f.Send(AppendDone{Ref: a.Ref, Offset: offset, Err: err})
+	f.Changed()
+}
+
+func (f *Effects) order(o engine.Order) {
+	ctx, cancel := context.WithTimeout(f.ctx, f.OrderTimeout)
+	defer cancel()
+	err := f.Engine.Order(ctx, o)
+	f.Metrics.orderDone(o.Kind, err)
+	f.Send(OrderDone{ID: o.ID, Err: err})
+	f.Changed()
+}
+
+func (f *Effects) ping(a SendPing) {
+	ctx, cancel := context.WithTimeout(f.ctx, pingTimeout)
+	defer cancel()
+	f.Send(PingDone{Runner: a.Runner, Err: f.Pinger.Ping(ctx, a.Address)})
+}
+
+// publish replaces the view and passes what it carries to the gate.
+func (f *Effects) publish(v *View) {
+	f.View.Store(v)
+	f.Metrics.view(v)
+	f.Gate.SetRates(queue.Rates{
+		Slots:                  int(v.Report.MaxRunning),
+		PrefillTokensPerSecond: v.Report.PrefillTokensPerSecond,
+		DecodeTokensPerSecond:  v.Report.DecodeTokensPerSecond,
+	})
+	if v.Set != nil && v.Set != f.set {
+		f.set = v.Set
+		f.Gate.SetCaps(v.Set.Caps())
+		f.Ring.Add(timeline.Event{Kind: timeline.ConfigApplied})
+		f.Logger.Log(eventlog.ConfigApplied, "offset", v.Set.Offset)
+	}
+}
--- /dev/null
+++ b/pkg/agent/exec_service.go
@@ -0,0 +1,103 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+
+	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/frame"
+	"trefoilferry.example/ferry/pkg/service"
+)
+
+// relayBuffer is the size of one read of a service's answer in bytes.
+const relayBuffer = 32 << 10
+
+// serveCall runs one call of the plain service.
+func (s *ExecServer) serveCall(ctx context.Context, c *call) error {
+	if c.request.GetTarget() != c.view.Identity.Service {
+		return failure.New(failure.NotFound, failure.NotRun, "runner serves another service")
+	}
+	select {
+	case s.Calls <- struct{}{}:
+		defer func() { <-s.Calls }()
+	default:
+		return failure.New(failure.Overloaded, failure.NotRun, "too many calls in progress").WithRetryAfter(overloadPause)
+	}
+	ctx, cancel := s.withTimeout(ctx, c)
+	defer cancel()
+	if c.request.GetIdempotencyKey() != "" && !c.request.GetIdempotent() {
+		return s.serveKeyed(ctx, c)
+	}
+	answer, err := s.Service.Do(ctx, serviceCall(c))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	return s.relayAnswer(c, answer)
+}
+
+// withTimeout bounds a call by the published timeout of the service.
+func (s *ExecServer) withTimeout(ctx context.Context, c *call) (context.Context, context.CancelFunc) {
+	published, ok := c.view.Set.Service(c.request.GetTarget())
+	if !ok || published.Timeout <= 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, published.Timeout)
+}
+
+func serviceCall(c *call) service.Call {
+	return service.Call{
+		Method:         c.request.GetMethod(),
+		Path:           c.request.GetPath(),
+		Header:         httpHeader(c.request.GetHeader()),
+		Body:           c.body,
+		RequestID:      c.request.GetRequestId(),
+		IdempotencyKey: c.request.GetIdempotencyKey(),
+	}
+}
+
+// relayAnswer passes an answer on while it arrives.
+func (s *ExecServer) relayAnswer(c *call, answer *service.Response) error {
+	if err := s.accept(c, answer.Status, frameHeader(answer.Header)); err != nil {
+		return err
+	}
+	buffer := make([]byte, relayBuffer)
+	for {
+		n, err := answer.Body.Read(buffer)
+		if n > 0 {
+			if err := c.out.Data(buffer[:n], 0); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return c.out.End(frame.Summary{})
+		}
+		if err != nil {
+			return started(err)
+		}
+	}
+}
+
+func httpHeader(in []*ferrypb.Header) http.Header {
+	out := http.Header{}
+	for _, h := range in {
+		out.Add(h.GetName(), h.GetValue())
+	}
+	return out
+}
+
+// frameHeader returns the header in name order, so that answers are the same bytes every time.
+func frameHeader(in http.Header) []*ferrypb.Header {
+	var out []*ferrypb.Header
+	for _, name := range slices.Sorted(maps.Keys(in)) {
+		for _, value := range in[name] {
+			out = append(out, &ferrypb.Header{Name: name, Value: value})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/agent/placement.go
@@ -0,0 +1,64 @@
+package agent
+
+import (
+	"time"
+
+	"trefoilferry.example/ferry/pkg/placement"
+)
+
+// Planner decides what the own runner shall claim, release, abandon and load next. It is a pure function.
+type Planner func(in placement.PlanInput) placement.PlanOutput
+
+// planInterval is the time between two plans while nothing but demand and time changes.
+const planInterval = time.Second
+
+// planMemo keeps the last plan. It is made anew when the records, the configuration or the host list change.
+type planMemo struct {
+	made            time.Time
+	placementOffset uint64
+	configOffset    uint64
+	output          placement.PlanOutput
+}
+
+// planned returns the current plan.
+func (c *Core) planned() placement.PlanOutput {
+	m := &c.memo
+	fresh := !m.made.IsZero() && c.now.Sub(m.made) < planInterval
+	if fresh && m.placementOffset == c.placementOffset && m.configOffset == c.set.Offset {
+		return m.output
+	}
+	*m = planMemo{made: c.now, placementOffset: c.placementOffset, configOffset: c.set.Offset}
+	m.output = c.plan(c.planInput())
+	return m.output
+}
+
+func (c *Core) planInput() placement.PlanInput {
+	return placement.PlanInput{
+		Snapshot:         c.placement,
+		Config:           c.set,
+		Hosts:            c.hosts,
+		Demands:          c.demand.demands(c.now),
+		Usage:            c.usage(),
+		Self:             c.id.Runner,
+		Now:              c.now,
+		FreeBytes:        c.freeBytes(),
+		StoreConcurrency: c.limits.StoreConcurrency,
+	}
+}
+
+// usage describes the own ready copies.
+func (c *Core) usage() map[placement.Key]placement.Usage {
+	out := map[placement.Key]placement.Usage{}
+	for _, own := range c.own() {
+		if own.State != ready {
+			continue
+		}
+		item, _ := c.item(own)
+		out[keyOf(own)] = placement.Usage{
+			RatePerSecond: c.demand.rates[own.Model],
+			ReadySince:    c.demand.readySince[own.Claim],
+			Pinned:        item.Unsettled,
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/agent/prefix.go
@@ -0,0 +1,100 @@
+package agent
+
+import (
+	"container/list"
+	"sync"
+
+	"trefoilferry.example/ferry/pkg/engine"
+)
+
+// prefixKey names one prompt prefix of one model.
+type prefixKey struct {
+	model  string
+	prefix uint64
+}
+
+type prefixEntry struct {
+	key    prefixKey
+	tokens uint32
+}
+
+// PrefixIndex remembers which prompt prefixes the engine's cache holds, as far as its events tell.
+// It is bounded, the least recently stored or hit prefix goes first. It is safe for concurrent use.
+type PrefixIndex struct {
+	mu      sync.Mutex
+	limit   int
+	next    uint64
+	order   *list.List
+	entries map[prefixKey]*list.Element
+}
+
+// NewPrefixIndex returns an index of up to limit prefixes.
+func NewPrefixIndex(limit int) *PrefixIndex {
+	return &PrefixIndex{limit: limit, next: 1, order: list.New(), entries: map[prefixKey]*list.Element{}}
+}
+
+// Next returns the sequence number of the next event wanted.
+func (p *PrefixIndex) Next() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.next
+}
+
+// Apply applies events in any order; events that were already seen change nothing.
+// After a gap the whole index is dropped: a lost removal would otherwise promise tokens that are not cached.
+func (p *PrefixIndex) Apply(events []engine.CacheEvent) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range events {
+		if e.Seq < p.next {
+			continue
+		}
+		if e.Seq > p.next {
+			p.clear()
+		}
+		p.next = e.Seq + 1
+		p.apply(e)
+	}
+}
+
+// Reset forgets everything; it is called when another engine process answers.
+func (p *PrefixIndex) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.clear()
+	p.next = 1
+}
+
+// Lookup returns the cached tokens of a prefix; 0 if it is not known.
+func (p *PrefixIndex) Lookup(model string, prefix uint64) uint32 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, ok := p.entries[prefixKey{model, prefix}]
+	if !ok {
+		return 0
+	}
+	p.order.MoveToBack(e)
+	return e.Value.(*prefixEntry).tokens
+}
+
+func (p *PrefixIndex) clear() {
+	p.order.Init()
+	clear(p.entries)
+}
+
+func (p *PrefixIndex) apply(e engine.CacheEvent) {
+	key := prefixKey{e.Model, e.Prefix}
+	if old, ok := p.entries[key]; ok {
+		p.order.Remove(old)
+		delete(p.entries, key)
+	}
+	if !e.Stored {
+		return
+	}
+	p.entries[key] = p.order.PushBack(&prefixEntry{key: key, tokens: e.Tokens})
+	if len(p.entries) > p.limit {
+		oldest := p.order.Front()
+		p.order.Remove(oldest)
+		delete(p.entries, oldest.Value.(*prefixEntry).key)
+	}
+}
--- /dev/null
+++ b/pkg/agent/sources.go
@@ -0,0 +1,135 @@
+package agent
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"trefoilferry.example/ferry/pkg/configlog"
+	"trefoilferry.example/ferry/pkg/engine"
+	"trefoilferry.example/ferry/pkg/eventlog"
+	"trefoilferry.example/ferry/pkg/placement"
+	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/stream"
+)
+
+const (
+	// configStream and placementStream are the streams that every agent follows.
+	configStream    = "config"
+	placementStream = "placement"
+	// readTimeout bounds one round of reads; a paused source must not stop the others.
+	readTimeout = 3 * time.Second
+	// hostsInterval is the time between two reads of the host list, which lags by more than that.
+	hostsInterval = time.Second
+)
+
+// configSource turns the config stream into events.
+type configSource struct {
+	fold     *configlog.Fold
+	follower *stream.Follower
+	send     func(Event)
+	sent     uint64
+	caughtUp bool
+}
+
+func (s *configSource) poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	// The follower logs failures; the last configuration stays in force.
+	_, _ = s.follower.Poll(ctx)
+	caughtUp := s.follower.CaughtUp()
+	offset := s.fold.Offset()
+	if offset == s.sent && caughtUp == s.caughtUp {
+		return
+	}
+	s.sent = offset
+	s.caughtUp = caughtUp
+	s.send(ConfigRead{Set: s.fold.Set(), CaughtUp: caughtUp})
+}
+
+// placementSource turns the placement stream into events.
+type placementSource struct {
+	fold     *placement.Fold
+	follower *stream.Follower
+	send     func(Event)
+	sent     uint64
+	caughtUp bool
+}
+
+func (s *placementSource) poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	// The follower logs failures; the last records stay in force.
+	_, _ = s.follower.Poll(ctx)
+	caughtUp := s.follower.CaughtUp()
+	offset := s.fold.Offset()
+	if offset == s.sent && caughtUp == s.caughtUp {
+		return
+	}
+	s.sent = offset
+	s.caughtUp = caughtUp
+	s.send(PlacementRead{Placement: s.fold.Snapshot(), Offset: offset, CaughtUp: caughtUp})
+}
+
+// hostSource reads the host list.
+type hostSource struct {
+	list platform.HostList
+	send func(Event)
+	last atomic.Pointer[[]platform.Host]
+}
+
+// Hosts returns the last list that could be read.
+func (s *hostSource) Hosts() []platform.Host {
+	if hosts := s.last.Load(); hosts != nil {
+		return *hosts
+	}
+	return nil
+}
+
+func (s *hostSource) poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	hosts, err := s.list.Hosts(ctx)
+	if err != nil {
+		return
+	}
+	s.last.Store(&hosts)
+	s.send(HostsRead{Hosts: hosts})
+}
+
+// engineSource reads the engine's report and cache events.
+type engineSource struct {
+	engine   engine.Engine
+	prefixes *PrefixIndex
+	send     func(Event)
+	instance string
+}
+
+func (s *engineSource) poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	report, err := s.engine.Report(ctx)
+	if err != nil {
+		s.send(ReportFailed{Err: err})
+		return
+	}
+	if report.Instance != s.instance {
+		s.instance = report.Instance
+		s.prefixes.Reset()
+	}
+	s.send(ReportRead{Report: report})
+	events, err := s.engine.CacheEvents(ctx, s.prefixes.Next())
+	if err == nil {
+		s.prefixes.Apply(events)
+	}
+}
+
+// checkpointSource renews the checkpoint of a stream.
+type checkpointSource struct {
+	stream   string
+	follower *stream.Follower
+	decide   *stream.Checkpointer
+	writer   *stream.Writer
+	now      func() time.Time
+	logger   *eventlog.Logger
+}
--- /dev/null
+++ b/pkg/agent/twirp_agent.go
@@ -0,0 +1,110 @@
+package agent
+
+import (
+	"context"
+	"sync/atomic"
+
+	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/clock"
+	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/queue"
+	"trefoilferry.example/ferry/pkg/timeline"
+)
+
+// ControlServer serves the twirp service Agent.
+type ControlServer struct {
+	View     *atomic.Pointer[View]
+	Gate     *Gate
+	Prefixes *PrefixIndex
+	Clock    clock.Clock
+	Ring     *timeline.Ring
+	Send     func(Event)
+	// Behind is called when a message shows that the agent's configuration is out of date.
+	Behind func(offset uint64)
+}
+
+var _ ferrypb.Agent = (*ControlServer)(nil)
+
+// Probe predicts how a request would be served now.
+func (s *ControlServer) Probe(_ context.Context, in *ferrypb.ProbeRequest) (*ferrypb.ProbeResponse, error) {
+	view := s.observe(in.GetLamport(), in.GetConfigOffset())
+	request := s.probeRequest(view, in)
+	prediction := s.Gate.Predict(request)
+	waiting, running := s.Gate.Load()
+	out := &ferrypb.ProbeResponse{
+		Incarnation:         view.Identity.Incarnation,
+		Accepts:             true,
+		FirstTokenMicros:    prediction.FirstToken.Microseconds(),
+		BetweenTokensMicros: prediction.BetweenTokens.Microseconds(),
+		Queued:              uint32(waiting),
+		Running:             uint32(running),
+		CachedTokens:        request.CachedTokens,
+		AdapterResident:     in.GetAdapter() != "" && view.Adapters[AdapterKey{Model: in.GetTarget(), Adapter: in.GetAdapter()}],
+		ConfigOffset:        view.ConfigOffset(),
+		Lamport:             s.Ring.Tick(),
+	}
+	if f := probeRefusal(view, in, prediction.Refusal); f != nil {
+		out.Accepts = false
+		out.Code = string(f.Code)
+	}
+	return out, nil
+}
+
+func probeRefusal(view *View, in *ferrypb.ProbeRequest, predicted *failure.Failure) *failure.Failure {
+	if view.Refusal != nil {
+		return view.Refusal
+	}
+	if view.Identity.Service != "" {
+		if in.GetTarget() != view.Identity.Service {
+			return failure.New(failure.NotFound, failure.NotRun, "runner serves another service")
+		}
+		return nil
+	}
+	if _, ok := view.Models[in.GetTarget()]; !ok {
+		return failure.New(failure.NotLoaded, failure.NotRun, "model is not loaded here")
+	}
+	return predicted
+}
+
+// probeRequest has no target for the first token: the entry host compares the predicted times itself.
+func (s *ControlServer) probeRequest(view *View, in *ferrypb.ProbeRequest) queue.Request {
+	return queue.Request{
+		ID:           "probe/" + in.GetRequestId(),
+		Workspace:    in.GetWorkspace(),
+		Model:        in.GetTarget(),
+		Adapter:      in.GetAdapter(),
+		Priority:     in.GetPriority(),
+		Arrived:      s.Clock.Now(),
+		PromptTokens: in.GetPromptTokens(),
+		CachedTokens: s.Prefixes.Lookup(in.GetTarget(), in.GetPrefixHash()),
+		AdapterWait:  adapterWait(view, in.GetTarget(), in.GetAdapter()),
+	}
+}
+
+// Hint takes note of demand that no copy can meet.
+func (s *ControlServer) Hint(_ context.Context, in *ferrypb.HintRequest) (*ferrypb.HintResponse, error) {
+	s.observe(in.GetLamport(), in.GetConfigOffset())
+	s.Send(HintReceived{Model: in.GetModel(), UnmetPerSecond: in.GetUnmetPerSecond()})
+	return &ferrypb.HintResponse{Lamport: s.Ring.Tick()}, nil
+}
+
+// Ping tells that the agent is alive.
+func (s *ControlServer) Ping(_ context.Context, in *ferrypb.PingRequest) (*ferrypb.PingResponse, error) {
+	view := s.observe(in.GetLamport(), in.GetConfigOffset())
+	return &ferrypb.PingResponse{
+		Incarnation:  view.Identity.Incarnation,
+		Fencing:      view.Fencing,
+		Leaving:      view.Leaving,
+		ConfigOffset: view.ConfigOffset(),
+		Lamport:      s.Ring.Tick(),
+	}, nil
+}
+
+func (s *ControlServer) observe(lamport, configOffset uint64) *View {
+	s.Ring.Observe(lamport)
+	view := s.View.Load()
+	if configOffset > view.ConfigOffset() {
+		s.Behind(configOffset)
+	}
+	return view
+}
