agent: use the exec content type and advertise an address

Ruled out: a defect of the frame codec; its bytes were right. Change: the agent uses frame.ContentType; setting listen.advertise lets a fault proxy or address translation stand before the agent.

--- a/pkg/agent/exec_server.go
+++ b/pkg/agent/exec_server.go
@@ -93,7 +93,7 @@
 	if request.GetConfigOffset() > view.ConfigOffset() {
 		s.Behind(request.GetConfigOffset())
 	}
-	w.Header().Set("Content-Type", "application/x-ferry-frames")
+	w.Header().Set("Content-Type", frame.ContentType)
 	flush := func() {}
 	if f, ok := w.(http.Flusher); ok {
 		flush = f.Flush
--- a/pkg/agent/identity.go
+++ b/pkg/agent/identity.go
@@ -46,7 +46,7 @@
 	return Identity{
 		Runner:         s.Host.Name,
 		Incarnation:    incarnation,
-		Address:        s.Listen.Control,
+		Address:        s.Listen.advertised(),
 		Region:         s.Host.Region,
 		FailureDomain:  s.Host.FailureDomain,
 		Service:        s.Backend.Service,
--- a/pkg/agent/settings.go
+++ b/pkg/agent/settings.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"net"
 	"net/url"
 	"time"
@@ -31,6 +32,7 @@
 // ListenSettings are the addresses of the servers.
 type ListenSettings struct {
 	Control      string         `key:"control" required:"true" doc:"IP address and port of the control and exec server."`
+	Advertise    string         `key:"advertise" doc:"IP address and port under which others reach control; empty means control itself."`
 	Admin        string         `key:"admin" required:"true" doc:"IP address and port of the admin server."`
 	MaxBodyBytes settings.Bytes `key:"max_body_bytes" default:"16MiB" min:"1KiB" doc:"Largest body of an exec request."`
 }
@@ -117,6 +119,9 @@
 			add("listen", a.key, "must be an IP address and a port")
 		}
 	}
+	if s.Listen.Advertise != "" && !validAddress(s.Listen.Advertise) {
+		add("listen", "advertise", "must be an IP address and a port")
+	}
 	for _, u := range []struct{ section, key, value string }{
 		{"platform", "log_url", s.Platform.LogURL}, {"platform", "hosts_url", s.Platform.HostsURL}, {"backend", "url", s.Backend.URL},
 	} {
@@ -127,6 +132,11 @@
 	return out
 }
 
+// advertised is the address that other processes use.
+func (s ListenSettings) advertised() string {
+	return cmp.Or(s.Advertise, s.Control)
+}
+
 func validAddress(s string) bool {
 	host, port, err := net.SplitHostPort(s)
 	return err == nil && port != "" && net.ParseIP(host) != nil
