docs: add the settings of ferry-agent

Cause: operators need the keys, defaults and ranges of the agent.

Ruled out: a table written by hand.

Change: docs/settings.md holds the tables from agent.Settings, and the test compares them.

Conclusion: the page covers both daemons.

--- a/pkg/settings/daemons_test.go
+++ b/pkg/settings/daemons_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"testing"
 
+	"trefoilferry.example/ferry/pkg/agent"
 	"trefoilferry.example/ferry/pkg/entry"
 	"trefoilferry.example/ferry/pkg/settings"
 )
@@ -17,6 +18,7 @@
 func TestSettingsPageMatchesDaemons(t *testing.T) {
 	daemons := map[string]any{
 		"ferry-entry": &entry.Settings{},
+		"ferry-agent": &agent.Settings{},
 	}
 	data, err := os.ReadFile(settingsPage)
 	if err != nil {
