cluster: take listening ports below the range of outgoing connections

Cause: an outgoing connection took the port of a process that was about to be started; the start failed with address in use. Change: ports come from 12000 to 32000.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -129,7 +129,11 @@
 	if !c.spec.Proxied {
 		return nil, nil
 	}
-	p, err := faultproxy.New(Loopback+":0", address)
+	free, err := freeAddresses(1)
+	if err != nil {
+		return nil, err
+	}
+	p, err := faultproxy.New(free[0], address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cluster/ports.go
+++ b/internal/cluster/ports.go
@@ -1,6 +1,8 @@
 package cluster
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"net"
 
 	"trefoilferry.example/ferry/pkg/failure"
@@ -9,6 +11,15 @@
 // Loopback is the address that all processes of a cluster listen on.
 const Loopback = "127.0.0.1"
 
+// Listening ports are taken below the range of outgoing connections, which would otherwise occupy the port of a
+// process while it is restarted.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+	// portTries bounds the search for free ports.
+	portTries = 2000
+)
+
 // freeAddresses returns n distinct loopback addresses with ports that were free a moment ago.
 // All ports are held until the last one is found, so that no port is returned twice.
 func freeAddresses(n int) ([]string, error) {
@@ -19,13 +30,17 @@
 		}
 	}()
 	addresses := make([]string, 0, n)
-	for range n {
-		l, err := net.Listen("tcp", Loopback+":0")
+	for range portTries {
+		if len(addresses) == n {
+			return addresses, nil
+		}
+		address := fmt.Sprintf("%s:%d", Loopback, firstPort+rand.IntN(lastPort-firstPort))
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, failure.Wrap(failure.Internal, failure.NotRun, "no free port", err)
+			continue
 		}
 		listeners = append(listeners, l)
-		addresses = append(addresses, l.Addr().String())
+		addresses = append(addresses, address)
 	}
-	return addresses, nil
+	return nil, failure.New(failure.Internal, failure.NotRun, "no free port")
 }
