entry: bound the wait for the end of an agent's answer

Cause: an agent that is paused after its end frame would hold the caller's answer open. Ruled out: closing every connection after the end frame, because it costs a connection for each request. Change: the connection is closed after 50 ms without the end of the HTTP answer; whole answers carry Content-Length. Measured: go test -race ./pkg/entry passes. Conclusion: complete answers end when they are verified.

--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -13,6 +13,10 @@
 	"trefoilferry.example/ferry/pkg/routing"
 )
 
+// closeTimeout bounds the wait for the agent to finish the HTTP answer after its end frame; a connection that
+// takes longer is closed instead of reused.
+const closeTimeout = 50 * time.Millisecond
+
 // attempt runs one exec call and delivers its verified frames.
 func (d *Dispatcher) attempt(ctx context.Context, snapshot *Snapshot, j *job, c routing.Candidate) error {
 	watch, cancel := context.WithCancel(ctx)
@@ -35,6 +39,7 @@
 		d.suspectOn(ctx, c, err)
 		return err
 	}
+	silence.Reset(closeTimeout)
 	return nil
 }
 
--- a/pkg/entry/sink_whole.go
+++ b/pkg/entry/sink_whole.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/failure"
@@ -41,7 +42,9 @@
 func (s *wholeSink) End(u Usage) error {
 	s.w.Header().Set("Content-Type", "application/json")
 	s.w.Header().Set(headerOutcome, string(failure.Ran))
-	return callerGone(s.w.Write(s.form.whole(string(s.text), u)))
+	body := s.form.whole(string(s.text), u)
+	s.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	return callerGone(s.w.Write(body))
 }
 
 func answerTooLarge() error {
