entry, frame: understand refusals of restarted and lagging agents; cache hashes of engines

Cause: the refusal of a successor agent read as frame_mismatch with outcome unknown; an agent behind in configuration ended requests with 404; the prefix hash matched no cache event. Ruled out: accepting frames of another incarnation in general, because only a first refusal is evidence. Change: Reader takes a first wrong_incarnation refusal; not_found of an agent counts as not_loaded; prefixHash uses engine.PrefixHashes. Measured: go test -race ./pkg/frame ./pkg/entry passes with both faults in the table. Conclusion: restarts and lags stay invisible to callers where another try is possible.

--- a/pkg/entry/dispatcher.go
+++ b/pkg/entry/dispatcher.go
@@ -121,7 +121,7 @@
 	if ctx.Err() != nil {
 		f = d.ended(ctx, f)
 	}
-	f = d.unavailable(j, f)
+	f = d.unavailable(j, notYetKnown(f))
 	j.outcome = retry.Combine(j.outcome, f.Outcome)
 	decision := retry.Next(d.state(j), f, j.request.repeatable(), j.request.Deadline)
 	d.noteFailed(j, f, decision)
--- a/pkg/entry/failures_test.go
+++ b/pkg/entry/failures_test.go
@@ -19,6 +19,13 @@
 	"refuses": func(_ *testing.T, c *execCall) {
 		_ = c.w.Fail(failure.New(failure.Leaving, failure.NotRun, "leaving"))
 	},
+	"lags in configuration": func(_ *testing.T, c *execCall) {
+		_ = c.w.Fail(failure.New(failure.NotFound, failure.NotRun, "no such adapter"))
+	},
+	"restarted": func(_ *testing.T, c *execCall) {
+		next := frame.Ident{RequestID: c.ident.RequestID, AttemptID: c.ident.AttemptID, Incarnation: "next"}
+		_ = frame.NewWriter(c.out, nil, next, nil).Fail(failure.New(failure.WrongIncarnation, failure.NotRun, "restarted"))
+	},
 	"dies before the first byte": func(_ *testing.T, c *execCall) { cut(c) },
 	"dies after accepted":        func(_ *testing.T, c *execCall) { tellPart(c, 0); cut(c) },
 	"dies in mid-stream":         func(_ *testing.T, c *execCall) { tellPart(c, 3); cut(c) },
@@ -142,7 +149,7 @@
 				t.Fatalf("whole: %d %s", response.StatusCode, body)
 			}
 			want := failure.Unknown
-			if name == "refuses" {
+			if name == "refuses" || name == "restarted" || name == "lags in configuration" {
 				want = failure.NotRun
 			}
 			if got := response.Header.Get(headerOutcome); got != string(want) || e.Error.Outcome != got || e.Error.RequestID != response.Header.Get(headerRequestID) {
--- a/pkg/entry/resolve.go
+++ b/pkg/entry/resolve.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/engine"
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/object"
 )
@@ -50,7 +51,7 @@
 		Idempotent:   true,
 		Stream:       parsed.Stream,
 		MaxTokens:    limit,
-		PrefixHash:   prefixHash(model.Name, prompt),
+		PrefixHash:   prefixHash(model.Name, adapter, prompt),
 		PromptTokens: uint32((len(prompt) + bytesPerToken - 1) / bytesPerToken),
 	}, nil
 }
@@ -96,8 +97,12 @@
 	return limit, nil
 }
 
-// prefixHash hashes the first prefixBytes of model and prompt.
-func prefixHash(model, prompt string) uint64 {
-	text := model + prompt
-	return xxhash.Sum64String(text[:min(len(text), prefixBytes)])
+// prefixHash hashes model, adapter and the first prefixBytes of the prompt. Prompts with at least one block of the
+// engines' prefix cache get the hash that cache events name, so that agents can tell whether the prefix is cached.
+func prefixHash(model, adapter, prompt string) uint64 {
+	leading := prompt[:min(len(prompt), prefixBytes)]
+	if blocks := engine.PrefixHashes(model, adapter, leading); len(blocks) > 0 {
+		return blocks[len(blocks)-1]
+	}
+	return xxhash.Sum64String(model + "\x00" + adapter + "\x00" + leading)
 }
--- a/pkg/entry/unavailable.go
+++ b/pkg/entry/unavailable.go
@@ -10,6 +10,14 @@
 	failure.WrongIncarnation: true,
 }
 
+// notYetKnown converts the refusal of an agent that has not read an object that is in force here.
+func notYetKnown(f *failure.Failure) *failure.Failure {
+	if f.Code != failure.NotFound || f.Outcome != failure.NotRun {
+		return f
+	}
+	return failure.Wrap(failure.NotLoaded, failure.NotRun, "the runner does not know the object yet", f)
+}
+
 // unavailable turns the refusal of the last holder into NoBackend, so that the request waits for a holder up to
 // its deadline: a restart takes longer than all attempts. Other refusals stay bounded by the number of attempts.
 func (d *Dispatcher) unavailable(j *job, f *failure.Failure) *failure.Failure {
--- a/pkg/frame/reader.go
+++ b/pkg/frame/reader.go
@@ -93,7 +93,7 @@
 	if r.seq == 0 && r.ident.Incarnation == "" {
 		r.ident.Incarnation = f.GetIncarnation()
 	}
-	if f.GetIncarnation() != r.ident.Incarnation {
+	if f.GetIncarnation() != r.ident.Incarnation && !r.successorRefuses(f) {
 		return mismatch("frame of another agent incarnation")
 	}
 	if f.GetSeq() != r.seq {
@@ -102,6 +102,12 @@
 	return nil
 }
 
+// successorRefuses reports whether the first frame is the refusal of another incarnation at the same address. The
+// attempt was sent to that process only, so its refusal is evidence that the request was not run.
+func (r *Reader) successorRefuses(f *ferrypb.Frame) bool {
+	return r.seq == 0 && f.GetFail().GetCode() == string(failure.WrongIncarnation)
+}
+
 func (r *Reader) verifyBody(f *ferrypb.Frame) error {
 	switch body := f.GetBody().(type) {
 	case *ferrypb.Frame_Accepted:
--- a/pkg/frame/reader_test.go
+++ b/pkg/frame/reader_test.go
@@ -132,6 +132,26 @@
 	}
 }
 
+// Guards against a restarted agent whose refusal counts as unknown, and against a successor that ends another answer.
+func TestSuccessorRefusal(t *testing.T) {
+	refusal := failure.New(failure.WrongIncarnation, failure.NotRun, "restarted")
+	for _, late := range []bool{false, true} {
+		var out bytes.Buffer
+		want, code := failure.NotRun, failure.WrongIncarnation
+		successor := NewWriter(&out, nil, Ident{RequestID: "r", AttemptID: "a", Incarnation: "next"}, nil)
+		if late {
+			_ = NewWriter(&out, nil, ident, nil).Accepted(&ferrypb.Accepted{})
+			successor.seq = 1
+			want, code = failure.Unknown, failure.FrameMismatch
+		}
+		_ = successor.Fail(refusal)
+		_, _, err := readAll(&out, ident)
+		if f := failure.From(err); f.Code != code || f.Outcome != want {
+			t.Fatalf("late %v: %v %s", late, err, f.Outcome)
+		}
+	}
+}
+
 // Guards against a panic or an unbounded allocation on hostile bytes, and against success without a verified end.
 func FuzzReader(f *testing.F) {
 	f.Add(answer(f, "one ", "two"))
