entry: keep a broken stream waiting for a holder while its version is published

Cause: a stream whose runner was lost ended with connection_lost when no other copy was ready at that moment, although a new copy followed within a second. Ruled out: the limit of attempts (three of four were used); the frame reader (all delivered text was right). Change: a generation stays resumable while the configuration publishes the version of its text. The tests wait for copies that the engines really hold, since an agent learns late that its engine was replaced.

--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 
 	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/engine"
 	"trefoilferry.example/ferry/pkg/failure"
 )
 
@@ -74,8 +75,9 @@
 // readyState is the state of a loaded model in the status of its agent.
 const readyState = "ready"
 
-// ReadyCopies returns the number of ready copies of each model as the agents report them.
-// Agents that do not answer count as holding nothing.
+// ReadyCopies returns the number of ready copies of each model. A copy counts when its agent reports it as ready and
+// its engine has it loaded, since an agent learns late that its engine was replaced.
+// Agents and engines that do not answer count as holding nothing.
 func (c *Cluster) ReadyCopies(ctx context.Context) (map[string]int, error) {
 	copies := map[string]int{}
 	for _, r := range c.Runners {
@@ -83,8 +85,9 @@
 		if err != nil {
 			continue
 		}
+		loaded := c.loadedModels(ctx, r)
 		for _, m := range status.Models {
-			if m.State == readyState {
+			if m.State == readyState && loaded[m.Model] {
 				copies[m.Model]++
 			}
 		}
@@ -92,6 +95,18 @@
 	return copies, ctx.Err()
 }
 
+func (c *Cluster) loadedModels(ctx context.Context, r *Runner) map[string]bool {
+	loaded := map[string]bool{}
+	var report engine.Report
+	if r.Spec.Service != "" || c.Counters(ctx, r.BackendURL, "/report", &report) != nil {
+		return loaded
+	}
+	for _, m := range report.Models {
+		loaded[m.Model] = true
+	}
+	return loaded
+}
+
 // AgentStatus asks an agent for its status, without a fault proxy.
 func (c *Cluster) AgentStatus(ctx context.Context, r *Runner) (*ferrypb.StatusResponse, error) {
 	return c.peerStatus(ctx, r.control)
--- a/pkg/entry/dispatcher.go
+++ b/pkg/entry/dispatcher.go
@@ -156,12 +156,17 @@
 	}
 }
 
-// resumable reports whether some runner holds the version that generated the text so far.
+// resumable reports whether some runner holds the version that generated the text so far, or will hold it again
+// because the configuration still publishes it.
 func (d *Dispatcher) resumable(j *job) bool {
 	if !j.request.generation() || !j.started() {
 		return false
 	}
-	return len(j.usable(d.snapshots.Load().Holders(j.request.Target))) > 0
+	snapshot := d.snapshots.Load()
+	if m, ok := snapshot.Config.Model(j.request.Target); ok && m.Version == j.version {
+		return true
+	}
+	return len(j.usable(snapshot.Holders(j.request.Target))) > 0
 }
 
 // spend takes a retry from the budget; without one it returns the failure that refuses the retry early.
