integration: prove whole answers under one-way cuts and random cuts

Cause: only streams were tested against broken hops; whole answers and concurrent callers were not. Ruled out: a test per hop in memory, which has no kernel buffers and no reset connections. Change: whole answers run through the same table of faults with one-way cuts added; 24 concurrent callers with distinct prompts run while hops are reset at random with a fixed seed.

--- a/test/integration/answer_test.go
+++ b/test/integration/answer_test.go
@@ -132,6 +132,15 @@
 // serving returns the runner whose engine runs a request now.
 func serving(t *testing.T, c *cluster.Cluster) *cluster.Runner {
 	t.Helper()
+	if r := running(c); r != nil {
+		return r
+	}
+	t.Error("no engine runs a request")
+	return c.Runners[0]
+}
+
+// running returns a runner whose engine runs a request now, or nil.
+func running(c *cluster.Cluster) *cluster.Runner {
 	for _, r := range c.Runners {
 		if r.Spec.Service != "" {
 			continue
@@ -143,8 +152,7 @@
 			return r
 		}
 	}
-	t.Error("no engine runs a request")
-	return c.Runners[0]
+	return nil
 }
 
 func setAllEngines(t *testing.T, c *cluster.Cluster, switches faults.Switches) {
--- a/test/integration/caller_test.go
+++ b/test/integration/caller_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -150,6 +151,12 @@
 	return r
 }
 
+// String describes a result without its text.
+func (r result) String() string {
+	return fmt.Sprintf("status %d code %s outcome %s stream error %q done %v finish %q err %v, %d bytes",
+		r.status, r.code, r.outcome, r.streamErr, r.done, r.finish, r.err, len(r.text))
+}
+
 // whole reports whether the caller got exactly the answer to its own request.
 func (r result) whole(model, adapter, prompt string, tokens int) bool {
 	return r.err == nil && r.done && r.finish != "" && r.text == expectedText(model, adapter, prompt, tokens)
@@ -161,8 +168,15 @@
 	if err != nil {
 		return result{err: err}
 	}
+	return doCall(req, key)
+}
+
+// doCall sends a service request, with an idempotency key unless it is empty.
+func doCall(req *http.Request, key string) result {
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
+		// net/http would send a request with a key again by itself.
+		req.GetBody = nil
 	}
 	resp, err := callerClient.Do(req)
 	if err != nil {
--- /dev/null
+++ b/test/integration/whole_test.go
@@ -0,0 +1,155 @@
+package integration
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"trefoilferry.example/ferry/internal/cluster"
+	"trefoilferry.example/ferry/pkg/faultproxy"
+)
+
+// oneWayFaults cut one direction of one hop, so that neither side sees an error.
+func oneWayFaults() []streamFault {
+	hold := func(proxy func(*cluster.Runner) *faultproxy.Proxy, f faultproxy.Faults) streamFault {
+		return streamFault{
+			inject: func(_ *cluster.Cluster, r *cluster.Runner) { _ = proxy(r).Set(f) },
+			heal:   func(_ *cluster.Cluster, r *cluster.Runner) { _ = proxy(r).Set(faultproxy.Faults{}) },
+		}
+	}
+	agent := func(r *cluster.Runner) *faultproxy.Proxy { return r.AgentProxy }
+	backend := func(r *cluster.Runner) *faultproxy.Proxy { return r.BackendProxy }
+	toAgent := hold(agent, faultproxy.Faults{HoldToTarget: true})
+	toAgent.name = "one way cut, entry to agent"
+	fromEngine := hold(backend, faultproxy.Faults{HoldToClient: true})
+	fromEngine.name = "one way cut, engine to agent"
+	toEngine := hold(backend, faultproxy.Faults{HoldToTarget: true})
+	toEngine.name = "one way cut, agent to engine"
+	return []streamFault{toAgent, fromEngine, toEngine}
+}
+
+// Guards against a whole answer that is short, spliced, doubled or foreign after the path broke on any hop.
+func TestBrokenWholeAnswerIsWhole(t *testing.T) {
+	spec := smallSpec()
+	spec.EntrySettings = map[string]string{"limits.frame_timeout": "1s"}
+	c := start(t, spec)
+	for _, fault := range append(streamFaults(), oneWayFaults()...) {
+		t.Run(fault.name, func(t *testing.T) {
+			ctx, cancel := limited(30 * time.Second)
+			defer cancel()
+			prompt := uniquePrompt()
+			answered := make(chan result, 1)
+			go func() { answered <- chat(ctx, c.Entries[0].URL, "alpha", prompt, streamTokens, false, nil) }()
+			victim := waitServing(t, c)
+			// About a third of the answer has arrived at the entry host by then.
+			time.Sleep(400 * time.Millisecond)
+			fault.inject(c, victim)
+			r := <-answered
+			if fault.heal != nil {
+				fault.heal(c, victim)
+			}
+			if !r.whole("alpha", "", prompt, streamTokens) {
+				t.Errorf("answer is not whole: status %d code %s done %v finish %q err %v, %d bytes",
+					r.status, r.code, r.done, r.finish, r.err, len(r.text))
+			}
+			must(t, c.WaitReady(context.Background(), readyWait))
+			waitCopies(t, c)
+		})
+	}
+}
+
+// waitServing waits until an engine runs a request and returns its runner.
+func waitServing(t *testing.T, c *cluster.Cluster) *cluster.Runner {
+	t.Helper()
+	must(t, c.WaitFor(context.Background(), 10*time.Second, "an engine runs a request", func() bool {
+		return running(c) != nil
+	}))
+	return serving(t, c)
+}
+
+// Seed of the random cuts; another seed gives another sequence of faults.
+const cutSeed = 7
+
+// Guards against answers that mix the texts of concurrent callers while connections break at random.
+func TestRandomCutsNeverSpliceAnswers(t *testing.T) {
+	spec := smallSpec()
+	spec.EntrySettings = map[string]string{"limits.frame_timeout": "1s", "limits.request_timeout": "10s"}
+	c := start(t, spec)
+	ctx, cancel := limited(5 * time.Second)
+	defer cancel()
+	var callers sync.WaitGroup
+	var tally answerTally
+	for i := range 24 {
+		callers.Go(func() {
+			for n := i; ctx.Err() == nil; n++ {
+				tally.request(c.Entries[n%len(c.Entries)], []string{"alpha", "beta"}[n%2], n%3 != 0)
+			}
+		})
+	}
+	cuts := cutAtRandom(ctx, c, rand.New(rand.NewPCG(cutSeed, cutSeed)))
+	callers.Wait()
+	tally.report(t, cuts)
+}
+
+// cutAtRandom resets or holds the connections of random hops until ctx ends, and returns the number of faults.
+func cutAtRandom(ctx context.Context, c *cluster.Cluster, random *rand.Rand) int {
+	cuts := 0
+	for ctx.Err() == nil {
+		r := c.Runners[random.IntN(len(c.Runners))]
+		proxy := []*faultproxy.Proxy{r.AgentProxy, r.BackendProxy}[random.IntN(2)]
+		if random.IntN(4) == 0 {
+			_ = proxy.Set(faultproxy.Faults{ResetAfterBytes: 1 + random.IntN(4000), Resets: 2})
+		} else {
+			proxy.Cut()
+		}
+		cuts++
+		time.Sleep(time.Duration(20+random.IntN(60)) * time.Millisecond)
+		_ = proxy.Set(faultproxy.Faults{})
+	}
+	return cuts
+}
+
+// answerTally counts answers by their kind.
+type answerTally struct {
+	mu     sync.Mutex
+	whole  int
+	failed int
+	wrong  []string
+}
+
+// cutTokens makes an answer of about 400 ms.
+const cutTokens = 40
+
+func (a *answerTally) request(entry *cluster.Entry, model string, stream bool) {
+	ctx, cancel := limited(20 * time.Second)
+	defer cancel()
+	prompt := uniquePrompt()
+	r := chat(ctx, entry.URL, model, prompt, cutTokens, stream, nil)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	explicit := r.err == nil && !r.done && (r.code != "" || r.streamErr != "")
+	switch {
+	case r.whole(model, "", prompt, cutTokens):
+		a.whole++
+	case explicit && strings.HasPrefix(expectedText(model, "", prompt, cutTokens), r.text):
+		a.failed++
+	default:
+		a.wrong = append(a.wrong, entry.Spec.Name+" "+model+" "+prompt+": "+r.String())
+	}
+}
+
+func (a *answerTally) report(t *testing.T, cuts int) {
+	t.Helper()
+	t.Logf("seed %d: %d faults, %d whole, %d explicit errors, %d wrong", cutSeed, cuts, a.whole, a.failed, len(a.wrong))
+	if cuts < 40 || a.whole < 100 {
+		t.Errorf("too few faults or answers to prove anything")
+	}
+	for i, w := range a.wrong {
+		if i < 10 {
+			t.Errorf("neither whole nor an explicit error: %s", w)
+		}
+	}
+}
