integration: compare told outcomes with the runs that backend servers counted

Cause: no test compared what callers are told with what was run, and none bounded retries under load. Ruled out: reading the daemons' own metrics for runs, because they repeat the belief under test.

--- /dev/null
+++ b/test/integration/amplification_test.go
@@ -0,0 +1,129 @@
+package integration
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"trefoilferry.example/ferry/internal/cluster"
+	"trefoilferry.example/ferry/pkg/standin/faults"
+)
+
+// The retry budget of section 7 of the design: 10% of the requests, 3 a second and a burst of 20, at each entry host.
+const (
+	budgetRatio     = 0.1
+	budgetPerSecond = 3
+	budgetBurst     = 20
+	// loadTime is long enough that an unbounded number of retries exceeds the budget with its burst.
+	loadTime = 4 * time.Second
+)
+
+// Guards against retries that multiply the load of the remaining runners when a third of them fails.
+func TestRetriesStayWithinBudget(t *testing.T) {
+	c := start(t, smallSpec())
+	for _, test := range []struct {
+		name         string
+		inject, heal func(*cluster.Cluster)
+		// minFailures is the number of failed attempts below which nothing is proved.
+		minFailures float64
+	}{
+		{"agents of a third killed", each(victims, killAgent), each(victims, startAgent), 1},
+		{"engines of a third refuse", each(victims, backendSwitches(faults.Switches{Refuse: true})),
+			each(victims, backendSwitches(faults.Switches{})), 100},
+		{"all engines refuse", each(all, backendSwitches(faults.Switches{Refuse: true})),
+			each(all, backendSwitches(faults.Switches{})), 100},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			before := entryFigures(t, c)
+			var n notes
+			load := loadNotes(c, &n)
+			time.Sleep(loadTime / 4)
+			began := time.Now()
+			test.inject(c)
+			time.Sleep(loadTime)
+			load()
+			seconds := time.Since(began).Seconds()
+			test.heal(c)
+			after := entryFigures(t, c)
+			requests := after.requests - before.requests
+			attempts := after.attempts - before.attempts
+			failures := after.failures - before.failures
+			hosts := float64(len(c.Entries))
+			bound := requests*(1+budgetRatio) + hosts*(budgetPerSecond*(seconds+loadTime.Seconds()/4)+budgetBurst)
+			t.Logf("%.0f requests, %.0f attempts (bound %.0f), %.0f failed", requests, attempts, bound, failures)
+			if attempts > bound {
+				t.Errorf("%.0f attempts for %.0f requests exceed the bound of %.0f", attempts, requests, bound)
+			}
+			if requests < 1000 || failures < test.minFailures {
+				t.Errorf("%.0f requests and %.0f failed attempts are too few to prove anything", requests, failures)
+			}
+			must(t, c.WaitReady(context.Background(), readyWait))
+			waitCopies(t, c)
+			n.checkTold(t, countRuns(t, c))
+		})
+	}
+}
+
+// loadNotes sends short generations until the returned function is called.
+func loadNotes(c *cluster.Cluster, n *notes) (stop func()) {
+	const callers = 24
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{}, callers)
+	for i := range callers {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			for k := i; ctx.Err() == nil; k++ {
+				limit, stop := limited(10 * time.Second)
+				n.generate(limit, c.Entries[k%len(c.Entries)], []string{"alpha", "beta"}[k%2], 2)
+				stop()
+			}
+		}()
+	}
+	return func() {
+		cancel()
+		for range callers {
+			<-done
+		}
+	}
+}
+
+// figures are sums of the metrics of all entry hosts.
+type figures struct {
+	requests, attempts, failures, resumes float64
+}
+
+func entryFigures(t *testing.T, c *cluster.Cluster) figures {
+	t.Helper()
+	var sum figures
+	for _, e := range c.Entries {
+		sums := scrape(t, "http://"+e.Admin+"/metrics")
+		sum.requests += sums["ferry_entry_requests_total"]
+		sum.attempts += sums["ferry_entry_attempts_total"]
+		sum.failures += sums["ferry_entry_attempt_failures_total"]
+		sum.resumes += sums["ferry_entry_resumes_total"]
+	}
+	return sum
+}
+
+// scrape returns the metrics of a daemon, summed over their labels.
+func scrape(t *testing.T, url string) map[string]float64 {
+	t.Helper()
+	resp, err := http.Get(url)
+	must(t, err)
+	defer resp.Body.Close()
+	sums := map[string]float64{}
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		name, _, _ := strings.Cut(lines.Text(), "{")
+		name, _, _ = strings.Cut(name, " ")
+		fields := strings.Fields(lines.Text())
+		if value, err := strconv.ParseFloat(fields[len(fields)-1], 64); err == nil {
+			sums[name] += value
+		}
+	}
+	return sums
+}
