entry: avoid runners whose agent is stopping or was replaced

Cause: calls of a service pick a runner at random; while its agent stopped or its successor was not yet known here, every third call was refused as leaving or wrong_incarnation and spent a retry, until the budget was empty and callers got 503 during a planned restart. Suspicions also outlived the agent that caused them. Ruled out: a larger budget, which would weaken the bound on retries under real failures. Change: these two refusals make the runner suspect; a suspicion ends when the runner announces another incarnation. Conclusion: a planned restart costs one retry per call in progress, not one per call.

--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -53,13 +53,15 @@
 	return time.AfterFunc(limit, cancel)
 }
 
-// suspectOn reports a runner that gave no proper answer; refusals and the caller's own end do not count.
+// suspectOn reports a runner that gave no proper answer or whose agent is stopping or was replaced; each further call
+// to it would spend a retry. Other refusals and the caller's own end do not count.
 func (d *Dispatcher) suspectOn(ctx context.Context, c routing.Candidate, err error) {
 	if ctx.Err() != nil {
 		return
 	}
 	switch failure.From(err).Code {
-	case failure.ConnectFailed, failure.ConnectionLost, failure.Truncated, failure.FrameMismatch, failure.ChecksumInvalid:
+	case failure.ConnectFailed, failure.ConnectionLost, failure.Truncated, failure.FrameMismatch, failure.ChecksumInvalid,
+		failure.Leaving, failure.WrongIncarnation:
 		d.reporter.RunnerFailed(c.Runner)
 	}
 }
--- a/pkg/entry/control_state.go
+++ b/pkg/entry/control_state.go
@@ -72,15 +72,25 @@
 
 func (s *ControlState) routesRead(e RoutesRead) Effects {
 	if e.Offset >= s.current.PlacementOffset && e.Routes != nil {
+		s.suspects.Retain(sameAgents(s.current.Routes, e.Routes))
 		s.current.Routes = e.Routes
 		s.current.PlacementOffset = e.Offset
-		s.suspects.Retain(e.Routes.Knows)
 		s.current.Suspects = s.suspects.Until()
 	}
 	s.routesCaughtUp = s.routesCaughtUp || e.CaughtUp
 	return s.caughtUp()
 }
 
+// sameAgents tells which runners have the same agent in both tables. A suspicion ends with the agent that caused it,
+// so that a replaced agent gets work as soon as it has announced itself.
+func sameAgents(before, after RouteTable) func(runner string) bool {
+	return func(runner string) bool {
+		was, _ := before.Incarnation(runner)
+		is, known := after.Incarnation(runner)
+		return known && was == is
+	}
+}
+
 func (s *ControlState) caughtUp() Effects {
 	before := s.current.CaughtUp
 	s.current.CaughtUp = s.configCaughtUp && s.routesCaughtUp
@@ -100,7 +110,7 @@
 }
 
 func (s *ControlState) runnerFailed(e RunnerFailed, now time.Time) Effects {
-	if !s.current.Routes.Knows(e.Runner) || !s.suspects.Fail(e.Runner, now) {
+	if _, known := s.current.Routes.Incarnation(e.Runner); !known || !s.suspects.Fail(e.Runner, now) {
 		return Effects{}
 	}
 	s.current.Suspects = s.suspects.Until()
--- a/pkg/entry/control_test.go
+++ b/pkg/entry/control_test.go
@@ -33,6 +33,15 @@
 	if len(s.Snapshot().Suspects) != 0 || len(before.Suspects) != 1 {
 		t.Fatal("suspicion is not lifted, or a published snapshot changed")
 	}
+	s.Step(RunnerFailed{Runner: "r3"}, now)
+	s.Step(RoutesRead{Routes: fakeRoutes{}, Offset: 5}, now)
+	if len(s.Snapshot().Suspects) != 1 {
+		t.Fatal("suspicion ended without a reason")
+	}
+	s.Step(RoutesRead{Routes: fakeRoutes{incarnation: "next"}, Offset: 6}, now)
+	if len(s.Snapshot().Suspects) != 0 {
+		t.Fatal("suspicion outlived the agent")
+	}
 	s.Step(DrainStarted{}, now)
 	if s.Snapshot().Ready() {
 		t.Fatal("ready while draining")
--- a/pkg/entry/empty.go
+++ b/pkg/entry/empty.go
@@ -23,4 +23,4 @@
 func (emptyRoutes) Holders(string) []routing.Candidate   { return nil }
 func (emptyRoutes) Others(string) []routing.Candidate    { return nil }
 func (emptyRoutes) Providers(string) []routing.Candidate { return nil }
-func (emptyRoutes) Knows(string) bool                    { return false }
+func (emptyRoutes) Incarnation(string) (string, bool)    { return "", false }
--- a/pkg/entry/harness_test.go
+++ b/pkg/entry/harness_test.go
@@ -157,6 +157,8 @@
 type fakeRoutes struct {
 	agents []*fakeAgent
 	others []*fakeAgent
+	// incarnation is that of every runner.
+	incarnation string
 }
 
 func candidates(agents []*fakeAgent) []routing.Candidate {
@@ -170,7 +172,7 @@
 func (r fakeRoutes) Holders(string) []routing.Candidate   { return candidates(r.agents) }
 func (r fakeRoutes) Providers(string) []routing.Candidate { return candidates(r.agents) }
 func (r fakeRoutes) Others(string) []routing.Candidate    { return candidates(r.others) }
-func (r fakeRoutes) Knows(string) bool                    { return true }
+func (r fakeRoutes) Incarnation(string) (string, bool)    { return r.incarnation, true }
 
 type ignoreReports struct{}
 
--- a/pkg/entry/routes.go
+++ b/pkg/entry/routes.go
@@ -55,10 +55,10 @@
 	return out
 }
 
-// Knows implements RouteTable.
-func (p placementRoutes) Knows(runner string) bool {
-	_, ok := p.snapshot.Runner(runner)
-	return ok
+// Incarnation implements RouteTable.
+func (p placementRoutes) Incarnation(runner string) (string, bool) {
+	r, ok := p.snapshot.Runner(runner)
+	return r.Incarnation, ok
 }
 
 func candidateOf(r placement.Runner) routing.Candidate {
--- a/pkg/entry/view.go
+++ b/pkg/entry/view.go
@@ -25,6 +25,6 @@
 	Others(model string) []routing.Candidate
 	// Providers returns the runners beside the service.
 	Providers(service string) []routing.Candidate
-	// Knows reports whether the runner exists.
-	Knows(runner string) bool
+	// Incarnation returns the incarnation of the runner's agent; false if there is no such runner.
+	Incarnation(runner string) (string, bool)
 }
