integration: prove graceful stops under load

Cause: no test stopped daemons while requests were in progress. Ruled out: fault proxies in these tests, because they accept connects for a port that is closed.

--- a/test/integration/amplification_test.go
+++ b/test/integration/amplification_test.go
@@ -114,7 +114,7 @@
 	t.Helper()
 	resp, err := http.Get(url)
 	must(t, err)
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 	sums := map[string]float64{}
 	lines := bufio.NewScanner(resp.Body)
 	for lines.Scan() {
--- a/test/integration/caller_test.go
+++ b/test/integration/caller_test.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return result{err: err}
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 	res := newResult(resp)
 	if !stream || resp.StatusCode != http.StatusOK {
 		return res.readWhole(resp.Body)
@@ -182,7 +182,7 @@
 	if err != nil {
 		return result{err: err}
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 	res := newResult(resp)
 	data, err := io.ReadAll(resp.Body)
 	res.text, res.err = string(data), err
--- /dev/null
+++ b/test/integration/stop_test.go
@@ -0,0 +1,233 @@
+package integration
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"trefoilferry.example/ferry/internal/cluster"
+)
+
+// exitWait bounds a planned stop: the longest request with the grace and a margin.
+const exitWait = 10 * time.Second
+
+// stopSpec returns a system whose entry hosts have a grace that the tests use up to its half, and whose service calls
+// take long enough to be in progress at a stop.
+func stopSpec() cluster.Spec {
+	spec := smallSpec()
+	// A fault proxy accepts connects while its target is down, which the port of a stopped process does not.
+	spec.Proxied = false
+	for i := range spec.Runners {
+		if spec.Runners[i].Service != "" {
+			spec.Runners[i].Args = []string{"--delay", callTime}
+		}
+	}
+	spec.EntrySettings = map[string]string{"drain.grace": "1s"}
+	return spec
+}
+
+// batch sends requests of all kinds at once and keeps what is not whole.
+type batch struct {
+	load
+	notes
+}
+
+// streams starts long streams at an entry host.
+func (b *batch) streams(e *cluster.Entry, count int) {
+	for i := range count {
+		b.wait.Go(func() { b.request(e, []string{"alpha", "beta"}[i%2], streamTokens, i%4 != 3) })
+	}
+}
+
+// calls starts service calls without a key at an entry host.
+func (b *batch) calls(e *cluster.Entry, count int) {
+	for range count {
+		b.wait.Go(func() {
+			ctx, cancel := limited(15 * time.Second)
+			defer cancel()
+			b.post(ctx, e, "", "slot")
+		})
+	}
+}
+
+// requireAnswered guards against calls that were cut off by a planned stop.
+func (b *batch) requireAnswered(t *testing.T, c *cluster.Cluster, atLeast int) {
+	t.Helper()
+	b.checkTold(t, countRuns(t, c))
+	answered := 0
+	for _, one := range b.told {
+		if one.status != http.StatusOK || one.err != nil {
+			t.Errorf("call was not answered: %s", one.result)
+			continue
+		}
+		answered++
+	}
+	if answered < atLeast {
+		t.Errorf("%d calls were answered, want at least %d", answered, atLeast)
+	}
+}
+
+// Guards against an entry host that cuts streams, refuses the balancer's late requests, or closes connections in use.
+func TestEntryStopFinishesItsRequests(t *testing.T) {
+	c := start(t, stopSpec())
+	for i, e := range c.Entries[:2] {
+		t.Run(e.Spec.Name, func(t *testing.T) {
+			var b batch
+			// Answered requests leave kept-alive connections behind, which are used again after SIGTERM.
+			b.streams(e, 8)
+			b.wait.Wait()
+			b.streams(e, 8)
+			b.calls(e, 4)
+			time.Sleep(100 * time.Millisecond)
+			e.Process.Signal(syscall.SIGTERM)
+			signalled := time.Now()
+			late := 0
+			for ; time.Since(signalled) < 500*time.Millisecond; late++ {
+				b.streams(e, 2)
+				b.calls(e, 1)
+				time.Sleep(50 * time.Millisecond)
+			}
+			if readyNow(http.DefaultClient, e) {
+				t.Error("the entry host reports ready after SIGTERM")
+			}
+			if err := e.Process.Wait(exitWait); err != nil {
+				t.Errorf("exit: %v", err)
+			}
+			if took := time.Since(signalled); took < streamTime {
+				t.Errorf("ended after %s, before the streams could end", took)
+			}
+			b.wait.Wait()
+			b.requireClean(t, 16+2*late)
+			b.requireAnswered(t, c, 4+late)
+			must(t, c.StartEntry(context.Background(), c.Entries[i]))
+			must(t, c.WaitReady(context.Background(), readyWait))
+		})
+	}
+}
+
+// streamTime is the shortest time in which an engine generates streamTokens.
+const streamTime = streamTokens * 10 * time.Millisecond
+
+// Guards against an agent that cuts work in progress or keeps taking new work after SIGTERM.
+func TestAgentStopFinishesItsWork(t *testing.T) {
+	c := start(t, stopSpec())
+	for _, test := range []struct {
+		name   string
+		victim func(t *testing.T, b *batch) *cluster.Runner
+	}{
+		{"engine", func(t *testing.T, _ *batch) *cluster.Runner { return waitServing(t, c) }},
+		{"service", func(t *testing.T, _ *batch) *cluster.Runner { return waitCalled(t, c) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var b batch
+			resumes := entryFigures(t, c).resumes
+			stop := b.keepSending(c)
+			victim := test.victim(t, &b)
+			time.Sleep(200 * time.Millisecond)
+			if err := victim.Agent.Stop(exitWait); err != nil {
+				t.Errorf("exit: %v", err)
+			}
+			stop()
+			b.requireClean(t, 12)
+			b.requireAnswered(t, c, 12)
+			if more := entryFigures(t, c).resumes - resumes; more != 0 {
+				t.Errorf("%.0f streams were cut and resumed during a planned stop", more)
+			}
+			must(t, c.StartAgent(context.Background(), victim))
+			must(t, c.WaitReady(context.Background(), readyWait))
+			waitCopies(t, c)
+		})
+	}
+}
+
+// keepSending sends requests to all entry hosts until the returned function is called.
+func (b *batch) keepSending(c *cluster.Cluster) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var sending sync.WaitGroup
+	sending.Go(func() {
+		for ctx.Err() == nil {
+			for _, e := range c.Entries {
+				b.streams(e, 2)
+				b.calls(e, 4)
+			}
+			// More would overload the holder that is left, which then rejects early.
+			time.Sleep(200 * time.Millisecond)
+		}
+	})
+	return func() {
+		cancel()
+		sending.Wait()
+		b.wait.Wait()
+	}
+}
+
+// waitCalled waits until a service runs a call and returns its runner.
+func waitCalled(t *testing.T, c *cluster.Cluster) *cluster.Runner {
+	t.Helper()
+	var found *cluster.Runner
+	must(t, c.WaitFor(context.Background(), 10*time.Second, "a service runs a call", func() bool {
+		for _, r := range c.Runners {
+			var counts serviceCounts
+			if r.Spec.Service != "" && c.Counters(context.Background(), r.BackendURL, "/counts", &counts) == nil && counts.InProgress > 1 {
+				found = r
+			}
+		}
+		return found != nil
+	}))
+	return found
+}
+
+// Guards against a request that is lost while every daemon is replaced under load.
+func TestRollingRestartLosesNothing(t *testing.T) {
+	spec := smallSpec()
+	spec.Proxied = false
+	c := start(t, spec)
+	ctx := context.Background()
+	balancer := startBalancer(c)
+	defer balancer.close()
+	load := startLoad(loadShape{callers: 12, tokens: 20, pause: 5 * time.Millisecond}, balancer.pick)
+	var calls batch
+	stopCalls := calls.callSteadily(balancer)
+	for _, e := range c.Entries {
+		if err := e.Process.Stop(exitWait); err != nil {
+			t.Errorf("exit: %v", err)
+		}
+		must(t, c.StartEntry(ctx, e))
+		must(t, c.WaitReady(ctx, readyWait))
+		time.Sleep(2 * balancerInterval)
+	}
+	for _, r := range c.Runners {
+		if err := r.Agent.Stop(exitWait); err != nil {
+			t.Errorf("exit: %v", err)
+		}
+		must(t, c.StartAgent(ctx, r))
+		must(t, c.WaitReady(ctx, readyWait))
+		waitCopies(t, c)
+	}
+	load.stop()
+	stopCalls()
+	load.requireClean(t, 100)
+	calls.requireAnswered(t, c, 60)
+}
+
+// callSteadily sends service calls without a key through the balancer until the returned function is called.
+func (b *batch) callSteadily(balancer *balancer) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	for i := range 6 {
+		b.wait.Go(func() {
+			for n := i; ctx.Err() == nil; n++ {
+				limit, stop := limited(15 * time.Second)
+				b.post(limit, balancer.pick(n), "", "slot")
+				stop()
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+	return func() {
+		cancel()
+		b.wait.Wait()
+	}
+}
