Add ferry-capacity: control cost of one daemon at any size

Cause: the target size cannot be run on one machine, but one daemon in a system of that size can. Ruled out: extrapolating from small systems only; breaks at the real size would stay unseen. Change: ferry-capacity fills log and host list with the records of a whole system, answers for all other hosts, and measures one real daemon.

--- /dev/null
+++ b/cmd/ferry-capacity/main.go
@@ -0,0 +1,107 @@
+// Command ferry-capacity measures the control cost of one daemon in a system of a given size.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"trefoilferry.example/ferry/internal/capacity"
+	"trefoilferry.example/ferry/pkg/failure"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "ferry-capacity:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	return command().Run(ctx, os.Args)
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "ferry-capacity",
+		Usage: "measure the control cost of one daemon in systems of several sizes",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "bin", Usage: "directory of the programs", Value: programDir()},
+			&cli.StringFlag{Name: "role", Usage: "entry or agent", Value: "entry"},
+			&cli.StringFlag{Name: "vary", Usage: "size, entries, runners, models, adapters, changes, restarts, children or probes", Value: "size"},
+			&cli.StringFlag{Name: "values", Usage: "comma-separated values; factors of the target size for size", Value: "0.125,0.25,0.5,1"},
+			&cli.FloatFlag{Name: "factor", Usage: "size of the system for the other series, as a factor of the target size", Value: 1},
+			&cli.DurationFlag{Name: "duration", Usage: "length of one measurement", Value: 15 * time.Second},
+			&cli.BoolFlag{Name: "json", Usage: "print JSON lines"},
+		},
+		Action: action,
+	}
+}
+
+func action(ctx context.Context, c *cli.Command) error {
+	values, err := parseValues(c.String("values"))
+	if err != nil {
+		return err
+	}
+	var series capacity.Series
+	for _, v := range values {
+		scenario, err := capacity.Vary(capacity.Role(c.String("role")), c.String("vary"), c.Float("factor"), v)
+		if err != nil {
+			return err
+		}
+		scenario.Duration = c.Duration("duration")
+		result, err := capacity.Run(ctx, c.String("bin"), scenario)
+		if err != nil {
+			return err
+		}
+		series.Add(v, result)
+		if err := show(c, v, result); err != nil {
+			return err
+		}
+	}
+	if !c.Bool("json") {
+		fmt.Print(series.Slopes())
+	}
+	return nil
+}
+
+func parseValues(s string) ([]float64, error) {
+	var out []float64
+	for _, field := range strings.Split(s, ",") {
+		v, err := strconv.ParseFloat(strings.TrimSpace(field), 64)
+		if err != nil {
+			return nil, failure.Wrap(failure.BadRequest, failure.NotRun, "values must be numbers", err)
+		}
+		out = append(out, v)
+	}
+	return out, nil
+}
+
+func show(c *cli.Command, value float64, r capacity.Result) error {
+	if c.Bool("json") {
+		return json.NewEncoder(os.Stdout).Encode(r)
+	}
+	u := r.Usage
+	fmt.Printf("%s %s=%g: cpu %.2f %% of a core, rss %.1f MB, log %.0f + host list %.0f + peers %.0f = %.0f bytes/s, ready after %d ms\n",
+		r.Scenario.Role, c.String("vary"), value, u.CPU, u.RSS, u.LogBytes, u.HostBytes, u.PeerBytes, u.Bytes(), r.Startup)
+	return nil
+}
+
+func programDir() string {
+	path, err := os.Executable()
+	if err != nil {
+		return "."
+	}
+	return filepath.Dir(path)
+}
--- /dev/null
+++ b/internal/capacity/clock.go
@@ -0,0 +1,5 @@
+package capacity
+
+import "trefoilferry.example/ferry/pkg/clock"
+
+type systemClock = clock.System
--- /dev/null
+++ b/internal/capacity/peers.go
@@ -0,0 +1,49 @@
+package capacity
+
+import (
+	"context"
+
+	"github.com/twitchtv/twirp"
+
+	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/stream"
+)
+
+// peers answers control calls for every host but the measured one.
+type peers struct {
+	streams map[string]*stream.Follower
+}
+
+// Probe accepts every request.
+func (p *peers) Probe(context.Context, *ferrypb.ProbeRequest) (*ferrypb.ProbeResponse, error) {
+	return &ferrypb.ProbeResponse{Accepts: true, FirstTokenMicros: 50_000, BetweenTokensMicros: 25_000, Incarnation: "incarnation"}, nil
+}
+
+// Hint takes a hint and does nothing.
+func (p *peers) Hint(context.Context, *ferrypb.HintRequest) (*ferrypb.HintResponse, error) {
+	return &ferrypb.HintResponse{}, nil
+}
+
+// Ping answers that the agent is alive.
+func (p *peers) Ping(context.Context, *ferrypb.PingRequest) (*ferrypb.PingResponse, error) {
+	return &ferrypb.PingResponse{Incarnation: "incarnation"}, nil
+}
+
+// ReadStream serves records as a relay does.
+func (p *peers) ReadStream(ctx context.Context, r *ferrypb.ReadStreamRequest) (*ferrypb.ReadStreamResponse, error) {
+	f, ok := p.streams[r.Stream]
+	if !ok {
+		return nil, twirp.NotFoundError("unknown stream")
+	}
+	return f.ReadStream(r), nil
+}
+
+// Status returns an empty status.
+func (p *peers) Status(context.Context, *ferrypb.StatusRequest) (*ferrypb.StatusResponse, error) {
+	return &ferrypb.StatusResponse{Ready: true}, nil
+}
+
+// Timeline returns an empty time line.
+func (p *peers) Timeline(context.Context, *ferrypb.TimelineRequest) (*ferrypb.TimelineResponse, error) {
+	return &ferrypb.TimelineResponse{}, nil
+}
--- /dev/null
+++ b/internal/capacity/population.go
@@ -0,0 +1,156 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/configlog"
+	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/stream"
+)
+
+const (
+	configStream    = "config"
+	placementStream = "placement"
+	gibibyte        = 1 << 30
+	modelBytes      = 16 * gibibyte
+	runnerMemory    = 80 * gibibyte
+)
+
+// population writes the records of a system into a log.
+type population struct {
+	size    Size
+	log     platform.Log
+	address string
+	writer  *stream.Writer
+}
+
+func newPopulation(size Size, log platform.Log, address string) *population {
+	zero := func() uint64 { return 0 }
+	return &population{size: size, log: log, address: address, writer: stream.NewWriter(log, placementStream, "population", time.Now, zero)}
+}
+
+// fill writes configuration, agents and copies.
+func (p *population) fill(ctx context.Context) error {
+	if err := p.publish(ctx); err != nil {
+		return err
+	}
+	fencing, err := p.announce(ctx)
+	if err != nil {
+		return err
+	}
+	return p.place(ctx, fencing)
+}
+
+func (p *population) publish(ctx context.Context) error {
+	var puts []*ferrypb.Object
+	for i := range p.size.Models {
+		puts = append(puts, p.model(i, "v1"))
+	}
+	for i := range p.size.Adapters {
+		puts = append(puts, p.adapter(i, 64))
+	}
+	puts = append(puts, &ferrypb.Object{Kind: "service", Name: "booking", Values: map[string]string{"idempotent_methods": "GET", "timeout": "10s"}})
+	return p.submit(ctx, puts...)
+}
+
+// submit publishes objects and fails unless the set is accepted.
+func (p *population) submit(ctx context.Context, puts ...*ferrypb.Object) error {
+	publisher := configlog.NewPublisher(p.log, systemClock{})
+	if err := publisher.Sync(ctx); err != nil {
+		return err
+	}
+	change := configlog.Change{Puts: puts, Author: "capacity"}
+	_, err := publisher.Submit(ctx, change.Prepare(publisher.Fold(), fmt.Sprint("capacity-", time.Now().UnixNano())))
+	return err
+}
+
+func (p *population) model(i int, version string) *ferrypb.Object {
+	return &ferrypb.Object{Kind: "model", Name: modelName(i), Values: map[string]string{
+		"version": version, "bytes": "16GiB", "min_copies": fmt.Sprint(p.size.Copies), "first_token_target": "620ms",
+		"between_tokens_target": "51ms", "priority": "10", "max_tokens": "8192",
+	}}
+}
+
+func (p *population) adapter(i, mebibytes int) *ferrypb.Object {
+	return &ferrypb.Object{Kind: "adapter", Name: fmt.Sprintf("adapter-%04d", i), Values: map[string]string{
+		"model": modelName(i % p.size.Models), "bytes": fmt.Sprintf("%dMiB", mebibytes),
+	}}
+}
+
+func modelName(i int) string       { return fmt.Sprintf("model-%03d", i) }
+func runnerName(i int) string      { return fmt.Sprintf("runner-%03d", i) }
+func entryName(i int) string       { return fmt.Sprintf("entry-%03d", i) }
+func domainName(i int) string      { return fmt.Sprintf("domain-%d", i) }
+func (s Size) domain(i int) string { return domainName(i % s.Domains) }
+func (s Size) region(i int) string { return fmt.Sprintf("region-%d", i%s.Domains%2) }
+
+// announce writes the start records of all agents and returns their fencing numbers.
+func (p *population) announce(ctx context.Context) ([]uint64, error) {
+	fencing := make([]uint64, p.size.Runners)
+	for i := range fencing {
+		offset, err := p.append(ctx, &ferrypb.PlacementRecord{Record: &ferrypb.PlacementRecord_AgentStart{AgentStart: &ferrypb.AgentStart{
+			Runner: runnerName(i), Incarnation: "incarnation-" + runnerName(i), Address: p.address,
+			Region: p.size.region(i), FailureDomain: p.size.domain(i), MemoryBytes: runnerMemory, Accelerators: 4, AdapterSlots: 8,
+		}}})
+		if err != nil {
+			return nil, err
+		}
+		fencing[i] = offset
+	}
+	return fencing, nil
+}
+
+// place writes one claim for each copy; copies are ready at once. The measured runner, number 0, holds none.
+func (p *population) place(ctx context.Context, fencing []uint64) error {
+	for m := range p.size.Models {
+		for c := range p.size.Copies {
+			r := 1 + (m*p.size.Copies+c)%(p.size.Runners-1)
+			_, err := p.append(ctx, &ferrypb.PlacementRecord{Record: &ferrypb.PlacementRecord_Claim{Claim: &ferrypb.Claim{
+				Model: modelName(m), Version: "v1", Runner: runnerName(r), Fencing: fencing[r], Bytes: modelBytes,
+				Kind: ferrypb.ClaimKind_CLAIM_KIND_FLOOR, Wanted: uint32(p.size.Copies),
+				FailureDomain: p.size.domain(r), Region: p.size.region(r), Loaded: true,
+			}}})
+			if err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// restart writes the start record of another incarnation, as a restarted agent does.
+func (p *population) restart(ctx context.Context, i int) error {
+	_, err := p.append(ctx, &ferrypb.PlacementRecord{Record: &ferrypb.PlacementRecord_AgentStart{AgentStart: &ferrypb.AgentStart{
+		Runner: runnerName(i), Incarnation: fmt.Sprint("incarnation-", time.Now().UnixNano()), Address: p.address,
+		Region: p.size.region(i), FailureDomain: p.size.domain(i), MemoryBytes: runnerMemory, Accelerators: 4, AdapterSlots: 8,
+	}}})
+	return err
+}
+
+func (p *population) append(ctx context.Context, record *ferrypb.PlacementRecord) (uint64, error) {
+	offset, err := p.writer.Append(ctx, &ferrypb.Envelope{Payload: &ferrypb.Envelope_Placement{Placement: record}})
+	if err != nil {
+		return 0, failure.Wrap(failure.Internal, failure.NotRun, "population not written", err)
+	}
+	return offset, nil
+}
+
+// hosts returns the rows of the host list. Only the measured daemon has an address of its own.
+func (p *population) hosts() []platform.Host {
+	var out []platform.Host
+	for i := range p.size.Entries {
+		out = append(out, p.host(entryName(i), platform.RoleEntry, i))
+	}
+	for i := range p.size.Runners {
+		out = append(out, p.host(runnerName(i), platform.RoleRunner, i))
+	}
+	return out
+}
+
+func (p *population) host(name string, role platform.Role, i int) platform.Host {
+	return platform.Host{Name: name, Role: role, Address: p.address, Region: p.size.region(i), FailureDomain: p.size.domain(i), State: platform.HostLive}
+}
--- /dev/null
+++ b/internal/capacity/series.go
@@ -0,0 +1,49 @@
+package capacity
+
+import (
+	"fmt"
+	"strings"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// Series collects the results of several values of one quantity.
+type Series struct {
+	values  []float64
+	results []Result
+}
+
+// Add appends a result.
+func (s *Series) Add(value float64, r Result) {
+	s.values = append(s.values, value)
+	s.results = append(s.results, r)
+}
+
+// Slopes returns the least-squares lines of the series; empty for fewer than two points.
+func (s *Series) Slopes() string {
+	if len(s.values) < 2 {
+		return ""
+	}
+	var b strings.Builder
+	for _, quantity := range []struct {
+		name string
+		of   func(Usage) float64
+	}{
+		{"cpu %", func(u Usage) float64 { return u.CPU }},
+		{"rss MB", func(u Usage) float64 { return u.RSS }},
+		{"control bytes/s", Usage.Bytes},
+	} {
+		base, slope := s.line(quantity.of)
+		fmt.Fprintf(&b, "%s = %.4g + %.4g x value\n", quantity.name, base, slope)
+	}
+	return b.String()
+}
+
+// line returns the intercept and the slope of one part of the usage.
+func (s *Series) line(of func(Usage) float64) (base, slope float64) {
+	y := make([]float64, len(s.results))
+	for i, r := range s.results {
+		y[i] = of(r.Usage)
+	}
+	return stat.LinearRegression(s.values, y, nil, false)
+}
