entry: refusals of absent runners do not use up attempts

Cause: a request that had waited for a restarting holder had no attempt left when its stream broke; the integration test agent_paused showed it. Ruled out: resetting the count on progress, because a request that breaks engines would never end. Change: not_run refusals of absent runners are not counted. Measured: before, agent_paused failed and TestResumesAfterWait fails without the change by the same rule; after, go test -race ./pkg/entry passes and agent_paused passes; agent_killed still fails. Conclusion: waiting and resuming combine; agent_killed is examined next.

--- a/pkg/entry/limits_test.go
+++ b/pkg/entry/limits_test.go
@@ -94,6 +94,28 @@
 	}
 }
 
+// Guards against a stream that is not resumed because the request had waited for a holder before.
+func TestResumesAfterWait(t *testing.T) {
+	calls := 0
+	a := newFakeAgent(t, "a", 0, func(t *testing.T, c *execCall) {
+		calls++
+		switch {
+		case calls <= 6:
+			_ = c.w.Fail(failure.New(failure.NotLoaded, failure.NotRun, "not loaded yet"))
+		case calls == 7:
+			tellPart(c, 2)
+			cut(c)
+		default:
+			tellStory(t, c)
+		}
+	})
+	f := newFixture(t, nil, a)
+	_, body := f.call(t, "POST", "/v1/chat/completions", chatBody+`"stream":true}`)
+	if text, _, done, failed := eventText(t, body); text != strings.Join(story, "") || done != 1 || failed != 0 {
+		t.Fatal(body)
+	}
+}
+
 // Guards against retries beyond the budget, and against a refusal without advice.
 func TestEmptyBudgetRefusesEarly(t *testing.T) {
 	a := newFakeAgent(t, "a", 0, func(_ *testing.T, c *execCall) {
--- a/pkg/entry/unavailable.go
+++ b/pkg/entry/unavailable.go
@@ -24,7 +24,10 @@
 	if f.Outcome != failure.NotRun || !absent[f.Code] {
 		return f
 	}
-	if j.attempts < d.settings.Retry.MaxAttempts && d.untried(j) {
+	// Refused attempts leave the number of attempts to those that can do work: a request that waited for a
+	// restart must still be resumed when its stream breaks later.
+	j.attempts--
+	if d.untried(j) {
 		return f
 	}
 	return failure.Wrap(failure.NoBackend, failure.NotRun, "no runner is available for "+j.request.object(), f)
