routing, entry: await a trusted holder before trying a suspect again

Cause: with one holder restarting and one dead, all attempts went to the dead one; the integration test agent_killed showed it. Ruled out: not counting lost connections, because a request that kills its runner would be repeated up to its deadline. Change: suspects are left out before tried runners, and the wait rule uses the same filters.

--- a/pkg/entry/try.go
+++ b/pkg/entry/try.go
@@ -26,12 +26,7 @@
 
 func (d *Dispatcher) choose(ctx context.Context, snapshot *Snapshot, j *job) (routing.Candidate, error) {
 	q := d.query(snapshot, j)
-	policy := d.services
-	candidates := snapshot.Providers(j.request.Target)
-	if j.request.generation() {
-		policy = d.policy
-		candidates = j.usable(snapshot.Holders(j.request.Target))
-	}
+	policy, candidates := d.holders(snapshot, j)
 	selected := d.selectFrom(policy, q, j, candidates)
 	if len(selected) == 0 {
 		return routing.Candidate{}, failure.New(failure.NoBackend, failure.NotRun, "no runner is available for "+j.request.object())
@@ -43,6 +38,14 @@
 	return d.chooseByProbe(ctx, snapshot, q, j, selected)
 }
 
+// holders returns the runners that hold what the request needs, and the policy that chooses among them.
+func (d *Dispatcher) holders(snapshot *Snapshot, j *job) (*routing.Policy, []routing.Candidate) {
+	if j.request.generation() {
+		return d.policy, j.usable(snapshot.Holders(j.request.Target))
+	}
+	return d.services, snapshot.Providers(j.request.Target)
+}
+
 // selectFrom returns the candidates to probe. When every holder has failed the request, all get another chance.
 func (d *Dispatcher) selectFrom(policy *routing.Policy, q *routing.Query, j *job, candidates []routing.Candidate) []routing.Candidate {
 	limit := d.settings.Routing.Probes
--- a/pkg/entry/unavailable.go
+++ b/pkg/entry/unavailable.go
@@ -33,17 +33,9 @@
 	return failure.Wrap(failure.NoBackend, failure.NotRun, "no runner is available for "+j.request.object(), f)
 }
 
-// untried reports whether a runner is left that has not failed the request.
+// untried reports whether a runner is left that would be chosen and has not failed the request.
 func (d *Dispatcher) untried(j *job) bool {
 	snapshot := d.snapshots.Load()
-	candidates := snapshot.Providers(j.request.Target)
-	if j.request.generation() {
-		candidates = j.usable(snapshot.Holders(j.request.Target))
-	}
-	for _, c := range candidates {
-		if !c.Leaving && !j.tried[c.Runner] {
-			return true
-		}
-	}
-	return false
+	policy, candidates := d.holders(snapshot, j)
+	return len(policy.Filter(d.query(snapshot, j), candidates)) > 0
 }
--- a/pkg/routing/policy.go
+++ b/pkg/routing/policy.go
@@ -26,7 +26,7 @@
 // NewPolicy returns the policy of that name. Other names fail with code SettingsInvalid.
 func NewPolicy(name string, regionCost time.Duration) (*Policy, error) {
 	p := &Policy{
-		Filters: []Filter{LeavingFilter{}, TriedFilter{}, SuspectFilter{}, RegionFilter{}},
+		Filters: []Filter{LeavingFilter{}, SuspectFilter{}, TriedFilter{}, RegionFilter{}},
 		Chooser: LocalChooser{},
 		Scorers: []Scorer{RegionCostScorer{Cost: regionCost}},
 	}
@@ -46,11 +46,18 @@
 	return p, nil
 }
 
-// Candidates filters and chooses.
-func (p *Policy) Candidates(q *Query, candidates []Candidate, limit int) []Candidate {
+// Filter applies all filters. Suspects are left out before the runners already tried: while a trusted holder exists,
+// even one that just refused, the request rather waits for it than spends its attempts on a runner that does not answer.
+func (p *Policy) Filter(q *Query, candidates []Candidate) []Candidate {
 	for _, f := range p.Filters {
 		candidates = f.Filter(q, candidates)
 	}
+	return candidates
+}
+
+// Candidates filters and chooses.
+func (p *Policy) Candidates(q *Query, candidates []Candidate, limit int) []Candidate {
+	candidates = p.Filter(q, candidates)
 	if q.Key != "" {
 		return KeyChooser{}.Choose(q, candidates, limit)
 	}
--- a/pkg/routing/routing_test.go
+++ b/pkg/routing/routing_test.go
@@ -57,6 +57,21 @@
 	}
 }
 
+// Guards against attempts that are spent on a silent runner while a trusted holder is only restarting.
+func TestTrustedHolderIsAwaited(t *testing.T) {
+	p, _ := NewPolicy(PolicyProbe, 0)
+	q := query()
+	q.Tried = map[string]bool{"a1": true}
+	q.Suspects = map[string]time.Time{"a2": now.Add(1)}
+	if got := p.Filter(q, runners("a1", "a2")); len(got) != 0 {
+		t.Fatalf("chose %v", names(got))
+	}
+	q.Suspects["a1"] = now.Add(1)
+	if got := names(p.Filter(q, runners("a1", "a2"))); !slices.Equal(got, []string{"a2"}) {
+		t.Fatalf("with suspects only: %v", got)
+	}
+}
+
 // Guards against a prefix whose requests are spread over caches, and against doubled or remote candidates.
 func TestProbeChooser(t *testing.T) {
 	in := runners("a1", "a2", "a3", "a4", "a5", "b1")
