agent: run calls with an idempotency key at most once

Cause: keyed calls were refused, because nothing claimed their keys.

Ruled out: answering before the outcome is handed to the keeper, since a stop in between would lose it; cutting the call when the caller leaves, which would make its outcome unknown for no reason.

--- /dev/null
+++ b/pkg/agent/counted_log.go
@@ -0,0 +1,21 @@
+package agent
+
+import (
+	"context"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"trefoilferry.example/ferry/pkg/platform"
+)
+
+// countedLog counts the appends of one stream.
+type countedLog struct {
+	platform.Log
+	appends prometheus.Counter
+}
+
+// Append counts and appends.
+func (l *countedLog) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	l.appends.Inc()
+	return l.Log.Append(ctx, stream, data)
+}
--- a/pkg/agent/daemon.go
+++ b/pkg/agent/daemon.go
@@ -116,6 +116,7 @@
 		Metrics:      d.deps.Metrics,
 		OrderTimeout: d.deps.Settings.Backend.OrderTimeout,
 		Changed:      d.changed,
+		Runners:      func(n int) { d.streams.setRunners(n) },
 		Stopped:      func() { close(d.drained) },
 	}
 }
@@ -130,6 +131,7 @@
 		Adapters: d.adapters,
 		Engine:   d.deps.Engine,
 		Service:  d.deps.Service,
+		Keys:     d.streams.keeper,
 		Calls:    make(chan struct{}, s.Backend.MaxCalls),
 		Clock:    d.deps.Clock,
 		Ring:     d.ring,
@@ -137,6 +139,7 @@
 		Metrics:  d.deps.Metrics,
 		Behind:   d.behind,
 		MaxBody:  int64(s.Listen.MaxBodyBytes),
+		KeyBody:  int64(s.Keys.BodyBytes),
 	}
 }
 
@@ -168,6 +171,7 @@
 	for _, p := range d.pollers() {
 		d.running.Go(func() { p.Run(ctx) })
 	}
+	d.streams.start()
 	s := d.deps.Settings
 	d.ring.Add(timeline.Event{Kind: timeline.ProcessStarted})
 	d.deps.Logger.Log(eventlog.ProcessStarted, "control", s.Listen.Control, "admin", s.Listen.Admin)
@@ -225,6 +229,7 @@
 		d.deps.Logger.Log(eventlog.DrainTimedOut)
 	}
 	d.closeServers(ctx)
+	d.streams.close()
 	d.cancel()
 	d.running.Wait()
 	d.effects.Wait()
@@ -233,6 +238,13 @@
 	return nil
 }
 
+// keysPoll is the time between two looks at whether all outcomes of keys are in the log.
+const keysPoll = 20 * time.Millisecond
+
+// keysGrace bounds the wait for outcomes of keys to be recorded once all work is finished. With the log out for longer
+// the keys stay unresolved, which is safe.
+const keysGrace = 10 * time.Second
+
 // finish waits until all work is finished and the outcomes of its keys are recorded; false if either took too long.
 func (d *Daemon) finish(ctx context.Context) bool {
 	select {
@@ -242,6 +254,16 @@
 	case <-ctx.Done():
 		return false
 	}
+	grace := d.deps.Clock.After(keysGrace)
+	for !d.streams.keysDrained() {
+		select {
+		case <-d.deps.Clock.After(keysPoll):
+		case <-grace:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
 	return true
 }
 
--- a/pkg/agent/effects.go
+++ b/pkg/agent/effects.go
@@ -47,6 +47,8 @@
 	OrderTimeout time.Duration
 	// Changed is called when placement records or the engine should be read at once.
 	Changed func()
+	// Runners is told the number of runners of the own service.
+	Runners func(n int)
 	// Stopped is called once all work is finished after a stop request.
 	Stopped func()
 
@@ -125,6 +127,7 @@
 func (f *Effects) publish(v *View) {
 	f.View.Store(v)
 	f.Metrics.view(v)
+	f.Runners(v.ServiceRunners)
 	f.Gate.SetRates(queue.Rates{
 		Slots:                  int(v.Report.MaxRunning),
 		PrefillTokensPerSecond: v.Report.PrefillTokensPerSecond,
--- a/pkg/agent/exec_server.go
+++ b/pkg/agent/exec_server.go
@@ -14,6 +14,7 @@
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/frame"
+	"trefoilferry.example/ferry/pkg/idempotency"
 	"trefoilferry.example/ferry/pkg/timeline"
 )
 
@@ -26,15 +27,19 @@
 	Adapters *Adapters
 	Engine   engine.Engine
 	Service  ServiceClient
-	Calls    chan struct{}
-	Clock    clock.Clock
-	Ring     *timeline.Ring
-	Logger   *eventlog.Logger
-	Metrics  *Metrics
+	// Keys is nil for a model engine.
+	Keys    *idempotency.Keeper
+	Calls   chan struct{}
+	Clock   clock.Clock
+	Ring    *timeline.Ring
+	Logger  *eventlog.Logger
+	Metrics *Metrics
 	// Behind is called when a request shows that the agent's configuration is out of date.
 	Behind func(offset uint64)
 	// MaxBody bounds request bodies in bytes.
 	MaxBody int64
+	// KeyBody bounds the answers stored with a key in bytes.
+	KeyBody int64
 }
 
 // call is one exec request in progress.
--- a/pkg/agent/exec_service.go
+++ b/pkg/agent/exec_service.go
@@ -83,6 +83,19 @@
 	}
 }
 
+// writeAnswer sends a whole answer.
+func (s *ExecServer) writeAnswer(c *call, status int, header http.Header, body []byte) error {
+	if err := s.accept(c, status, frameHeader(header)); err != nil {
+		return err
+	}
+	if len(body) > 0 {
+		if err := c.out.Data(body, 0); err != nil {
+			return err
+		}
+	}
+	return c.out.End(frame.Summary{})
+}
+
 func httpHeader(in []*ferrypb.Header) http.Header {
 	out := http.Header{}
 	for _, h := range in {
--- a/pkg/agent/module.go
+++ b/pkg/agent/module.go
@@ -23,7 +23,7 @@
 
 const (
 	// stopMargin is what a stop may take beyond the drain.
-	stopMargin = 20 * time.Second
+	stopMargin = keysGrace + 10*time.Second
 	// peerTimeout bounds one call to another process of the system.
 	peerTimeout = 2 * time.Second
 )
--- a/pkg/agent/streams.go
+++ b/pkg/agent/streams.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"trefoilferry.example/ferry/pkg/configlog"
+	"trefoilferry.example/ferry/pkg/idempotency"
 	"trefoilferry.example/ferry/pkg/placement"
 	"trefoilferry.example/ferry/pkg/stream"
 )
@@ -16,7 +17,9 @@
 	placementPoller *poller
 	others          []*poller
 	followers       map[string]*stream.Follower
-	now             func() time.Time
+	// keeper is nil for a model engine.
+	keeper *idempotency.Keeper
+	now    func() time.Time
 }
 
 func newStreams(d *Daemon) *streams {
@@ -41,9 +44,58 @@
 	for _, name := range []string{configStream, placementStream} {
 		s.others = append(s.others, newCheckpointPoller(d, name, s.followers[name]))
 	}
+	if d.deps.Service != nil {
+		s.followKeys(d, hosts)
+	}
 	return s
 }
 
+// followKeys adds the stream of the service's idempotency keys, which the keeper reads and writes.
+func (s *streams) followKeys(d *Daemon, hosts *hostSource) {
+	settings := d.deps.Settings
+	name := idempotency.StreamName(settings.Backend.Service)
+	fold := idempotency.NewFold(settings.Keys.Retention)
+	follower := newFollower(d, name, fold, hosts)
+	s.followers[name] = follower
+	s.others = append(s.others, newCheckpointPoller(d, name, follower))
+	log := &countedLog{Log: d.deps.Log, appends: d.deps.Metrics.keyAppends}
+	s.keeper = idempotency.NewKeeper(idempotency.KeeperConfig{
+		Claims: idempotency.ClaimsConfig{
+			Runner:      settings.Host.Name,
+			Incarnation: d.deps.Incarnation,
+			Interval:    idempotency.Interval(1),
+			WaitDone:    settings.Keys.Wait,
+		},
+		Fold:         fold,
+		Follower:     follower,
+		Writer:       stream.NewWriter(log, name, d.deps.Incarnation, d.deps.Clock.Now, d.ring.Tick),
+		Clock:        d.deps.Clock,
+		PollInterval: settings.Platform.PollInterval,
+	})
+}
+
+func (s *streams) start() {
+	if s.keeper != nil {
+		s.keeper.Start()
+	}
+}
+
+func (s *streams) close() {
+	if s.keeper != nil {
+		s.keeper.Close()
+	}
+}
+
+// setRunners adapts the rate of key appends to the number of runners of the service.
+func (s *streams) setRunners(n int) {
+	if s.keeper != nil && n > 0 {
+		s.keeper.SetRunners(n)
+	}
+}
+
+// keysDrained reports whether every outcome of a key is in the log.
+func (s *streams) keysDrained() bool { return s.keeper == nil || s.keeper.Drained() }
+
 func newFollower(d *Daemon, name string, fold stream.Fold, hosts *hostSource) *stream.Follower {
 	s := d.deps.Settings
 	return stream.NewFollower(stream.FollowerConfig{
