--- a/pkg/settings/daemons_test.go
+++ b/pkg/settings/daemons_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"testing"
 
+	"trefoilferry.example/ferry/pkg/agent"
 	"trefoilferry.example/ferry/pkg/entry"
 	"trefoilferry.example/ferry/pkg/settings"
 )
@@ -16,6 +17,7 @@
 // Guards against a settings page that names keys, defaults or ranges which the daemons do not have.
 func TestSettingsPageMatchesDaemons(t *testing.T) {
 	daemons := map[string]any{
+		"ferry-agent": &agent.Settings{},
 		"ferry-entry": &entry.Settings{},
 	}
 	data, err := os.ReadFile(settingsPage)
