--- a/pkg/settings/daemons_test.go
+++ b/pkg/settings/daemons_test.go
@@ -19,6 +19,7 @@
 	daemons := map[string]any{
 		"ferry-agent": &agent.Settings{},
 		"ferry-entry": &entry.Settings{},
+		"ferry-agent": &agent.Settings{},
 	}
 	data, err := os.ReadFile(settingsPage)
 	if err != nil {
