agent: tell at once that an engine process was lost

Ruled out: stale reports of the new process, which cannot be older than that process.

Change: models that the first report of another engine process lacks are lost at once; no model takes work while nothing listens at the engine's address; cancelled work is logged as F0312; a stop no longer waits for an append during a log outage; choosing watchers costs one hash per runner.

--- a/pkg/agent/core.go
+++ b/pkg/agent/core.go
@@ -44,6 +44,8 @@
 	reportAt time.Time
 	// reportOld is set while reports fail.
 	reportOld bool
+	// engineGone is set while nothing listens at the engine's address.
+	engineGone bool
 	// lost tells since when the report lacks a ready copy.
 	lost map[placement.Key]time.Time
 
--- a/pkg/agent/core_events.go
+++ b/pkg/agent/core_events.go
@@ -4,18 +4,21 @@
 	"time"
 
 	"trefoilferry.example/ferry/pkg/eventlog"
+	"trefoilferry.example/ferry/pkg/failure"
 )
 
 func (Tick) apply(*Core) {}
 
 func (e ReportRead) apply(c *Core) {
-	if c.report.Instance != "" && c.report.Instance != e.Report.Instance {
+	replaced := c.report.Instance != "" && c.report.Instance != e.Report.Instance
+	if replaced {
 		c.engineReplaced()
 	}
 	c.report = e.Report
 	c.reportAt = c.now
 	c.reportOld = false
-	c.noteLost()
+	c.engineGone = false
+	c.noteLost(replaced)
 	if c.ledger != nil {
 		c.ledger.Report(e.Report)
 	}
@@ -33,6 +36,7 @@
 		c.log(eventlog.EngineLost, "error", e.Err)
 	}
 	c.reportOld = true
+	c.engineGone = failure.HasCode(e.Err, failure.ConnectFailed)
 }
 
 func (e PlacementRead) apply(c *Core) {
--- a/pkg/agent/core_lost.go
+++ b/pkg/agent/core_lost.go
@@ -5,16 +5,21 @@
 	"trefoilferry.example/ferry/pkg/placement"
 )
 
-// noteLost notes since when the report lacks a ready model.
-func (c *Core) noteLost() {
+// noteLost notes since when the report lacks a ready model. The report of another engine process is no older than that
+// process, so that what it lacks is lost at once.
+func (c *Core) noteLost(replaced bool) {
+	since := c.now
+	if replaced {
+		since = c.now.Add(-c.limits.LostAfter)
+	}
 	for _, own := range c.own() {
 		key := keyOf(own)
 		if own.State != ready || c.loadedVersion(key) {
 			delete(c.lost, key)
 			continue
 		}
-		if _, ok := c.lost[key]; !ok {
-			c.lost[key] = c.now
+		if _, ok := c.lost[key]; !ok || replaced {
+			c.lost[key] = since
 		}
 	}
 	for key := range c.lost {
--- a/pkg/agent/core_refusal.go
+++ b/pkg/agent/core_refusal.go
@@ -52,14 +52,12 @@
 	return false
 }
 
-// decideStop ends the process once the last request is finished.
+// decideStop ends the process once the last request is finished. It does not wait for an append, which a log outage
+// could delay without bound; the successor finds the record if it was stored.
 func (c *Core) decideStop() {
 	if !c.stopping || c.stopped || !c.work.AllClosed || c.work.Total > 0 {
 		return
 	}
-	if c.append.outstanding {
-		return
-	}
 	c.stopped = true
 	c.do(Stop{})
 }
--- a/pkg/agent/core_view.go
+++ b/pkg/agent/core_view.go
@@ -17,6 +17,7 @@
 	closed          int
 	refusal         *failure.Failure
 	ready           bool
+	gone            bool
 }
 
 // publish replaces the view of the traffic goroutines if it changed.
@@ -38,6 +39,7 @@
 		adapters:        c.adapters.version,
 		closed:          len(c.closed),
 		refusal:         c.refusal,
+		gone:            c.engineGone,
 		ready:           c.refusal == nil && c.configKnown && c.placementKnown && c.fencing > 0 && (!c.isEngine() || c.engineKnown()),
 	}
 	if c.set != nil {
@@ -63,7 +65,7 @@
 		HeldBytes:       c.held(),
 	}
 	for _, m := range c.report.Models {
-		if c.serves(m.Model) && !c.closed[m.Model] {
+		if c.serves(m.Model) && !c.closed[m.Model] && !c.engineGone {
 			v.Models[m.Model] = ServedModel{Version: m.Version, Bytes: m.Bytes}
 		}
 	}
--- a/pkg/agent/core_watch.go
+++ b/pkg/agent/core_watch.go
@@ -82,7 +82,7 @@
 func (c *Core) chooseTargets(all []placement.Runner) {
 	targets := map[string]*watched{}
 	for _, r := range all {
-		if r.Name == c.id.Runner || !slices.Contains(watchers(r, all), c.id.Runner) {
+		if !watches(c.id.Runner, r, all) {
 			continue
 		}
 		t, ok := c.watch.targets[r.Name]
--- a/pkg/agent/daemon.go
+++ b/pkg/agent/daemon.go
@@ -50,8 +50,9 @@
 	control  *Control
 	effects  *Effects
 	streams  *streams
-	report   *poller
-	exec     *ExecServer
+	// report is nil for a service runner.
+	report *poller
+	exec   *ExecServer
 
 	servers []*listener
 	cancel  context.CancelFunc
@@ -81,6 +82,10 @@
 	d.control = NewControl(NewCore(id, limitsOf(s), placement.Plan), deps.Clock, d.work, d.effects.Do)
 	d.streams = newStreams(d)
 	d.exec = d.newExec()
+	if deps.Engine != nil {
+		source := &engineSource{engine: deps.Engine, prefixes: d.prefixes, send: d.control.Send}
+		d.report = newPoller(deps.Clock, s.Backend.ReportInterval, source.poll)
+	}
 	return d
 }
 
@@ -209,9 +214,7 @@
 
 func (d *Daemon) pollers() []*poller {
 	out := d.streams.pollers()
-	if d.deps.Engine != nil {
-		source := &engineSource{engine: d.deps.Engine, prefixes: d.prefixes, send: d.control.Send}
-		d.report = newPoller(d.deps.Clock, d.deps.Settings.Backend.ReportInterval, source.poll)
+	if d.report != nil {
 		out = append(out, d.report)
 	}
 	load := func(context.Context) { d.deps.Metrics.load(d.gate.Load()) }
--- a/pkg/agent/exec_server.go
+++ b/pkg/agent/exec_server.go
@@ -179,8 +179,11 @@
 	_ = c.out.Fail(f)
 	s.Metrics.execDone(c.kind(), f.Outcome, f.Code, s.Clock.Now().Sub(c.arrived))
 	event, kind := eventlog.ExecFailed, timeline.ExecFailed
-	if f.Outcome == failure.NotRun {
+	switch {
+	case f.Outcome == failure.NotRun:
 		event, kind = eventlog.ExecRefused, timeline.ExecRefused
+	case f.Code == failure.ClientCancelled || f.Code == failure.DeadlineExpired:
+		event = eventlog.ExecCancelled
 	}
 	s.note(c, kind, string(f.Code)+" "+string(f.Outcome))
 	s.Logger.Log(event, "request", c.request.GetRequestId(), "attempt", c.request.GetAttemptId(),
--- a/pkg/agent/watchers.go
+++ b/pkg/agent/watchers.go
@@ -1,9 +1,6 @@
 package agent
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/cespare/xxhash/v2"
 
 	"trefoilferry.example/ferry/pkg/placement"
@@ -15,25 +12,33 @@
 	watchersOutside = 1
 )
 
-// watchers returns the names of the runners that watch target, chosen by rendezvous hash.
-func watchers(target placement.Runner, all []placement.Runner) []string {
-	inside := rankWatchers(target, all, func(r placement.Runner) bool { return r.Region == target.Region })
-	outside := rankWatchers(target, all, func(r placement.Runner) bool { return r.Region != target.Region })
-	out := slices.Clone(inside[:min(watchersInside, len(inside))])
-	return append(out, outside[:min(watchersOutside, len(outside))]...)
-}
-
-func rankWatchers(target placement.Runner, all []placement.Runner, match func(placement.Runner) bool) []string {
-	var names []string
+// watches reports whether self is one of the watchers of target, which are chosen by rendezvous hash. It costs one hash
+// per runner, because an agent asks it for every other runner.
+func watches(self string, target placement.Runner, all []placement.Runner) bool {
+	inside := false
 	for _, r := range all {
-		if r.Name != target.Name && match(r) {
-			names = append(names, r.Name)
+		if r.Name == self {
+			inside = r.Region == target.Region
+		}
+	}
+	limit := watchersOutside
+	if inside {
+		limit = watchersInside
+	}
+	score := watchScore(target.Name, self)
+	for _, r := range all {
+		if r.Name == target.Name || r.Name == self || (r.Region == target.Region) != inside {
+			continue
+		}
+		other := watchScore(target.Name, r.Name)
+		if other > score || (other == score && r.Name < self) {
+			limit--
+		}
+		if limit == 0 {
+			return false
 		}
 	}
-	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(watchScore(target.Name, b), watchScore(target.Name, a)), cmp.Compare(a, b))
-	})
-	return names
+	return self != target.Name
 }
 
 func watchScore(target, watcher string) uint64 {
--- a/pkg/eventlog/catalog.go
+++ b/pkg/eventlog/catalog.go
@@ -46,5 +46,6 @@
 	KeyUnresolved   = add(308, log.WarnLevel, "idempotency key unresolved", "A key's request may have run; it will not be run again.")
 	AgentSuperseded = add(309, log.ErrorLevel, "agent superseded", "A newer agent of the same runner exists; this one gives no more orders.")
 	RunnerEvicted   = add(310, log.WarnLevel, "runner evicted", "A runner is gone; its copies are to be placed elsewhere.")
+	ExecCancelled   = add(312, log.InfoLevel, "request cancelled", "The caller left or its deadline passed; the work was cancelled at the backend server.")
 	EngineLost      = add(311, log.WarnLevel, "engine unavailable", "The engine's report cannot be read.")
 )
