agent: keep memory reserved for loads that a successor must know of

Cause: a property test over lost, late and repeated orders found two ways to overdraw an engine: a copy was recorded as settled while its load had no answer yet, and a claim was loaded after its abandon was appended and before it was read back.

Ruled out: a second application of an order that was already answered; orders are sent once over a connection of their own, so the test does not model it.

Conclusion: no overdraw is known under these faults.

--- a/pkg/agent/core_append.go
+++ b/pkg/agent/core_append.go
@@ -14,6 +14,14 @@
 	outstanding bool
 	readBack    uint64
 	pause       time.Time
+	// abandoned is the claim that the last record gives up; 0 for another record.
+	abandoned uint64
+}
+
+// abandoning reports whether a record that gives the claim up may be in the log and was not read back.
+func (c *Core) abandoning(claim uint64) bool {
+	pending := c.append.outstanding || c.append.readBack > c.placementOffset
+	return pending && c.append.abandoned == claim
 }
 
 func (e AppendDone) apply(c *Core) {
@@ -39,6 +47,7 @@
 	}
 	c.append.ref++
 	c.append.outstanding = true
+	c.append.abandoned = record.GetAbandon().GetClaim()
 	c.noteRecord(record)
 	c.do(AppendRecord{Ref: c.append.ref, Record: record})
 }
--- a/pkg/agent/core_copies.go
+++ b/pkg/agent/core_copies.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/engine"
 	"trefoilferry.example/ferry/pkg/placement"
 )
 
@@ -43,7 +44,7 @@
 func (c *Core) claimedRecord(own placement.Copy) *ferrypb.PlacementRecord {
 	item, reserved := c.item(own)
 	if reserved && item.Loaded && item.Reported {
-		return c.readyRecord(own.Claim, item.Unsettled)
+		return c.readyRecord(own.Claim, c.unsettled(item))
 	}
 	if reserved {
 		return nil
@@ -62,8 +63,8 @@
 	if !item.Loaded {
 		return nil
 	}
-	if item.Unsettled != own.Unsettled {
-		return c.readyRecord(own.Claim, item.Unsettled)
+	if unsettled := c.unsettled(item); unsettled != own.Unsettled {
+		return c.readyRecord(own.Claim, unsettled)
 	}
 	return nil
 }
@@ -74,3 +75,10 @@
 	}
 	return c.freedRecord(own.Claim)
 }
+
+// unsettled reports whether a load order of a copy may still reach the engine. An order that waits for its answer counts
+// too: a successor would otherwise not know that its sender never saw the answer.
+func (c *Core) unsettled(item placement.Item) bool {
+	key, kind, outstanding := c.ledger.Outstanding()
+	return item.Unsettled || (outstanding && kind == engine.LoadModel && key == item.Key)
+}
--- a/pkg/agent/core_orders.go
+++ b/pkg/agent/core_orders.go
@@ -216,10 +216,11 @@
 }
 
 // loadDue reports whether an open claim is to be loaded now. The plan gives the turns, which share the rate of the
-// store. A load that was ordered once is seen through, since its order may still take effect.
+// store. A load that was ordered once is seen through, since its order may still take effect. A claim that is being given
+// up is not loaded, because a successor would not know of the order.
 func (c *Core) loadDue(own placement.Copy) bool {
 	if item, reserved := c.item(own); reserved {
 		return !item.Loaded
 	}
-	return !c.stopping && c.planned().Load == own.Claim
+	return !c.stopping && !c.abandoning(own.Claim) && c.planned().Load == own.Claim
 }
--- a/pkg/agent/core_sim_test.go
+++ b/pkg/agent/core_sim_test.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"testing"
 	"time"
 
 	"trefoilferry.example/ferry/api/ferrypb"
@@ -13,9 +12,16 @@
 
 const gib = uint64(1) << 30
 
+// reporter is the part of testing.T that the simulation uses; rapid.T has it too.
+type reporter interface {
+	Helper()
+	Fatal(args ...any)
+	Fatalf(format string, args ...any)
+}
+
 // coreSim drives cores with a virtual clock, a placement log in memory and an engine whose orders the test answers.
 type coreSim struct {
-	t      *testing.T
+	t      reporter
 	now    time.Time
 	fold   *placement.Fold
 	offset uint64
@@ -33,7 +39,7 @@
 	counts  map[string]int
 }
 
-func newCoreSim(t *testing.T, id Identity, objects ...*ferrypb.Object) *coreSim {
+func newCoreSim(t reporter, id Identity, objects ...*ferrypb.Object) *coreSim {
 	t.Helper()
 	set, problems := object.NewSet(1, objects)
 	if len(problems) > 0 {
