--- /dev/null
+++ b/pkg/agent/gate_test.go
@@ -0,0 +1,35 @@
+package agent
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"trefoilferry.example/ferry/pkg/clock"
+	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/queue"
+)
+
+// Guards against a slot that is lost when its caller leaves the queue, and against requests that wait past their target.
+func TestGateGivesSlotsBack(t *testing.T) {
+	g := NewGate(queue.DefaultConfig(), clock.System{})
+	g.SetRates(queue.Rates{Slots: 1})
+	slot, err := g.Admit(context.Background(), queue.Request{ID: "a", Arrived: time.Now()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if _, err := g.Admit(ctx, queue.Request{ID: "b", Arrived: time.Now()}); !failure.HasCode(err, failure.ClientCancelled) {
+		t.Fatalf("got %v", err)
+	}
+	late := queue.Request{ID: "c", Arrived: time.Now(), FirstTokenBy: time.Now().Add(20 * time.Millisecond)}
+	if _, err := g.Admit(context.Background(), late); !failure.HasCode(err, failure.TargetMissed) {
+		t.Fatalf("got %v", err)
+	}
+	slot.Release()
+	slot.Release()
+	if waiting, running := g.Load(); waiting != 0 || running != 0 {
+		t.Fatalf("%d waiting, %d running", waiting, running)
+	}
+}
