--- a/internal/capacity/daemon.go
+++ b/internal/capacity/daemon.go
@@ -41,7 +41,7 @@
 
 // startDaemon runs the program of the role as the host number 0 of the system.
 func startDaemon(ctx context.Context, binDir, dir string, role Role, s *surroundings, size Size) (*daemon, error) {
-	d, err := newDaemon(role)
+	d, err := newDaemon()
 	if err != nil {
 		return nil, err
 	}
@@ -62,7 +62,7 @@
 	return d, nil
 }
 
-func newDaemon(role Role) (*daemon, error) {
+func newDaemon() (*daemon, error) {
 	addresses := make([]string, 3)
 	for i := range addresses {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/capacity/peers.go
+++ b/internal/capacity/peers.go
@@ -30,7 +30,7 @@
 }
 
 // ReadStream serves records as a relay does.
-func (p *peers) ReadStream(ctx context.Context, r *ferrypb.ReadStreamRequest) (*ferrypb.ReadStreamResponse, error) {
+func (p *peers) ReadStream(_ context.Context, r *ferrypb.ReadStreamRequest) (*ferrypb.ReadStreamResponse, error) {
 	f, ok := p.streams[r.Stream]
 	if !ok {
 		return nil, twirp.NotFoundError("unknown stream")
--- a/test/integration/caller_test.go
+++ b/test/integration/caller_test.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		return result{err: err}
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 	res := newResult(resp)
 	if !stream || resp.StatusCode != http.StatusOK {
 		return res.readWhole(resp.Body)
@@ -168,7 +168,7 @@
 	if err != nil {
 		return result{err: err}
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 	res := newResult(resp)
 	data, err := io.ReadAll(resp.Body)
 	res.text, res.err = string(data), err
