Add ferry-bench: open-loop load, checks of answers, comparison and slopes

Cause: the project has no tool that measures attainment, moves and the cost of control on the real daemons. Ruled out: a simulator, because it would measure its own model; gonum/stat and gopsutil, because go.mod does not list them with all their parts, so the fit is written out and procfs reads the processes. Change: internal/bench and cmd/ferry-bench with run, compare and slope. Measured: unit tests of the pure parts pass with -race; no run against the daemons yet. Conclusion: the pure parts are usable; runs follow.

--- /dev/null
+++ b/cmd/ferry-bench/compare.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"trefoilferry.example/ferry/internal/bench"
+)
+
+const defaultSeeds = 3
+
+func compareCommand() *cli.Command {
+	settings := "settings as key=value,...: profile, policy, load, duration, entry.SECTION.KEY, agent.SECTION.KEY"
+	return &cli.Command{
+		Name:  "compare",
+		Usage: "run two settings in alternation and print the ratios of attainment and moves",
+		Flags: append(loadFlags(),
+			&cli.StringFlag{Name: "a", Required: true, Usage: "first " + settings},
+			&cli.StringFlag{Name: "b", Required: true, Usage: "second " + settings},
+			&cli.IntFlag{Name: "seeds", Value: defaultSeeds, Usage: "number of seeds, from --seed on"},
+		),
+		Action: compare,
+	}
+}
+
+func compare(ctx context.Context, c *cli.Command) error {
+	options, err := optionsOf(c)
+	if err != nil {
+		return err
+	}
+	comparison, err := bench.Compare(ctx, options, c.String("a"), c.String("b"), c.Int("seeds"), os.Stderr)
+	if err != nil {
+		return err
+	}
+	if err := comparison.WriteText(os.Stdout); err != nil {
+		return err
+	}
+	return writeJSON(c, comparison)
+}
--- /dev/null
+++ b/cmd/ferry-bench/options.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"trefoilferry.example/ferry/internal/bench"
+)
+
+// Defaults of a run; one run stays below a minute.
+const (
+	defaultLoad     = 20.0
+	defaultDuration = 20 * time.Second
+	defaultWarmup   = 4 * time.Second
+)
+
+func loadFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "profile", Value: "directorate", Usage: "directorate or damier"},
+		&cli.StringFlag{Name: "policy", Value: "probe", Usage: "routing policy: probe, random or round_robin"},
+		&cli.Float64Flag{Name: "load", Value: defaultLoad, Usage: "mean requests per second"},
+		&cli.DurationFlag{Name: "duration", Value: defaultDuration, Usage: "time of sending"},
+		&cli.DurationFlag{Name: "warmup", Value: defaultWarmup, Usage: "beginning of the load that is not measured"},
+		&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the arrivals"},
+		&cli.IntFlag{Name: "entries", Value: 1, Usage: "entry hosts per region"},
+		&cli.StringFlag{Name: "faults", Usage: "file with a fault schedule"},
+		&cli.StringSliceFlag{Name: "set", Usage: "entry.SECTION.KEY=VALUE or agent.SECTION.KEY=VALUE for all daemons"},
+		jsonFlag(),
+	}
+}
+
+func jsonFlag() cli.Flag {
+	return &cli.StringFlag{Name: "json", Usage: "file for the report as JSON"}
+}
+
+func optionsOf(c *cli.Command) (bench.Options, error) {
+	o := bench.Options{
+		Profile:          c.String("profile"),
+		Policy:           c.String("policy"),
+		Rate:             c.Float64("load"),
+		Duration:         c.Duration("duration"),
+		Warmup:           c.Duration("warmup"),
+		Seed:             c.Uint64("seed"),
+		EntriesPerRegion: c.Int("entries"),
+		BinDir:           c.String("bin"),
+	}
+	if path := c.String("faults"); path != "" {
+		faults, err := bench.ReadFaults(path)
+		if err != nil {
+			return bench.Options{}, err
+		}
+		o.Faults = faults
+	}
+	if changes := c.StringSlice("set"); len(changes) > 0 {
+		return o.With(strings.Join(changes, ","))
+	}
+	return o, nil
+}
+
+// writeJSON writes a report if the caller asked for one.
+func writeJSON(c *cli.Command, report any) error {
+	path := c.String("json")
+	if path == "" {
+		return nil
+	}
+	return bench.WriteJSON(path, report)
+}
--- /dev/null
+++ b/internal/bench/attainment.go
@@ -0,0 +1,94 @@
+package bench
+
+import (
+	"maps"
+	"slices"
+)
+
+// Share counts requests and those that met their targets.
+type Share struct {
+	Requests int     `json:"requests"`
+	Attained int     `json:"attained"`
+	Share    float64 `json:"share"`
+}
+
+func (s *Share) add(attained bool) {
+	s.Requests++
+	if attained {
+		s.Attained++
+	}
+	s.Share = float64(s.Attained) / float64(s.Requests)
+}
+
+// Attainment is the share of requests that met their targets, whole and in parts. Service calls use no accelerator
+// and appear in ByClass only.
+type Attainment struct {
+	Total    Share             `json:"total"`
+	ByClass  map[Class]*Share  `json:"by_class"`
+	ByMember map[string]*Share `json:"by_member"`
+	// PerAccelerator is the share divided by the number of accelerators.
+	PerAccelerator float64 `json:"per_accelerator"`
+	// AttainedPerSecond is the number of attained requests per second and accelerator.
+	AttainedPerSecond float64  `json:"attained_per_second_per_accelerator"`
+	Fairness          Fairness `json:"fairness"`
+}
+
+// Fairness compares the members with at least fairnessRequests requests.
+type Fairness struct {
+	Members int     `json:"members"`
+	Min     float64 `json:"min"`
+	MinName string  `json:"min_name"`
+	Max     float64 `json:"max"`
+	Ratio   float64 `json:"ratio"`
+}
+
+// fairnessRequests is the smallest number of requests for which a member's share means something.
+const fairnessRequests = 5
+
+// attainmentOf returns the attainment of the observations of a window of the given length in seconds.
+func attainmentOf(observations []*Observation, accelerators int, seconds float64) Attainment {
+	a := Attainment{ByClass: map[Class]*Share{}, ByMember: map[string]*Share{}}
+	for _, o := range observations {
+		attained := o.attained()
+		shareOf(a.ByClass, o.Arrival.Class).add(attained)
+		if o.Arrival.Class == ServiceCall {
+			continue
+		}
+		a.Total.add(attained)
+		shareOf(a.ByMember, o.Arrival.Member.Name).add(attained)
+	}
+	if accelerators > 0 {
+		a.PerAccelerator = a.Total.Share / float64(accelerators)
+	}
+	if accelerators > 0 && seconds > 0 {
+		a.AttainedPerSecond = float64(a.Total.Attained) / seconds / float64(accelerators)
+	}
+	a.Fairness = fairnessOf(a.ByMember)
+	return a
+}
+
+func shareOf[K comparable](shares map[K]*Share, key K) *Share {
+	if shares[key] == nil {
+		shares[key] = &Share{}
+	}
+	return shares[key]
+}
+
+func fairnessOf(members map[string]*Share) Fairness {
+	f := Fairness{}
+	for _, name := range slices.Sorted(maps.Keys(members)) {
+		s := members[name]
+		if s.Requests < fairnessRequests {
+			continue
+		}
+		f.Members++
+		if f.Members == 1 || s.Share < f.Min {
+			f.Min, f.MinName = s.Share, name
+		}
+		f.Max = max(f.Max, s.Share)
+	}
+	if f.Max > 0 {
+		f.Ratio = f.Min / f.Max
+	}
+	return f
+}
--- /dev/null
+++ b/internal/bench/catalog.go
@@ -0,0 +1,56 @@
+package bench
+
+import (
+	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/object"
+)
+
+// Catalog lists the members that the load addresses.
+type Catalog struct {
+	Models   []Member
+	Adapters []Member
+	// Service is the plain service that gets keyed calls; empty means none.
+	Service string
+}
+
+// ReadCatalog reads a configuration file. It fails with code ObjectInvalid.
+func ReadCatalog(path, service string) (Catalog, error) {
+	source, problems := object.ReadFiles(path)
+	if len(problems) > 0 {
+		return Catalog{}, object.Refuse(problems)
+	}
+	set, problems := object.NewSet(1, source.Objects)
+	if len(problems) > 0 {
+		return Catalog{}, object.Refuse(source.Locate(problems))
+	}
+	return catalogOf(set, service)
+}
+
+func catalogOf(set *object.Set, service string) (Catalog, error) {
+	c := Catalog{Service: service}
+	for _, m := range set.Models() {
+		c.Models = append(c.Models, Member{Name: m.Name, Model: m.Name, FirstToken: m.FirstToken, BetweenTokens: m.BetweenTokens})
+	}
+	for _, a := range set.Adapters() {
+		base, ok := set.Model(a.Model)
+		if !ok {
+			continue
+		}
+		c.Adapters = append(c.Adapters, Member{
+			Name: a.Name, Model: a.Model, Adapter: a.Name, FirstToken: base.FirstToken, BetweenTokens: base.BetweenTokens,
+		})
+	}
+	if len(c.Models) == 0 {
+		return Catalog{}, failure.New(failure.ObjectInvalid, failure.NotRun, "the configuration has no model")
+	}
+	return c, nil
+}
+
+// modelNames returns the names of all models.
+func (c Catalog) modelNames() []string {
+	out := make([]string, 0, len(c.Models))
+	for _, m := range c.Models {
+		out = append(out, m.Name)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/bench/injector.go
@@ -0,0 +1,158 @@
+package bench
+
+import (
+	"context"
+	"time"
+
+	"trefoilferry.example/ferry/internal/cluster"
+	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/standin/faults"
+)
+
+// injector carries out a fault schedule.
+type injector struct {
+	cluster *cluster.Cluster
+	witness *witness
+	report  func(format string, args ...any)
+}
+
+// check fails with code SettingsInvalid when a fault names something that the system does not have.
+func (i *injector) check(schedule []Fault) error {
+	for _, f := range schedule {
+		if !i.known(f) {
+			return failure.New(failure.SettingsInvalid, failure.NotRun, "fault names nothing in this system: "+f.String())
+		}
+	}
+	return nil
+}
+
+func (i *injector) known(f Fault) bool {
+	switch f.Kind {
+	case LogDown, LogUp:
+		return true
+	case LoseDomain:
+		return len(i.runnersOf(f.Name)) > 0
+	case LeaveHost:
+		return i.runner(f.Name) != nil
+	}
+	if f.Process == EntryProcess {
+		return i.entry(f.Name) != nil
+	}
+	return i.runner(f.Name) != nil
+}
+
+// run carries out the faults at their times since start.
+func (i *injector) run(ctx context.Context, start time.Time, schedule []Fault) {
+	for _, f := range schedule {
+		if !sleepUntil(ctx, start.Add(f.At)) {
+			return
+		}
+		i.report("fault: %s\n", f)
+		if err := i.apply(ctx, f); err != nil {
+			i.report("fault failed: %s: %v\n", f, err)
+		}
+	}
+}
+
+func (i *injector) apply(ctx context.Context, f Fault) error {
+	switch f.Kind {
+	case LogDown:
+		return i.cluster.SetFaults(ctx, i.cluster.LogURL, faults.Switches{Down: true})
+	case LogUp:
+		return i.cluster.SetFaults(ctx, i.cluster.LogURL, faults.Switches{})
+	case LeaveHost:
+		return i.cluster.SetLeaving(ctx, i.runner(f.Name))
+	case LoseDomain:
+		return i.loseDomain(ctx, f.Name)
+	case StartProcess:
+		return i.start(ctx, f)
+	case KillProcess:
+		i.kill(ctx, f)
+	case PauseProcess:
+		i.process(f).Pause()
+	case ResumeProcess:
+		i.process(f).Resume()
+	}
+	return nil
+}
+
+func (i *injector) kill(ctx context.Context, f Fault) {
+	if f.Process == EngineProcess || f.Process == ServiceProcess {
+		i.witness.retire(ctx, i.runner(f.Name))
+	}
+	i.process(f).Kill()
+}
+
+func (i *injector) start(ctx context.Context, f Fault) error {
+	switch f.Process {
+	case EntryProcess:
+		return i.cluster.StartEntry(ctx, i.entry(f.Name))
+	case AgentProcess:
+		return i.cluster.StartAgent(ctx, i.runner(f.Name))
+	default:
+		return i.cluster.StartBackend(ctx, i.runner(f.Name))
+	}
+}
+
+// loseDomain ends every process of a failure domain at once and takes its hosts from the host list.
+func (i *injector) loseDomain(ctx context.Context, domain string) error {
+	names := []string{}
+	for _, e := range i.cluster.Entries {
+		if e.Spec.FailureDomain == domain {
+			e.Process.Kill()
+			names = append(names, e.Spec.Name)
+		}
+	}
+	for _, r := range i.runnersOf(domain) {
+		i.witness.retire(ctx, r)
+		r.Agent.Kill()
+		r.Backend.Kill()
+		names = append(names, r.Spec.Name)
+	}
+	for _, name := range names {
+		if err := i.cluster.RemoveHost(ctx, name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// process returns the process that a checked fault names.
+func (i *injector) process(f Fault) *cluster.Process {
+	switch f.Process {
+	case EntryProcess:
+		return i.entry(f.Name).Process
+	case AgentProcess:
+		return i.runner(f.Name).Agent
+	default:
+		return i.runner(f.Name).Backend
+	}
+}
+
+func (i *injector) runner(name string) *cluster.Runner {
+	for _, r := range i.cluster.Runners {
+		if r.Spec.Name == name {
+			return r
+		}
+	}
+	return nil
+}
+
+func (i *injector) entry(name string) *cluster.Entry {
+	for _, e := range i.cluster.Entries {
+		if e.Spec.Name == name {
+			return e
+		}
+	}
+	return nil
+}
+
+func (i *injector) runnersOf(domain string) []*cluster.Runner {
+	var out []*cluster.Runner
+	for _, r := range i.cluster.Runners {
+		if r.Spec.FailureDomain == domain {
+			out = append(out, r)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/bench/measures_test.go
@@ -0,0 +1,182 @@
+package bench
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"trefoilferry.example/ferry/pkg/failure"
+)
+
+func observed(class Class, member string, first, between time.Duration, whole bool) *Observation {
+	const tokens = 11
+	m := Member{Name: member, Model: member, FirstToken: 620 * time.Millisecond, BetweenTokens: 51 * time.Millisecond}
+	return &Observation{
+		Arrival: &Arrival{ID: member, Class: class, Member: m}, FirstToken: first, Done: first + (tokens-1)*between, Tokens: tokens, Whole: whole,
+	}
+}
+
+// Guards against requests that count as attained although a target was missed, refused ones included.
+func TestAttained(t *testing.T) {
+	ms := time.Millisecond
+	tests := map[string]struct {
+		o    *Observation
+		want bool
+	}{
+		"at both targets":    {observed(Question, "a", 620*ms, 51*ms, true), true},
+		"first token late":   {observed(Question, "a", 621*ms, 20*ms, true), false},
+		"tokens too slow":    {observed(Question, "a", 100*ms, 52*ms, true), false},
+		"not whole":          {observed(Question, "a", 100*ms, 20*ms, false), false},
+		"refused":            {&Observation{Arrival: &Arrival{Class: Question}, Code: failure.Overloaded}, false},
+		"service call":       {&Observation{Arrival: &Arrival{Class: ServiceCall}, Whole: true, Done: serviceTarget}, true},
+		"slow service call":  {&Observation{Arrival: &Arrival{Class: ServiceCall}, Whole: true, Done: serviceTarget + 1}, false},
+		"one token, in time": {&Observation{Arrival: &Arrival{Member: Member{FirstToken: ms}}, Whole: true, Tokens: 1, FirstToken: ms}, true},
+	}
+	for name, test := range tests {
+		if got := test.o.attained(); got != test.want {
+			t.Errorf("%s: got %v", name, got)
+		}
+	}
+}
+
+// Guards against shares that count service calls as work of accelerators, and against unfair members that are not seen.
+func TestAttainmentOf(t *testing.T) {
+	var all []*Observation
+	for i := range 10 {
+		all = append(all, observed(Question, "a", time.Millisecond, time.Millisecond, true))
+		all = append(all, observed(Dossier, "b", time.Millisecond, time.Millisecond, i < 4))
+		all = append(all, observed(ServiceCall, "booking", time.Millisecond, time.Millisecond, true))
+	}
+	all = append(all, observed(Question, "rare", time.Hour, time.Millisecond, true))
+	a := attainmentOf(all, 7, 2)
+	if a.Total.Requests != 21 || a.Total.Attained != 14 || a.ByClass[ServiceCall].Share != 1 {
+		t.Fatalf("got %+v", a)
+	}
+	if math.Abs(a.PerAccelerator-14.0/21/7) > 1e-12 || math.Abs(a.AttainedPerSecond-1) > 1e-12 {
+		t.Fatalf("got %v and %v per accelerator", a.PerAccelerator, a.AttainedPerSecond)
+	}
+	if f := a.Fairness; f.Members != 2 || f.MinName != "b" || math.Abs(f.Ratio-0.4) > 1e-12 {
+		t.Fatalf("got %+v", f)
+	}
+}
+
+// Guards against figures of a run whose generator fell behind its arrivals.
+func TestLatenessRefusal(t *testing.T) {
+	tests := map[string]struct {
+		late  int
+		by    time.Duration
+		valid bool
+	}{
+		"in time":                {0, 0, true},
+		"few very late":          {10, time.Second, true},
+		"too many very late":     {11, 51 * time.Millisecond, false},
+		"p99 at the limit":       {500, 20 * time.Millisecond, true},
+		"p99 beyond the limit":   {500, 21 * time.Millisecond, false},
+		"everything is too late": {1000, time.Minute, false},
+	}
+	for name, test := range tests {
+		late := make([]time.Duration, 1000)
+		for i := range test.late {
+			late[i] = test.by
+		}
+		err := latenessOf(late).Check()
+		if (err == nil) != test.valid || err != nil && !failure.HasCode(err, failure.GeneratorLate) {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+}
+
+// Guards against answers that are taken for correct although they are foreign, altered or short.
+func TestVerify(t *testing.T) {
+	want := "w0."
+	o := &Observation{Arrival: &Arrival{Member: Member{Model: "m"}, AnswerTokens: 3}}
+	verify(o, "p", "", true)
+	if o.Wrong == "" {
+		t.Fatal("an empty answer with an end mark is accepted")
+	}
+	full := expected(o.Arrival, "p")
+	tests := map[string]struct {
+		text  string
+		done  bool
+		code  failure.Code
+		whole bool
+		wrong bool
+	}{
+		"whole":               {full, true, "", true, false},
+		"without last space":  {full[:len(full)-1], true, "", true, false},
+		"foreign":             {expected(o.Arrival, "q"), true, "", false, true},
+		"altered":             {want + "zzzzz", false, failure.ConnectionLost, false, true},
+		"short with mark":     {full[:len(full)-4], true, "", false, true},
+		"short without error": {full[:len(full)-4], false, "", false, true},
+		"broken with error":   {full[:len(full)-4], false, failure.ConnectionLost, false, false},
+		"too long":            {full + "w3.0 ", true, "", false, true},
+	}
+	for name, test := range tests {
+		o := &Observation{Arrival: o.Arrival, Code: test.code}
+		verify(o, "p", test.text, test.done)
+		if o.Whole != test.whole || (o.Wrong != "") != test.wrong {
+			t.Errorf("%s: got whole %v, wrong %q", name, o.Whole, o.Wrong)
+		}
+	}
+}
+
+// Guards against breaches that go unreported.
+func TestBreachesOf(t *testing.T) {
+	refused := func(outcome failure.Outcome) []*Observation {
+		return []*Observation{{Arrival: &Arrival{ID: "r"}, Code: failure.Overloaded, Outcome: outcome}}
+	}
+	ran := func() *Evidence {
+		e := newEvidence()
+		e.addRuns("runner", map[string]int{"r": 1})
+		return e
+	}
+	tests := map[string]struct {
+		seen     []*Observation
+		evidence *Evidence
+		want     BreachKind
+	}{
+		"not_run that did not run": {refused(failure.NotRun), newEvidence(), ""},
+		"not_run that ran":         {refused(failure.NotRun), ran(), NotRunButRan},
+		"unknown that ran":         {refused(failure.Unknown), ran(), ""},
+		"wrong answer":             {[]*Observation{{Arrival: &Arrival{}, Wrong: "foreign"}}, newEvidence(), WrongAnswer},
+		"key once":                 {nil, &Evidence{KeyRuns: map[string]int{"k": 1}}, ""},
+		"key twice":                {nil, &Evidence{KeyRuns: map[string]int{"k": 2}}, KeyRanTwice},
+		"overdraw":                 {nil, &Evidence{Overdraws: 1}, MemoryOverdrawn},
+		"cut":                      {nil, &Evidence{CutRequests: 1}, RequestCut},
+		"resume":                   {nil, &Evidence{ResumeMismatches: 1}, ResumeMismatch},
+	}
+	for name, test := range tests {
+		got := breachesOf(test.seen, test.evidence)
+		if test.want == "" && len(got) > 0 || test.want != "" && (len(got) != 1 || got[0].Kind != test.want) {
+			t.Errorf("%s: got %v", name, got)
+		}
+	}
+}
+
+// Guards against slopes that do not describe the points.
+func TestFit(t *testing.T) {
+	line := fit([]float64{2, 4, 8, 16}, []float64{7, 11, 19, 35})
+	if math.Abs(line.Slope-2) > 1e-12 || math.Abs(line.Intercept-3) > 1e-12 {
+		t.Fatalf("got %+v", line)
+	}
+	if line := fit([]float64{4, 4}, []float64{1, 3}); line.Slope != 0 || line.Intercept != 2 {
+		t.Fatalf("got %+v for one size", line)
+	}
+}
+
+// Guards against settings of a comparison that are dropped, or that change the settings of the other side.
+func TestOptionsWith(t *testing.T) {
+	base := Options{EntrySettings: map[string]string{"retry.burst": "1"}}
+	got, err := base.With("policy=random,load=2.5,entry.retry.burst=9,agent.queue.x=y")
+	if err != nil || got.Policy != "random" || got.Rate != 2.5 || got.EntrySettings["retry.burst"] != "9" || got.AgentSettings["queue.x"] != "y" {
+		t.Fatalf("got %+v, %v", got, err)
+	}
+	if base.EntrySettings["retry.burst"] != "1" {
+		t.Fatal("the base settings changed")
+	}
+	for _, changes := range []string{"", "policy", "load=fast", "unknown=1"} {
+		if _, err := base.With(changes); !failure.HasCode(err, failure.SettingsInvalid) {
+			t.Errorf("%q: got %v", changes, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/bench/mix.go
@@ -0,0 +1,42 @@
+package bench
+
+// Mix is the composition of the load.
+type Mix struct {
+	// Shares are the relative frequencies of the classes.
+	Shares map[Class]float64
+	// DossierPrompt and QuestionPrompt are prompt lengths in tokens.
+	DossierPrompt  Span
+	QuestionPrompt Span
+	// DossierAnswer and QuestionAnswer are answer lengths in tokens.
+	DossierAnswer  Span
+	QuestionAnswer Span
+	// DossiersPerModel is the number of shared prompt prefixes of each model.
+	DossiersPerModel int
+	// ZipfExponent shapes the popularity of members.
+	ZipfExponent float64
+	// RepeatedKeys is the share of keyed calls that are sent a second time through another entry host.
+	RepeatedKeys float64
+}
+
+// DirectorateMix has mostly short questions.
+func DirectorateMix() Mix {
+	return mixWith(map[Class]float64{Dossier: 0.20, Question: 0.45, AdapterQuestion: 0.25, ServiceCall: 0.10})
+}
+
+// DamierMix has mostly long dossiers.
+func DamierMix() Mix {
+	return mixWith(map[Class]float64{Dossier: 0.40, Question: 0.25, AdapterQuestion: 0.25, ServiceCall: 0.10})
+}
+
+func mixWith(shares map[Class]float64) Mix {
+	return Mix{
+		Shares:           shares,
+		DossierPrompt:    Span{Min: 4000, Max: 16000},
+		QuestionPrompt:   Span{Min: 200, Max: 800},
+		DossierAnswer:    Span{Min: 200, Max: 400},
+		QuestionAnswer:   Span{Min: 40, Max: 100},
+		DossiersPerModel: 4,
+		ZipfExponent:     0.8,
+		RepeatedKeys:     0.1,
+	}
+}
--- /dev/null
+++ b/internal/bench/run.go
@@ -0,0 +1,157 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+)
+
+// progressPause is the pause between two progress lines.
+const progressPause = 2 * time.Second
+
+// Run is one measurement of one system.
+type Run struct {
+	options   Options
+	out       io.Writer
+	mix       Mix
+	catalog   Catalog
+	system    *system
+	meter     *meter
+	witness   *witness
+	collector *Collector
+}
+
+// Execute starts the system of the options, drives it and returns what was measured. Progress goes to out.
+// The result is to be checked before it is used.
+func Execute(ctx context.Context, options Options, out io.Writer) (*Result, error) {
+	r := &Run{options: options, out: out, collector: &Collector{}}
+	if err := r.start(ctx); err != nil {
+		return nil, err
+	}
+	defer r.system.end()
+	return r.drive(ctx)
+}
+
+func (r *Run) start(ctx context.Context) error {
+	profile, mix, err := r.options.deployment()
+	if err != nil {
+		return err
+	}
+	r.mix = mix
+	if r.catalog, err = ReadCatalog(profile.ConfigFile, profile.Service); err != nil {
+		return err
+	}
+	r.printf("starting %d entry hosts and %d runners\n", len(profile.Spec.Entries), len(profile.Spec.Runners))
+	if r.system, err = startSystem(ctx, r.options.BinDir, profile.Spec); err != nil {
+		return err
+	}
+	if err := r.prepare(ctx, profile.ConfigFile); err != nil {
+		r.system.end()
+		return err
+	}
+	return nil
+}
+
+func (r *Run) prepare(ctx context.Context, configFile string) error {
+	var err error
+	if r.meter, err = newMeter(r.system.Cluster); err != nil {
+		return err
+	}
+	r.witness = newWitness(r.system.Cluster)
+	if err := r.injector().check(r.options.Faults); err != nil {
+		return err
+	}
+	if err := r.system.publishFile(ctx, configFile); err != nil {
+		return err
+	}
+	r.printf("published %s; waiting until placement has settled\n", configFile)
+	return r.system.settle(ctx, r.catalog.modelNames())
+}
+
+// window holds the readings at the beginning and the end of the measured part.
+type window struct {
+	usageFrom readings
+	usageTo   readings
+	movesFrom Moves
+	movesTo   Moves
+}
+
+func (r *Run) drive(ctx context.Context) (*Result, error) {
+	load := Load{Seed: r.options.Seed, Rate: r.options.Rate, Duration: r.options.Duration, Mix: r.mix, Catalog: r.catalog}
+	arrivals := Schedule(load)
+	g := &generator{sender: NewSender(r.system.entryURLs(), time.Now()), collector: r.collector}
+	defer g.sender.Close()
+	r.printf("sending %d requests in %v\n", len(arrivals), load.Duration)
+	background, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var tasks sync.WaitGroup
+	tasks.Go(func() { r.injector().run(background, g.sender.Start, r.options.Faults) })
+	tasks.Go(func() { r.progress(background, g.sender.Start) })
+	measured := make(chan window, 1)
+	go func() { measured <- r.measure(ctx, g.sender.Start) }()
+	g.run(ctx, arrivals)
+	g.wait()
+	w := <-measured
+	cancel()
+	tasks.Wait()
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	return r.result(ctx, w), nil
+}
+
+// measure takes the readings at the beginning and at the end of the measured window.
+func (r *Run) measure(ctx context.Context, start time.Time) window {
+	var w window
+	if !sleepUntil(ctx, start.Add(r.options.Warmup)) {
+		return w
+	}
+	w.usageFrom, w.movesFrom = r.meter.read(ctx), r.witness.read(ctx).Moves
+	if !sleepUntil(ctx, start.Add(r.options.Duration)) {
+		return w
+	}
+	w.usageTo, w.movesTo = r.meter.read(ctx), r.witness.read(ctx).Moves
+	return w
+}
+
+func (r *Run) result(ctx context.Context, w window) *Result {
+	all := r.collector.All()
+	observations := measured(all, r.options.Warmup)
+	evidence := r.witness.read(ctx)
+	o := r.options
+	out := &Result{Profile: o.Profile, Policy: o.Policy, Rate: o.Rate, Duration: o.Duration, Warmup: o.Warmup, Seed: o.Seed}
+	for _, f := range o.Faults {
+		out.Faults = append(out.Faults, f.String())
+	}
+	out.Accelerators = r.system.accelerators()
+	out.Requests = len(observations)
+	out.Attainment = attainmentOf(observations, out.Accelerators, (o.Duration - o.Warmup).Seconds())
+	out.fillTimes(observations)
+	out.fillRejections(observations)
+	out.Moves = w.movesTo.minus(w.movesFrom)
+	out.Crossing = crossingOf(observations, evidence, r.system.entryRegions(), r.system.runnerRegions())
+	out.Breaches = breachesOf(all, evidence)
+	out.Usage = usageBetween(w.usageFrom, w.usageTo)
+	out.Lateness = latenessOf(latenessValues(all))
+	out.observations = observations
+	return out
+}
+
+func (r *Run) injector() *injector {
+	return &injector{cluster: r.system.Cluster, witness: r.witness, report: r.printf}
+}
+
+// progress prints a line at regular times.
+func (r *Run) progress(ctx context.Context, start time.Time) {
+	for at := progressPause; sleepUntil(ctx, start.Add(at)); at += progressPause {
+		sent, done, failed := r.collector.Progress()
+		r.printf("%4.0fs  sent %d, in progress %d, answered %d, failed %d\n", at.Seconds(), sent, sent-done, done, failed)
+	}
+}
+
+// printf writes a progress line; a line that cannot be written does not fail the run.
+func (r *Run) printf(format string, args ...any) {
+	_, _ = fmt.Fprintf(r.out, format, args...)
+}
--- /dev/null
+++ b/internal/bench/slope.go
@@ -0,0 +1,137 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"trefoilferry.example/ferry/pkg/failure"
+)
+
+const (
+	// maxProcesses bounds the processes of one system.
+	maxProcesses = 200
+	// slopeRest is the time between the settled placement and the measurement, so that the cost of starting ends.
+	slopeRest = 2 * time.Second
+)
+
+// Slope measures what daemons use at several sizes of a system.
+type Slope struct {
+	Vary   Dimension
+	Sizes  []int
+	Window time.Duration
+	Seed   uint64
+	BinDir string
+}
+
+// Measure starts one system per size and measures it. Progress goes to out.
+func (s Slope) Measure(ctx context.Context, out io.Writer) (*SlopeReport, error) {
+	report := &SlopeReport{Vary: s.Vary}
+	for _, n := range s.Sizes {
+		_, _ = fmt.Fprintf(out, "%s = %d\n", s.Vary, n)
+		point, err := s.point(ctx, n)
+		if err != nil {
+			return nil, err
+		}
+		report.Points = append(report.Points, point)
+	}
+	report.fitLines()
+	return report, nil
+}
+
+func (s Slope) point(ctx context.Context, n int) (SlopePoint, error) {
+	size, ok := sizeOf(s.Vary, n)
+	if !ok || n < 0 || size.runners < slopeDomains || size.entries < 1 || size.processes() > maxProcesses {
+		return SlopePoint{}, failure.New(failure.SettingsInvalid, failure.NotRun, fmt.Sprintf("cannot measure %d %s", n, s.Vary))
+	}
+	system, err := startSystem(ctx, s.BinDir, size.spec())
+	if err != nil {
+		return SlopePoint{}, err
+	}
+	defer system.end()
+	if err := system.Publish(ctx, size.config()); err != nil {
+		return SlopePoint{}, err
+	}
+	if err := system.settle(ctx, size.catalog().modelNames()); err != nil {
+		return SlopePoint{}, err
+	}
+	if !sleepUntil(ctx, time.Now().Add(slopeRest)) {
+		return SlopePoint{}, ctx.Err()
+	}
+	point, err := s.measure(ctx, system, size)
+	point.Size = n
+	return point, err
+}
+
+func (s Slope) measure(ctx context.Context, system *system, size slopeSize) (SlopePoint, error) {
+	m, err := newMeter(system.Cluster)
+	if err != nil {
+		return SlopePoint{}, err
+	}
+	from := m.read(ctx)
+	done, err := s.drive(ctx, system, size)
+	if err != nil {
+		return SlopePoint{}, err
+	}
+	usage := usageBetween(from, m.read(ctx))
+	return SlopePoint{
+		Entry:               usage.Mean(EntryHost),
+		Agent:               usage.Mean(Agent),
+		LogAppendsPerSecond: usage.LogAppendsPerSecond,
+		LogReadsPerSecond:   usage.LogReadsPerSecond,
+		MachineBusy:         usage.MachineBusy,
+		Done:                done,
+	}, nil
+}
+
+// drive keeps the system busy, or idle, for the window and returns the number of changes or answers.
+func (s Slope) drive(ctx context.Context, system *system, size slopeSize) (int, error) {
+	switch {
+	case size.changes > 0:
+		return s.publish(ctx, system, size.changes)
+	case size.requests > 0:
+		return s.request(ctx, system, size)
+	}
+	if !sleepUntil(ctx, time.Now().Add(s.Window)) {
+		return 0, ctx.Err()
+	}
+	return 0, nil
+}
+
+// publish publishes changes at an even pace.
+func (s Slope) publish(ctx context.Context, system *system, perMinute int) (int, error) {
+	start := time.Now()
+	pause := time.Minute / time.Duration(perMinute)
+	published := 0
+	for at := time.Duration(0); at < s.Window; at += pause {
+		if !sleepUntil(ctx, start.Add(at)) {
+			return published, ctx.Err()
+		}
+		if err := system.Publish(ctx, change(published)); err != nil {
+			return published, err
+		}
+		published++
+	}
+	sleepUntil(ctx, start.Add(s.Window))
+	return published, ctx.Err()
+}
+
+// request sends short questions; it fails with code GeneratorLate when sending fell behind.
+func (s Slope) request(ctx context.Context, system *system, size slopeSize) (int, error) {
+	mix := DirectorateMix()
+	mix.Shares = map[Class]float64{Question: 1}
+	arrivals := Schedule(Load{Seed: s.Seed, Rate: float64(size.requests), Duration: s.Window, Mix: mix, Catalog: size.catalog()})
+	g := &generator{sender: NewSender(system.entryURLs(), time.Now()), collector: &Collector{}}
+	defer g.sender.Close()
+	g.run(ctx, arrivals)
+	g.wait()
+	all := g.collector.All()
+	whole := 0
+	for _, o := range all {
+		if o.Whole {
+			whole++
+		}
+	}
+	return whole, latenessOf(latenessValues(all)).Check()
+}
