--- a/cmd/ferry-bench/options.go
+++ b/cmd/ferry-bench/options.go
@@ -27,6 +27,7 @@
 		&cli.IntFlag{Name: "entries", Value: 1, Usage: "entry hosts per region"},
 		&cli.StringFlag{Name: "faults", Usage: "file with a fault schedule"},
 		&cli.StringSliceFlag{Name: "set", Usage: "entry.SECTION.KEY=VALUE or agent.SECTION.KEY=VALUE for all daemons"},
+		&cli.StringFlag{Name: "logs", Usage: "directory for the output of the daemons"},
 		jsonFlag(),
 	}
 }
@@ -44,6 +45,7 @@
 		Warmup:           c.Duration("warmup"),
 		Seed:             c.Uint64("seed"),
 		EntriesPerRegion: c.Int("entries"),
+		LogDir:           c.String("logs"),
 		BinDir:           c.String("bin"),
 	}
 	if path := c.String("faults"); path != "" {
--- /dev/null
+++ b/internal/bench/failed.go
@@ -0,0 +1,38 @@
+package bench
+
+import (
+	"time"
+
+	"trefoilferry.example/ferry/pkg/failure"
+)
+
+// Failed describes one request that was not answered whole.
+type Failed struct {
+	ID           string          `json:"id"`
+	Class        Class           `json:"class"`
+	Member       string          `json:"member"`
+	PromptTokens int             `json:"prompt_tokens"`
+	At           time.Duration   `json:"at_ns"`
+	Took         time.Duration   `json:"took_ns"`
+	Tokens       int             `json:"tokens"`
+	Code         failure.Code    `json:"code"`
+	Outcome      failure.Outcome `json:"outcome"`
+	// Runners are those that ran the request.
+	Runners []string `json:"runners"`
+}
+
+// failedOf lists the requests that were not answered whole.
+func failedOf(observations []*Observation, e *Evidence) []Failed {
+	var out []Failed
+	for _, o := range observations {
+		if o.Whole {
+			continue
+		}
+		a := o.Arrival
+		out = append(out, Failed{
+			ID: a.ID, Class: a.Class, Member: a.Member.Name, PromptTokens: a.PromptTokens, At: a.At, Took: o.Done,
+			Tokens: o.Tokens, Code: o.Code, Outcome: o.Outcome, Runners: e.Runs[a.ID],
+		})
+	}
+	return out
+}
--- a/internal/bench/options.go
+++ b/internal/bench/options.go
@@ -27,6 +27,8 @@
 	// EntrySettings and AgentSettings replace settings of every daemon, as section.key to value.
 	EntrySettings map[string]string
 	AgentSettings map[string]string
+	// LogDir is the directory for the output of the daemons; empty keeps none.
+	LogDir string
 	// BinDir is the directory of the programs.
 	BinDir string
 }
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -26,6 +26,7 @@
 	Crossing     Crossing             `json:"cross_region"`
 	Rejections   map[failure.Code]int `json:"rejections"`
 	Replayed     int                  `json:"replayed_keys"`
+	Failed       []Failed             `json:"failed"`
 	Breaches     []Breach             `json:"breaches"`
 	Usage        SystemUsage          `json:"usage"`
 	Lateness     Lateness             `json:"lateness"`
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -31,7 +31,11 @@
 		return nil, err
 	}
 	defer r.system.end()
-	return r.drive(ctx)
+	result, err := r.drive(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return result, r.system.writeLogs(r.options.LogDir)
 }
 
 func (r *Run) start(ctx context.Context) error {
@@ -130,6 +134,7 @@
 	out.Attainment = attainmentOf(observations, out.Accelerators, (o.Duration - o.Warmup).Seconds())
 	out.fillTimes(observations)
 	out.fillRejections(observations)
+	out.Failed = failedOf(observations, evidence)
 	out.Moves = w.movesTo.minus(w.movesFrom)
 	out.Crossing = crossingOf(observations, evidence, r.system.entryRegions(), r.system.runnerRegions())
 	out.Breaches = breachesOf(all, evidence)
--- a/internal/bench/system.go
+++ b/internal/bench/system.go
@@ -127,3 +127,19 @@
 	}
 	return n
 }
+
+// writeLogs writes the output of each daemon to a file in dir; an empty dir writes none.
+func (s *system) writeLogs(dir string) error {
+	if dir == "" {
+		return nil
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return failure.Wrap(failure.Internal, failure.Ran, "directory of logs not made", err)
+	}
+	for _, p := range s.Daemons() {
+		if err := os.WriteFile(filepath.Join(dir, p.Name+".log"), []byte(p.Output()), 0o600); err != nil {
+			return failure.Wrap(failure.Internal, failure.Ran, "log not written", err)
+		}
+	}
+	return nil
+}
