--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -6,11 +6,11 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/faultproxy"
-	"trefoilferry.example/ferry/pkg/platform"
 )
 
 // Cluster is a running system. Its methods are for one goroutine.
@@ -31,8 +31,10 @@
 	log      *Process
 	hosts    *Process
 	store    *Process
-	proxies  []*faultproxy.Proxy
-	client   *http.Client
+	// former are agents that a successor replaced.
+	former  []*Process
+	proxies []*faultproxy.Proxy
+	client  *http.Client
 }
 
 // startWait bounds the time for a stand-in to listen.
@@ -77,18 +79,7 @@
 
 func (c *Cluster) startRunners(ctx context.Context) error {
 	for _, spec := range c.spec.Runners {
-		r, err := c.newRunner(spec)
-		if err != nil {
-			return err
-		}
-		c.Runners = append(c.Runners, r)
-		if err := c.launch(ctx, r.Backend, r.backendAddress); err != nil {
-			return err
-		}
-		if err := c.SetHost(ctx, r.host(platform.HostLive)); err != nil {
-			return err
-		}
-		if err := c.launch(ctx, r.Agent, r.control); err != nil {
+		if _, err := c.AddRunner(ctx, spec); err != nil {
 			return err
 		}
 	}
@@ -97,15 +88,7 @@
 
 func (c *Cluster) startEntries(ctx context.Context) error {
 	for _, spec := range c.spec.Entries {
-		e, err := c.newEntry(spec)
-		if err != nil {
-			return err
-		}
-		c.Entries = append(c.Entries, e)
-		if err := c.SetHost(ctx, e.host(platform.HostLive)); err != nil {
-			return err
-		}
-		if err := c.launch(ctx, e.Process, e.callers); err != nil {
+		if _, err := c.AddEntry(ctx, spec); err != nil {
 			return err
 		}
 	}
@@ -141,6 +124,11 @@
 	return p, nil
 }
 
+// logAddress returns the address under which daemons reach the log.
+func (c *Cluster) logAddress() string {
+	return via(c.LogProxy, strings.TrimPrefix(c.LogURL, "http://"))
+}
+
 // via returns the address of the proxy, or address without one.
 func via(p *faultproxy.Proxy, address string) string {
 	if p == nil {
--- a/internal/cluster/entry.go
+++ b/internal/cluster/entry.go
@@ -1,6 +1,11 @@
 package cluster
 
-import "trefoilferry.example/ferry/pkg/platform"
+import (
+	"context"
+
+	"trefoilferry.example/ferry/pkg/faultproxy"
+	"trefoilferry.example/ferry/pkg/platform"
+)
 
 // Entry is a running entry host.
 type Entry struct {
@@ -11,6 +16,8 @@
 	// Control and Admin are IP addresses with ports.
 	Control string
 	Admin   string
+	// LogProxy stands between this entry host and LogProxy of the cluster when the specification asks for proxies.
+	LogProxy *faultproxy.Proxy
 
 	callers string
 }
@@ -22,6 +29,9 @@
 	}
 	e := &Entry{Spec: spec, callers: addresses[0], Control: addresses[1], Admin: addresses[2]}
 	e.URL = "http://" + e.callers
+	if e.LogProxy, err = c.proxy(c.logAddress()); err != nil {
+		return nil, err
+	}
 	path, err := c.writeSettings(spec.Name, c.entrySettings(e).with(c.spec.EntrySettings))
 	if err != nil {
 		return nil, err
@@ -38,7 +48,7 @@
 		"listen.callers":      e.callers,
 		"listen.control":      e.Control,
 		"listen.admin":        e.Admin,
-		"platform.log_url":    "http://" + via(c.LogProxy, c.LogURL[len("http://"):]),
+		"platform.log_url":    "http://" + via(e.LogProxy, c.logAddress()),
 		"platform.hosts_url":  c.HostsURL,
 		"drain.grace":         "300ms",
 	}
@@ -54,3 +64,16 @@
 		State:         state,
 	}
 }
+
+// AddEntry starts a further entry host. It does not wait until the entry host is ready.
+func (c *Cluster) AddEntry(ctx context.Context, spec EntrySpec) (*Entry, error) {
+	e, err := c.newEntry(spec)
+	if err != nil {
+		return nil, err
+	}
+	c.Entries = append(c.Entries, e)
+	if err := c.SetHost(ctx, e.host(platform.HostLive)); err != nil {
+		return nil, err
+	}
+	return e, c.launch(ctx, e.Process, e.callers)
+}
--- a/internal/cluster/runner.go
+++ b/internal/cluster/runner.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"context"
 	"fmt"
 
 	"trefoilferry.example/ferry/pkg/faultproxy"
@@ -68,7 +69,7 @@
 		"listen.control":      r.control,
 		"listen.advertise":    r.Control,
 		"listen.admin":        r.Admin,
-		"platform.log_url":    "http://" + via(c.LogProxy, c.LogURL[len("http://"):]),
+		"platform.log_url":    "http://" + c.logAddress(),
 		"platform.hosts_url":  c.HostsURL,
 		"backend.url":         "http://" + via(r.BackendProxy, r.backendAddress),
 	}
@@ -95,3 +96,19 @@
 		State:         state,
 	}
 }
+
+// AddRunner starts a further backend server with its agent. It does not wait until the agent is ready.
+func (c *Cluster) AddRunner(ctx context.Context, spec RunnerSpec) (*Runner, error) {
+	r, err := c.newRunner(spec)
+	if err != nil {
+		return nil, err
+	}
+	c.Runners = append(c.Runners, r)
+	if err := c.launch(ctx, r.Backend, r.backendAddress); err != nil {
+		return nil, err
+	}
+	if err := c.SetHost(ctx, r.host(platform.HostLive)); err != nil {
+		return nil, err
+	}
+	return r, c.launch(ctx, r.Agent, r.control)
+}
--- a/internal/cluster/stop.go
+++ b/internal/cluster/stop.go
@@ -33,6 +33,9 @@
 		r.Agent.Kill()
 		r.Backend.Kill()
 	}
+	for _, p := range c.former {
+		p.Kill()
+	}
 	for _, p := range []*Process{c.store, c.hosts, c.log} {
 		if p != nil {
 			p.Kill()
