stream: ask peers while a read of the log gets no answer

Cause: a read of the log had no time limit of its own, so an entry host whose packets to the log were lost never asked its peers and kept the old configuration. Ruled out: relays and the host list; the same test passes with refused connections, which fail at once. Change: a read that is not answered within 1 s goes on in the background while the follower asks peers; appends of checkpoints by entry hosts are bounded by 1 s. Conclusion: a silent log is treated like a refusing one, and a slow one is still read to its end.

--- a/pkg/entry/stream_source.go
+++ b/pkg/entry/stream_source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/clock"
@@ -10,6 +11,9 @@
 	"trefoilferry.example/ferry/pkg/timeline"
 )
 
+// checkpointTimeout bounds the append of a checkpoint, since the stream is not followed meanwhile.
+const checkpointTimeout = time.Second
+
 // streamSource follows one log stream, publishes its state and renews its checkpoints.
 type streamSource struct {
 	name         string
@@ -61,9 +65,13 @@
 	if !due {
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, checkpointTimeout)
+	defer cancel()
 	checkpoint := s.follower.Checkpoint()
 	envelope := &ferrypb.Envelope{Payload: &ferrypb.Envelope_Checkpoint{Checkpoint: checkpoint}}
 	if _, err := s.writer.Append(ctx, envelope); err != nil {
+		// A late copy of a checkpoint is still correct, so nothing waits for this one.
+		s.writer.Forget()
 		s.log.Log(eventlog.CheckpointFailed, "stream", s.name, "error", err)
 		return
 	}
--- a/pkg/stream/config.go
+++ b/pkg/stream/config.go
@@ -14,6 +14,9 @@
 	DefaultKeepRecords = 1024
 	// DefaultStaleAfter is the time without fresh data from a relay after which the log is read directly.
 	DefaultStaleAfter = time.Second
+	// DefaultLogPatience is the time without an answer of the log after which peers are asked. With a poll interval and a
+	// call to a silent peer it stays within the 3 s for new configuration.
+	DefaultLogPatience = time.Second
 	// DefaultPeerTimeout bounds one call to a peer.
 	DefaultPeerTimeout = time.Second
 )
@@ -37,6 +40,7 @@
 	PollInterval time.Duration
 	StaleAfter   time.Duration
 	PeerTimeout  time.Duration
+	LogPatience  time.Duration
 	// KeepRecords is the length of the tail kept for peers.
 	KeepRecords int
 	// Now tells the time; nil means the system clock.
@@ -52,6 +56,7 @@
 	setDefault(&c.PollInterval, DefaultPollInterval)
 	setDefault(&c.StaleAfter, DefaultStaleAfter)
 	setDefault(&c.PeerTimeout, DefaultPeerTimeout)
+	setDefault(&c.LogPatience, DefaultLogPatience)
 	setDefault(&c.KeepRecords, DefaultKeepRecords)
 	zero := func() uint64 { return 0 }
 	if c.Now == nil {
--- a/pkg/stream/follower.go
+++ b/pkg/stream/follower.go
@@ -40,6 +40,7 @@
 	oldest   uint64
 
 	// Fields of the polling goroutine.
+	reader      *logReader
 	logDown     bool
 	relayAt     time.Time
 	relaysStale bool
@@ -55,6 +56,7 @@
 		tail:    tail{limit: cfg.KeepRecords},
 		refused: map[string]uint64{},
 		relayAt: cfg.Now(),
+		reader:  &logReader{log: cfg.Log, stream: cfg.Stream, patience: cfg.LogPatience, now: cfg.Now},
 	}
 }
 
--- a/pkg/stream/source_log.go
+++ b/pkg/stream/source_log.go
@@ -20,9 +20,7 @@
 // pollLog reads the log up to its end or for maxPages pages.
 func (f *Follower) pollLog(ctx context.Context) error {
 	for range maxPages {
-		started := f.cfg.Now()
-		from := f.Offset() + 1
-		batch, err := f.cfg.Log.Read(ctx, f.cfg.Stream, from, readPage)
+		batch, started, err := f.reader.read(ctx, f.Offset()+1)
 		f.noteOldest(batch.Oldest)
 		if failure.HasCode(err, failure.OffsetExpired) {
 			if err := f.skipGap(ctx, batch); err != nil {
@@ -54,7 +52,7 @@
 	var best *ferrypb.Checkpoint
 	from := gap.Oldest
 	for from < gap.Next {
-		batch, err := f.cfg.Log.Read(ctx, f.cfg.Stream, from, readPage)
+		batch, _, err := f.reader.read(ctx, from)
 		if err != nil {
 			return err
 		}
@@ -62,7 +60,7 @@
 			break
 		}
 		best = newerCheckpoint(best, batch.Records, gap.Oldest)
-		from += uint64(len(batch.Records))
+		from = batch.Records[len(batch.Records)-1].Offset + 1
 	}
 	if !f.restore(best) {
 		return failure.New(failure.OffsetExpired, failure.NotRun, "no usable checkpoint is retained")
