integration: test that configuration is in force within 3 s under faults

Ruled out: reading the offset alone; the test also asks every entry host for the new adapter. Change: a table over 7 faults with a sampler that watches every daemon's offset for steps back.

--- /dev/null
+++ b/test/integration/config_test.go
@@ -0,0 +1,159 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"trefoilferry.example/ferry/internal/cluster"
+	"trefoilferry.example/ferry/pkg/faultproxy"
+	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/standin/faults"
+	"trefoilferry.example/ferry/pkg/stream"
+)
+
+// inForceWithin is the stated time from a publication until it is in force everywhere.
+const inForceWithin = 3 * time.Second
+
+// configFault is a fault during a publication.
+type configFault struct {
+	name string
+	// inject returns the processes that cannot have the configuration until the fault is healed.
+	inject func(t *testing.T, c *cluster.Cluster) []*cluster.Process
+	heal   func(t *testing.T, c *cluster.Cluster)
+}
+
+func configFaults() []configFault {
+	none := func(*testing.T, *cluster.Cluster) {}
+	return []configFault{
+		{"no fault", func(*testing.T, *cluster.Cluster) []*cluster.Process { return nil }, none},
+		{"daemon paused", pauseDaemons(1, false), resumeDaemons},
+		{"relay paused", pauseDaemons(1, true), resumeDaemons},
+		{"both relays paused", pauseDaemons(2, true), resumeDaemons},
+		{"entry host without the log: connections refused", cutEntryLog(faultproxy.Faults{Refuse: true}, true), joinEntryLog},
+		{"entry host without the log: packets lost", cutEntryLog(faultproxy.Faults{HoldToClient: true, HoldToTarget: true}, false), joinEntryLog},
+		{"log slow", func(t *testing.T, c *cluster.Cluster) []*cluster.Process {
+			must(t, c.SetFaults(context.Background(), c.LogURL, faults.Switches{DelayMillis: 300}))
+			return nil
+		}, func(t *testing.T, c *cluster.Cluster) {
+			must(t, c.SetFaults(context.Background(), c.LogURL, map[string]any{"delay_millis": 0}))
+		}},
+	}
+}
+
+// domainDaemons returns the processes of the first failure domain that relay the config stream, or the others.
+func domainDaemons(c *cluster.Cluster, relays bool) []*cluster.Process {
+	domain := regions[0]
+	var hosts []platform.Host
+	processes := map[string]*cluster.Process{}
+	add := func(name, failureDomain string, p *cluster.Process) {
+		if failureDomain == domain {
+			hosts = append(hosts, platform.Host{Name: name, FailureDomain: domain, State: platform.HostLive})
+			processes[name] = p
+		}
+	}
+	for _, r := range c.Runners {
+		add(r.Spec.Name, r.Spec.FailureDomain, r.Agent)
+	}
+	for _, e := range c.Entries {
+		add(e.Spec.Name, e.Spec.FailureDomain, e.Process)
+	}
+	chosen := map[string]bool{}
+	for _, h := range stream.Relays("config", domain, hosts) {
+		chosen[h.Name] = true
+	}
+	var out []*cluster.Process
+	for _, h := range hosts {
+		if chosen[h.Name] == relays {
+			out = append(out, processes[h.Name])
+		}
+	}
+	return out
+}
+
+func pauseDaemons(n int, relays bool) func(*testing.T, *cluster.Cluster) []*cluster.Process {
+	return func(t *testing.T, c *cluster.Cluster) []*cluster.Process {
+		paused := domainDaemons(c, relays)[:n]
+		for _, p := range paused {
+			p.Pause()
+		}
+		return paused
+	}
+}
+
+func resumeDaemons(_ *testing.T, c *cluster.Cluster) {
+	for _, p := range c.Daemons() {
+		p.Resume()
+	}
+}
+
+func cutEntryLog(f faultproxy.Faults, cut bool) func(*testing.T, *cluster.Cluster) []*cluster.Process {
+	return func(t *testing.T, c *cluster.Cluster) []*cluster.Process {
+		must(t, c.Entries[0].LogProxy.Set(f))
+		if cut {
+			c.Entries[0].LogProxy.Cut()
+		}
+		return nil
+	}
+}
+
+func joinEntryLog(t *testing.T, c *cluster.Cluster) {
+	must(t, c.Entries[0].LogProxy.Set(faultproxy.Faults{}))
+}
+
+// Guards against configuration that is late or reverts at a daemon while another part is faulty.
+func TestPublishedSetIsInForceWithinBound(t *testing.T) {
+	spec := smallSpec()
+	spec.EntrySettings = map[string]string{"platform.use_relays": "true", "platform.hosts_interval": "500ms"}
+	c := start(t, spec)
+	sampleOffsets(t, c)
+	for i, fault := range configFaults() {
+		t.Run(fault.name, func(t *testing.T) {
+			checkInForce(t, c, fault, fmt.Sprintf("alpha-%d", i))
+		})
+	}
+}
+
+func checkInForce(t *testing.T, c *cluster.Cluster, fault configFault, adapter string) {
+	except := fault.inject(t, c)
+	healed := false
+	defer func() {
+		if !healed {
+			fault.heal(t, c)
+		}
+	}()
+	offset, accepted := publish(t, c, adapter, adapterText(adapter, "64MiB"))
+	requireInForce(t, c, offset, accepted.Add(inForceWithin), except)
+	for _, entry := range c.Entries {
+		if excepted(entry.Process, except) {
+			continue
+		}
+		requireAnswer(t, entry, "alpha", adapter, 10*time.Second)
+	}
+	fault.heal(t, c)
+	healed = true
+	requireInForce(t, c, offset, time.Now().Add(inForceWithin), nil)
+}
+
+func adapterText(name, bytes string) string {
+	return fmt.Sprintf("[adapter %q]\nmodel = alpha\nbytes = %s\n", name, bytes)
+}
+
+// requireAnswer fails the test unless the entry host answers a request for a model, or an adapter of it, whole within limit.
+func requireAnswer(t *testing.T, entry *cluster.Entry, model, adapter string, limit time.Duration) {
+	t.Helper()
+	target := model
+	if adapter != "" {
+		target = adapter
+	}
+	ctx, cancel := limited(limit)
+	defer cancel()
+	prompt := uniquePrompt()
+	started := time.Now()
+	r := chat(ctx, entry.URL, target, prompt, 8, true, nil)
+	if !r.whole(model, adapter, prompt, 8) {
+		t.Errorf("%s via %s after %v: status %d code %s stream error %q done %v err %v", target, entry.Spec.Name,
+			time.Since(started).Round(time.Millisecond), r.status, r.code, r.streamErr, r.done, r.err)
+	}
+}
--- /dev/null
+++ b/test/integration/offsets_test.go
@@ -0,0 +1,125 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/internal/cluster"
+)
+
+// samplePause is the time between two samples of a daemon's configuration offset.
+const samplePause = 50 * time.Millisecond
+
+// offsetSampler watches the configuration offset of every daemon for steps back within one incarnation.
+type offsetSampler struct {
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+
+	mu      sync.Mutex
+	highest map[string]uint64
+	faults  []string
+	samples int
+}
+
+// sampleOffsets samples the daemons that exist now until the test ends, and fails it on a step back.
+func sampleOffsets(t *testing.T, c *cluster.Cluster) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &offsetSampler{cancel: cancel, highest: map[string]uint64{}}
+	for _, read := range statusReads(c) {
+		s.wait.Go(func() {
+			for ctx.Err() == nil {
+				s.sample(ctx, read)
+				time.Sleep(samplePause)
+			}
+		})
+	}
+	t.Cleanup(func() { s.stop(t) })
+}
+
+func (s *offsetSampler) sample(ctx context.Context, read statusRead) {
+	status, err := read.status(ctx)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.samples++
+	key := status.GetProcess() + "/" + status.GetIncarnation()
+	if status.GetConfigOffset() < s.highest[key] {
+		s.faults = append(s.faults, fmt.Sprintf("offset of %s stepped back from %d to %d", read.name, s.highest[key], status.GetConfigOffset()))
+	}
+	s.highest[key] = max(s.highest[key], status.GetConfigOffset())
+}
+
+func (s *offsetSampler) stop(t *testing.T) {
+	s.cancel()
+	s.wait.Wait()
+	for _, fault := range s.faults {
+		t.Error(fault)
+	}
+	t.Logf("%d samples of offsets", s.samples)
+	if s.samples < 100 {
+		t.Errorf("only %d samples of offsets were taken", s.samples)
+	}
+}
+
+// statusRead reads the status of one daemon.
+type statusRead struct {
+	name    string
+	process *cluster.Process
+	status  func(context.Context) (*ferrypb.StatusResponse, error)
+}
+
+func statusReads(c *cluster.Cluster) []statusRead {
+	var out []statusRead
+	for _, e := range c.Entries {
+		out = append(out, statusRead{e.Spec.Name, e.Process, func(ctx context.Context) (*ferrypb.StatusResponse, error) { return c.EntryStatus(ctx, e) }})
+	}
+	for _, r := range c.Runners {
+		out = append(out, statusRead{r.Spec.Name, r.Agent, func(ctx context.Context) (*ferrypb.StatusResponse, error) { return c.AgentStatus(ctx, r) }})
+	}
+	return out
+}
+
+// requireInForce fails the test unless every daemon but the excepted ones has the offset in force at the deadline.
+// Each daemon is asked on its own, so that a silent one does not hide the others.
+func requireInForce(t *testing.T, c *cluster.Cluster, offset uint64, deadline time.Time, except []*cluster.Process) {
+	t.Helper()
+	var wait sync.WaitGroup
+	for _, read := range statusReads(c) {
+		if excepted(read.process, except) || !read.process.Running() {
+			continue
+		}
+		wait.Go(func() {
+			last := uint64(0)
+			for last < offset {
+				asked := time.Now()
+				ctx, cancel := limited(time.Second)
+				status, err := read.status(ctx)
+				cancel()
+				if err == nil {
+					last = status.GetConfigOffset()
+				}
+				if last < offset && asked.After(deadline) {
+					t.Errorf("%s has offset %d after the deadline, want %d (%v)", read.name, last, offset, err)
+					return
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+	wait.Wait()
+}
+
+func excepted(p *cluster.Process, except []*cluster.Process) bool {
+	for _, e := range except {
+		if e == p {
+			return true
+		}
+	}
+	return false
+}
