integration: test publishers that race, lost answers and log retention

Ruled out: relying on timing for races; a barrier holds both appends back until both publishers have read.

--- /dev/null
+++ b/test/integration/publish_test.go
@@ -0,0 +1,174 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"trefoilferry.example/ferry/internal/cluster"
+	"trefoilferry.example/ferry/pkg/ctl"
+	"trefoilferry.example/ferry/pkg/faultproxy"
+	"trefoilferry.example/ferry/pkg/standin/faults"
+)
+
+// appendBarrier forwards requests to the log and holds appends back until enough have arrived, so that every publisher
+// has read the same state before any of them appends.
+type appendBarrier struct {
+	target string
+
+	mu      sync.Mutex
+	waiting int
+	open    chan struct{}
+}
+
+func newAppendBarrier(t *testing.T, target string, appends int) string {
+	b := &appendBarrier{target: target, waiting: appends, open: make(chan struct{})}
+	server := httptest.NewServer(b)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+func (b *appendBarrier) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPost {
+		b.arrive()
+	}
+	body, _ := io.ReadAll(r.Body)
+	req, err := http.NewRequestWithContext(r.Context(), r.Method, b.target+r.URL.RequestURI(), bytes.NewReader(body))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	resp, err := callerClient.Do(req)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	defer resp.Body.Close()
+	w.WriteHeader(resp.StatusCode)
+	_, _ = io.Copy(w, resp.Body)
+}
+
+func (b *appendBarrier) arrive() {
+	b.mu.Lock()
+	b.waiting--
+	if b.waiting == 0 {
+		close(b.open)
+	}
+	b.mu.Unlock()
+	select {
+	case <-b.open:
+	case <-time.After(10 * time.Second):
+	}
+}
+
+// raceRounds is the number of races between two publishers.
+const raceRounds = 12
+
+// Guards against a lost update: two publishers that both win, a loser that is not told, or a part of the loser's set in
+// force. And against a lost answer that makes a publisher fail or publish twice.
+func TestPublishers(t *testing.T) {
+	c := start(t, smallSpec())
+	sampleOffsets(t, c)
+	publish(t, c, "race", adapterText("alpha-race", "1MiB"))
+	t.Run("race", func(t *testing.T) {
+		for round := range raceRounds {
+			barrier := newAppendBarrier(t, c.LogURL, 2)
+			var results [2]ctlResult
+			var wait sync.WaitGroup
+			for i := range results {
+				text := adapterText("alpha-race", fmt.Sprintf("%dMiB", 2+2*round+i)) + adapterText(raceMark(round, i), "1MiB")
+				wait.Go(func() { results[i] = publishCommand(t, barrier, fmt.Sprint("race", i), text) })
+			}
+			wait.Wait()
+			winner := 0
+			if results[1].exit == 0 {
+				winner = 1
+			}
+			loser := results[1-winner]
+			if results[winner].exit != 0 || loser.exit != 4 {
+				t.Fatalf("round %d: exit codes %d and %d, want 0 and 4", round, results[0].exit, results[1].exit)
+			}
+			won := lastAccepted(history(t, c))
+			if f := loser.failure(t); f.Object != "adapter/alpha-race" || f.WinningOffset != won.Offset {
+				t.Errorf("round %d: the loser was told %q and offset %d, want adapter/alpha-race and %d", round, f.Object, f.WinningOffset, won.Offset)
+			}
+			if !published(t, c, raceMark(round, winner)) || published(t, c, raceMark(round, 1-winner)) {
+				t.Errorf("round %d: the winner's set is not whole or a part of the loser's is in force", round)
+			}
+		}
+	})
+	for _, lost := range []int{1, 3} {
+		t.Run(fmt.Sprintf("%d answers of appends lost", lost), func(t *testing.T) {
+			must(t, c.SetFaults(context.Background(), c.LogURL, faults.Switches{LoseAnswerAfterEffect: lost}))
+			defer func() { must(t, c.SetFaults(context.Background(), c.LogURL, faults.Switches{})) }()
+			before := history(t, c)[0].Offset
+			name := fmt.Sprintf("alpha-lost-%d", lost)
+			result := publishCommand(t, c.LogURL, name, adapterText(name, "1MiB"))
+			if result.exit != 0 {
+				t.Fatalf("exit code %d: %s", result.exit, result.output)
+			}
+			var left faults.Switches
+			must(t, c.Counters(context.Background(), c.LogURL, "/faults", &left))
+			if left.LoseAnswerAfterEffect == lost {
+				t.Error("no answer was lost")
+			}
+			after := history(t, c)
+			if !after[0].Accepted || after[0].Offset <= before || after[1].Offset != before {
+				t.Errorf("verdicts at offsets %d and %d, want one accepted set after offset %d", after[0].Offset, after[1].Offset, before)
+			}
+			requireInForce(t, c, after[0].Offset, after[0].Time.Add(inForceWithin), nil)
+		})
+	}
+	t.Run("invalid set", func(t *testing.T) {
+		before := history(t, c)[0].Offset
+		result := publishCommand(t, c.LogURL, "invalid", "[adapter \"stray\"]\nmodel = missing\nbytes = 1MiB\n[cap \"wide\"]\nmember = nobody\nshare = 7\n"+
+			adapterText("alpha-good", "1MiB")+"[model \"gamma\"]\nversoin = v1\nbytes = 1GiB\n")
+		f := result.failure(t)
+		if result.exit != 3 || len(f.Problems) < 4 {
+			t.Errorf("exit code %d with %d problems: %s", result.exit, len(f.Problems), result.output)
+		}
+		for _, part := range []string{"adapter/stray", "cap/wide", "model/gamma", "versoin"} {
+			if !strings.Contains(string(result.output), part) {
+				t.Errorf("the refusal does not name %s: %s", part, result.output)
+			}
+		}
+		if history(t, c)[0].Offset != before || published(t, c, "alpha-good") {
+			t.Error("an invalid set left something behind")
+		}
+	})
+	t.Run("daemons started while the log is out", func(t *testing.T) {
+		must(t, c.LogProxy.Set(faultproxy.Faults{Refuse: true}))
+		c.LogProxy.Cut()
+		defer func() { must(t, c.LogProxy.Set(faultproxy.Faults{})) }()
+		want := lastAccepted(history(t, c))
+		entry, err := c.AddEntry(context.Background(), cluster.EntrySpec{Name: "entry-late", Region: regions[0], FailureDomain: regions[0]})
+		must(t, err)
+		must(t, c.WaitReady(context.Background(), readyWait))
+		status, err := c.EntryStatus(context.Background(), entry)
+		must(t, err)
+		if status.GetConfigOffset() < want.Offset {
+			t.Errorf("the new entry host has offset %d, want %d", status.GetConfigOffset(), want.Offset)
+		}
+		requireAnswer(t, entry, "alpha", "alpha-race", 10*time.Second)
+		requireAnswer(t, entry, "beta", "", 10*time.Second)
+	})
+}
+
+func raceMark(round, publisher int) string { return fmt.Sprintf("alpha-race-%d-%d", round, publisher) }
+
+// lastAccepted returns the newest accepted change set.
+func lastAccepted(entries []ctl.HistoryView) ctl.HistoryView {
+	for _, entry := range entries {
+		if entry.Accepted {
+			return entry
+		}
+	}
+	return ctl.HistoryView{}
+}
--- /dev/null
+++ b/test/integration/retention_test.go
@@ -0,0 +1,54 @@
+package integration
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"trefoilferry.example/ferry/internal/cluster"
+)
+
+// shortRetention is the age at which the log drops records. Daemons look for due checkpoints once a second.
+const shortRetention = 6 * time.Second
+
+// Guards against configuration or placement that vanishes with the records of the log that carried it, for a daemon that
+// starts later and for one that was paused longer than the retention.
+func TestStateOutlivesTheRecordsOfTheLog(t *testing.T) {
+	spec := smallSpec()
+	spec.LogMaxAge = shortRetention
+	spec.EntrySettings = map[string]string{"platform.log_retention": shortRetention.String()}
+	spec.AgentSettings["platform.log_retention"] = shortRetention.String()
+	c := start(t, spec)
+	sampleOffsets(t, c)
+	offset, _ := publish(t, c, "late", adapterText("alpha-late", "1MiB"))
+	paused := c.Entries[2].Process
+	paused.Pause()
+	for _, name := range []string{"config", "placement"} {
+		must(t, c.WaitFor(context.Background(), 3*shortRetention, "the first records have expired", func() bool {
+			resp, err := callerClient.Get(c.LogURL + "/streams/" + name + "/records?from=3")
+			if err != nil {
+				return false
+			}
+			_ = resp.Body.Close()
+			return resp.StatusCode == http.StatusGone
+		}))
+	}
+	paused.Resume()
+	requireInForce(t, c, offset, time.Now().Add(inForceWithin), nil)
+	entry, err := c.AddEntry(context.Background(), cluster.EntrySpec{Name: "entry-late", Region: regions[0], FailureDomain: regions[0]})
+	must(t, err)
+	runner, err := c.AddRunner(context.Background(), cluster.RunnerSpec{
+		Name: "runner-late", Region: regions[0], FailureDomain: regions[0], MemoryBytes: 48 * gibibyte, Accelerators: 1, Args: engineArgs,
+	})
+	must(t, err)
+	must(t, c.WaitReady(context.Background(), readyWait))
+	requireInForce(t, c, offset, time.Now().Add(inForceWithin), nil)
+	requireAnswer(t, entry, "alpha", "alpha-late", 10*time.Second)
+	requireAnswer(t, entry, "beta", "", 10*time.Second)
+	status, err := c.AgentStatus(context.Background(), runner)
+	must(t, err)
+	if status.GetPlacementOffset() == 0 || status.GetConfigOffset() < offset {
+		t.Errorf("the new agent has offsets %d and %d", status.GetPlacementOffset(), status.GetConfigOffset())
+	}
+}
