ferryctl: list placements and committed memory

Cause: operators could see where the configuration is in force, but not which runner holds which model. Change: command placements asks every daemon; published models without a copy are listed too. The demo shows it.

--- a/internal/demo/exercise.go
+++ b/internal/demo/exercise.go
@@ -45,7 +45,8 @@
 		title string
 		args  []string
 	}{
-		{"what is in force where, and the placements", []string{"status"}},
+		{"what is in force where", []string{"status"}},
+		{"placements", []string{"placements"}},
 		{"time line of the first chat", []string{"timeline", "--request", requestID}},
 	} {
 		d.step("%s", view.title)
--- a/pkg/ctl/app.go
+++ b/pkg/ctl/app.go
@@ -81,6 +81,7 @@
 			a.getCommand(),
 			a.historyCommand(),
 			a.statusCommand(),
+			a.placementsCommand(),
 			a.timelineCommand(),
 			a.drainCommand("drain", "publish that a runner takes no new work", (*Client).Drain),
 			a.drainCommand("undrain", "withdraw the drain of a runner", (*Client).Undrain),
--- a/pkg/ctl/commands.go
+++ b/pkg/ctl/commands.go
@@ -124,6 +124,16 @@
 	}
 }
 
+func (a *App) placementsCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "placements",
+		Usage: "print which runners hold which models and how much of their memory is committed",
+		Action: a.action(needsDaemons, func(ctx context.Context, _ *cli.Command, c *Client) (Result, error) {
+			return result(c.Placements(ctx))
+		}),
+	}
+}
+
 func (a *App) timelineCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "timeline",
--- /dev/null
+++ b/pkg/ctl/placements.go
@@ -0,0 +1,144 @@
+package ctl
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/platform"
+)
+
+// stateReady is the state of a copy that serves requests.
+const stateReady = "ready"
+
+// PlacementsResult tells which runners hold which models.
+type PlacementsResult struct {
+	Models  []ModelView  `json:"models"`
+	Runners []RunnerView `json:"runners"`
+	// Unreachable names the hosts that did not answer; their copies are missing here.
+	Unreachable []string `json:"unreachable"`
+}
+
+// ModelView holds the copies of one model.
+type ModelView struct {
+	Model  string     `json:"model"`
+	Copies []CopyView `json:"copies"`
+}
+
+// CopyView is one copy of a model.
+type CopyView struct {
+	Runner        string   `json:"runner"`
+	FailureDomain string   `json:"failure_domain"`
+	Version       string   `json:"version"`
+	State         string   `json:"state"`
+	Adapters      []string `json:"adapters"`
+}
+
+// RunnerView is the accelerator memory of one runner in bytes.
+type RunnerView struct {
+	Runner    string `json:"runner"`
+	Memory    uint64 `json:"memory_bytes"`
+	Committed uint64 `json:"committed_bytes"`
+	// Held is the part of Committed that is reserved for orders whose result is not known.
+	Held uint64 `json:"held_bytes"`
+}
+
+// Text returns one line for each copy and one for each runner.
+func (r *PlacementsResult) Text() string {
+	type line struct {
+		model string
+		copy  CopyView
+	}
+	var lines []line
+	ready := 0
+	for _, m := range r.Models {
+		if slices.ContainsFunc(m.Copies, func(c CopyView) bool { return c.State == stateReady }) {
+			ready++
+		}
+		for _, c := range m.Copies {
+			lines = append(lines, line{m.Model, c})
+		}
+	}
+	text := table("MODEL\tVERSION\tRUNNER\tDOMAIN\tSTATE\tADAPTERS", len(lines), func(w *tabwriter.Writer, i int) {
+		c := lines[i].copy
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", lines[i].model, c.Version, c.Runner, c.FailureDomain, c.State, strings.Join(c.Adapters, " "))
+	})
+	text += "\n" + table("RUNNER\tMEMORY\tCOMMITTED\tHELD", len(r.Runners), func(w *tabwriter.Writer, i int) {
+		v := r.Runners[i]
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", v.Runner, gibibytes(v.Memory), gibibytes(v.Committed), gibibytes(v.Held))
+	})
+	return text + fmt.Sprintf("%d of %d models have a ready copy, %d hosts unreachable\n", ready, len(r.Models), len(r.Unreachable))
+}
+
+func gibibytes(bytes uint64) string {
+	return fmt.Sprintf("%.1fGiB", float64(bytes)/(1<<30))
+}
+
+// Placements asks every daemon what it holds. Published models without a copy are listed too, if the log answers.
+// Failures: HostsUnavailable, or PeerUnavailable if no daemon answers.
+func (c *Client) Placements(ctx context.Context) (*PlacementsResult, error) {
+	hosts, err := c.targets(ctx)
+	if err != nil {
+		return nil, err
+	}
+	answers, errs := ask(ctx, c, hosts, func(ctx context.Context, peer ferrypb.Peer) (*ferrypb.StatusResponse, error) {
+		return peer.Status(ctx, &ferrypb.StatusRequest{})
+	})
+	if err := noneReached(errs); err != nil {
+		return nil, err
+	}
+	return c.collect(ctx, hosts, answers, errs), nil
+}
+
+func (c *Client) collect(ctx context.Context, hosts []platform.Host, answers []*ferrypb.StatusResponse, errs []error) *PlacementsResult {
+	result := &PlacementsResult{Models: []ModelView{}, Runners: []RunnerView{}, Unreachable: []string{}}
+	copies := c.publishedModels(ctx)
+	for i, host := range hosts {
+		if errs[i] != nil {
+			result.Unreachable = append(result.Unreachable, host.Name)
+			continue
+		}
+		result.addRunner(host, answers[i], copies)
+	}
+	for name, list := range copies {
+		result.Models = append(result.Models, ModelView{Model: name, Copies: list})
+	}
+	slices.SortFunc(result.Models, func(a, b ModelView) int { return cmp.Compare(a.Model, b.Model) })
+	slices.SortFunc(result.Runners, func(a, b RunnerView) int { return cmp.Compare(a.Runner, b.Runner) })
+	return result
+}
+
+// publishedModels returns an empty list of copies for each published model; none if the log does not answer.
+func (c *Client) publishedModels(ctx context.Context) map[string][]CopyView {
+	copies := map[string][]CopyView{}
+	if c.Log == nil {
+		return copies
+	}
+	p, err := c.synced(ctx)
+	if err != nil {
+		return copies
+	}
+	for _, m := range p.Fold().Set().Models() {
+		copies[m.Name] = []CopyView{}
+	}
+	return copies
+}
+
+func (r *PlacementsResult) addRunner(host platform.Host, s *ferrypb.StatusResponse, copies map[string][]CopyView) {
+	if s.GetMemoryBytes() == 0 {
+		return
+	}
+	r.Runners = append(r.Runners, RunnerView{
+		Runner: host.Name, Memory: s.GetMemoryBytes(), Committed: s.GetCommittedBytes(), Held: s.GetHeldBytes(),
+	})
+	for _, m := range s.GetModels() {
+		copies[m.GetModel()] = append(copies[m.GetModel()], CopyView{
+			Runner: host.Name, FailureDomain: host.FailureDomain, Version: m.GetVersion(),
+			State: m.GetState(), Adapters: append([]string{}, m.GetAdapters()...),
+		})
+	}
+}
