placement: pass over runners whose loads hang

Cause: a live runner whose engine never answers a load kept its turn at the weight store, and its claim counted as a copy; three such runners would stop all loads, and a model whose only claim hangs stayed unreachable. Ruled out: counting from the claim record, because a cold start of 1,300 copies at 2 loads/s waits for minutes in turn order. Change: an agent notes since when a claim has held its turn; after 2 minutes the claim of another runner no longer counts as a copy or as a turn. The retention of the log has one default, 1h, in both daemons.

--- a/pkg/agent/core.go
+++ b/pkg/agent/core.go
@@ -28,6 +28,8 @@
 	placementOffset uint64
 	placementKnown  bool
 	memo            planMemo
+	// turnSince tells since when the agent has seen each unfinished claim hold its turn to load.
+	turnSince map[uint64]time.Time
 
 	hosts   []platform.Host
 	hostsAt time.Time
--- a/pkg/agent/placement.go
+++ b/pkg/agent/placement.go
@@ -29,6 +29,7 @@
 	}
 	*m = planMemo{made: c.now, placementOffset: c.placementOffset, configOffset: c.set.Offset}
 	m.output = c.plan(c.planInput())
+	c.noteTurns(m.output.Turns)
 	return m.output
 }
 
@@ -39,6 +40,7 @@
 		Hosts:            c.hosts,
 		Demands:          c.demand.demands(c.now),
 		Usage:            c.usage(),
+		TurnSince:        c.turnSince,
 		Self:             c.id.Runner,
 		Now:              c.now,
 		FreeBytes:        c.freeBytes(),
@@ -46,6 +48,22 @@
 	}
 }
 
+// noteTurns notes since when each unfinished claim has held its turn to load, and forgets the finished ones.
+func (c *Core) noteTurns(turns []uint64) {
+	since := make(map[uint64]time.Time)
+	for _, open := range c.placement.OpenLoads() {
+		if at, known := c.turnSince[open.Claim]; known {
+			since[open.Claim] = at
+		}
+	}
+	for _, claim := range turns {
+		if _, known := since[claim]; !known {
+			since[claim] = c.now
+		}
+	}
+	c.turnSince = since
+}
+
 // usage describes the own ready copies.
 func (c *Core) usage() map[placement.Key]placement.Usage {
 	out := map[placement.Key]placement.Usage{}
--- a/pkg/agent/settings.go
+++ b/pkg/agent/settings.go
@@ -42,7 +42,7 @@
 	LogURL       string        `key:"log_url" required:"true" doc:"Base URL of the log service."`
 	HostsURL     string        `key:"hosts_url" required:"true" doc:"Base URL of the host list."`
 	PollInterval time.Duration `key:"poll_interval" default:"250ms" min:"10ms" doc:"Time between two reads of a log stream."`
-	LogRetention time.Duration `key:"log_retention" default:"24h" min:"1s" doc:"Retention of the log; a checkpoint is written after a third of it."`
+	LogRetention time.Duration `key:"log_retention" default:"1h" min:"1s" doc:"Retention of the log; a checkpoint is written after a third of it."`
 }
 
 // Kinds of backend servers.
--- a/pkg/placement/fleet.go
+++ b/pkg/placement/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"trefoilferry.example/ferry/pkg/object"
 	"trefoilferry.example/ferry/pkg/platform"
@@ -11,14 +12,20 @@
 // time; more open claims would only block copies that another runner could load.
 const maxOpenClaims = 2
 
+// loadPatience is the time from a claim's turn on after which the unfinished load no longer counts. It lies far above
+// the time that a busy weight store needs, so that only engines or agents that hang are passed over.
+const loadPatience = 2 * time.Minute
+
 // fleet is the planner's working view: the snapshot plus what this round has assigned and released.
 type fleet struct {
 	in PlanInput
 	// targets are the runners that may take new copies, in name order.
 	targets   []Runner
 	departing map[string]bool
-	used      map[string]uint64
-	open      map[string]int
+	// loads tells which runners may load the copies that they have claimed.
+	loads map[string]bool
+	used  map[string]uint64
+	open  map[string]int
 	// holds lists the versions on each runner, in any state.
 	holds map[string]map[Key]bool
 	// domains counts the live copies of a version per failure domain.
@@ -37,7 +44,7 @@
 }
 
 func newFleet(in PlanInput) *fleet {
-	f := &fleet{in: in, departing: map[string]bool{}, used: map[string]uint64{}, open: map[string]int{},
+	f := &fleet{in: in, departing: map[string]bool{}, loads: map[string]bool{}, used: map[string]uint64{}, open: map[string]int{},
 		holds: map[string]map[Key]bool{}, domains: map[Key]map[string]int{}, live: map[Key]int{},
 		ready: map[string]int{}, readyNow: map[Key]int{}, floor: map[Key]int{}, released: map[uint64]bool{},
 		regions: map[string][]string{}, epoch: in.Now.UnixNano() / int64(rankEpoch)}
@@ -56,12 +63,15 @@
 
 func (f *fleet) addRunner(r Runner, state platform.HostState) {
 	f.departing[r.Name] = state == platform.HostLeaving || f.in.Config.Drained(r.Name)
-	live := state == platform.HostLive || len(f.in.Hosts) == 0
-	if live && !f.departing[r.Name] && r.Service == "" && r.MemoryBytes > 0 {
-		f.targets = append(f.targets, r)
-	}
+	hangs := false
 	for _, c := range f.in.Snapshot.ByRunner(r.Name) {
 		f.addCopy(c)
+		hangs = hangs || f.overdue(c)
+	}
+	live := state == platform.HostLive || len(f.in.Hosts) == 0
+	f.loads[r.Name] = live && !f.departing[r.Name] && r.Service == "" && r.MemoryBytes > 0
+	if f.loads[r.Name] && !hangs {
+		f.targets = append(f.targets, r)
 	}
 }
 
@@ -82,7 +92,7 @@
 	if c.Floor {
 		f.floor[key]++
 	}
-	if f.departing[c.Runner] {
+	if f.departing[c.Runner] || f.overdue(c) {
 		return
 	}
 	f.live[key]++
@@ -92,6 +102,13 @@
 	}
 }
 
+// overdue reports whether a claim has held its turn for so long that its runner is to be passed over. The claim keeps
+// its memory; another runner may load a copy and the next claims get its turn at the weight store.
+func (f *fleet) overdue(c Copy) bool {
+	since, known := f.in.TurnSince[c.Claim]
+	return c.State == Claimed && known && f.in.Now.Sub(since) >= loadPatience
+}
+
 func (f *fleet) hold(runner string, key Key, bytes uint64) {
 	if f.holds[runner] == nil {
 		f.holds[runner] = map[Key]bool{}
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -15,7 +15,7 @@
 	f.planUnwanted(&out)
 	f.planFloor(&out)
 	f.planSurplus(&out)
-	out.Load = f.nextLoad(out.Abandons)
+	f.planLoads(&out)
 	return out
 }
 
@@ -52,29 +52,26 @@
 	return uint32(wanted(m)), f.readyNow[keyOf(m)] >= wanted(m)
 }
 
-// nextLoad returns the own claim whose load may start: the runner's first open claim, if it is among the first
-// StoreConcurrency runners in claim order. Runners that depart or are not live do not hold a turn.
-func (f *fleet) nextLoad(abandoned []uint64) uint64 {
+// planLoads grants turns at the weight store: the first open claim of each of the first StoreConcurrency runners in
+// claim order. Runners that depart or are not live do not hold a turn, nor do overdue claims of other runners.
+func (f *fleet) planLoads(out *PlanOutput) {
 	skip := map[uint64]bool{}
-	for _, claim := range abandoned {
+	for _, claim := range out.Abandons {
 		skip[claim] = true
 	}
-	live := map[string]bool{}
-	for _, r := range f.targets {
-		live[r.Name] = true
-	}
 	turns := map[string]bool{}
 	for _, c := range f.in.Snapshot.OpenLoads() {
-		if !live[c.Runner] || turns[c.Runner] || skip[c.Claim] {
+		passed := c.Runner != f.in.Self && f.overdue(c)
+		if !f.loads[c.Runner] || turns[c.Runner] || skip[c.Claim] || passed {
 			continue
 		}
 		if len(turns) >= max(1, f.in.StoreConcurrency) {
-			return 0
+			return
 		}
+		turns[c.Runner] = true
+		out.Turns = append(out.Turns, c.Claim)
 		if c.Runner == f.in.Self {
-			return c.Claim
+			out.Load = c.Claim
 		}
-		turns[c.Runner] = true
 	}
-	return 0
 }
--- a/pkg/placement/plan_test.go
+++ b/pkg/placement/plan_test.go
@@ -245,6 +245,36 @@
 	}
 }
 
+// Guards against runners with hanging engines that keep all turns at the weight store and the only copy of a model.
+func TestPlanPassesOverHangingLoads(t *testing.T) {
+	c := newCluster(4, 2, 50)
+	since := map[uint64]time.Time{}
+	for _, name := range c.names[:2] {
+		claim := c.claim(name, "m"+name, "1", c.fencing[name], floorKind, 1)
+		since[claim] = c.now
+		c.config.models = append(c.config.models, model("m"+name, "1", 10, 1))
+	}
+	waiting := c.names[2]
+	own := c.claim(waiting, "other", "1", c.fencing[waiting], floorKind, 1)
+	c.config.models = append(c.config.models, model("other", "1", 10, 1))
+	claims := 0
+	for _, age := range []time.Duration{0, loadPatience} {
+		c.now = c.now.Add(age)
+		for _, name := range c.names[2:] {
+			in := c.input(name, c.Snapshot())
+			in.TurnSince = since
+			out := Plan(in)
+			claims += len(out.Claims)
+			if wantTurn := age > 0 && name == waiting; (out.Load == own) != wantTurn {
+				t.Errorf("after %v %s loads %d", age, name, out.Load)
+			}
+		}
+	}
+	if claims != 2 {
+		t.Fatalf("%d replacements claimed, want 2 after the patience and none before", claims)
+	}
+}
+
 // Guards against overcommitted memory and unreachable models when agents act on old snapshots in any order
 // while the configuration changes.
 func TestPlanKeepsMemoryAndReachability(t *testing.T) {
--- a/pkg/placement/plan_types.go
+++ b/pkg/placement/plan_types.go
@@ -46,6 +46,8 @@
 	Demands []Demand
 	// Usage describes the own ready copies.
 	Usage map[Key]Usage
+	// TurnSince tells since when this agent has seen an unfinished claim hold its turn to load.
+	TurnSince map[uint64]time.Time
 	// Self is the name of the own runner.
 	Self string
 	Now  time.Time
@@ -80,6 +82,8 @@
 	Releases []ReleaseWish
 	// Abandons are own claims that are no longer wanted; an agent that has sent the load order finishes it first.
 	Abandons []uint64
+	// Turns are the claims that hold a turn to load, over all runners.
+	Turns []uint64
 	// Load is the own claim whose load may start now; 0 for none.
 	Load uint64
 }
