integration: test that a leaving runner gets no new work

Ruled out: entry hosts that act on the host list; they read it once a minute in this test, so the agents have to refuse.

--- a/internal/cluster/control.go
+++ b/internal/cluster/control.go
@@ -61,6 +61,11 @@
 	return c.SetHost(ctx, r.host(platform.HostLeaving))
 }
 
+// SetLive marks a runner as live in the platform's host list.
+func (c *Cluster) SetLive(ctx context.Context, r *Runner) error {
+	return c.SetHost(ctx, r.host(platform.HostLive))
+}
+
 // SetFaults sets the fault switches of a stand-in.
 func (c *Cluster) SetFaults(ctx context.Context, baseURL string, switches any) error {
 	return c.send(ctx, http.MethodPost, baseURL+"/faults", switches, nil)
--- a/test/integration/system_test.go
+++ b/test/integration/system_test.go
@@ -102,11 +102,12 @@
 
 // engineCounters is the part of an engine's counters that the tests read.
 type engineCounters struct {
-	Overdraws  int            `json:"overdraws"`
-	Started    int            `json:"started"`
-	Cancelled  int            `json:"cancelled"`
-	Mismatches int            `json:"resume_mismatches"`
-	ByRequest  map[string]int `json:"by_request"`
+	Overdraws   int            `json:"overdraws"`
+	Started     int            `json:"started"`
+	Cancelled   int            `json:"cancelled"`
+	CutRequests int            `json:"cut_requests"`
+	Mismatches  int            `json:"resume_mismatches"`
+	ByRequest   map[string]int `json:"by_request"`
 }
 
 // checkMemory guards against accelerator memory that was committed beyond its size at any time of the test.
