--- a/pkg/agent/exec_server.go
+++ b/pkg/agent/exec_server.go
@@ -14,6 +14,7 @@
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/frame"
+	"trefoilferry.example/ferry/pkg/idempotency"
 	"trefoilferry.example/ferry/pkg/timeline"
 )
 
@@ -26,15 +27,19 @@
 	Adapters *Adapters
 	Engine   engine.Engine
 	Service  ServiceClient
-	Calls    chan struct{}
-	Clock    clock.Clock
-	Ring     *timeline.Ring
-	Logger   *eventlog.Logger
-	Metrics  *Metrics
+	// Keys is nil for a model engine.
+	Keys    *idempotency.Keeper
+	Calls   chan struct{}
+	Clock   clock.Clock
+	Ring    *timeline.Ring
+	Logger  *eventlog.Logger
+	Metrics *Metrics
 	// Behind is called when a request shows that the agent's configuration is out of date.
 	Behind func(offset uint64)
 	// MaxBody bounds request bodies in bytes.
 	MaxBody int64
+	// KeyBody bounds the answers stored with a key in bytes.
+	KeyBody int64
 }
 
 // call is one exec request in progress.
@@ -174,8 +179,11 @@
 	_ = c.out.Fail(f)
 	s.Metrics.execDone(c.kind(), f.Outcome, f.Code, s.Clock.Now().Sub(c.arrived))
 	event, kind := eventlog.ExecFailed, timeline.ExecFailed
-	if f.Outcome == failure.NotRun {
+	switch {
+	case f.Outcome == failure.NotRun:
 		event, kind = eventlog.ExecRefused, timeline.ExecRefused
+	case f.Code == failure.ClientCancelled || f.Code == failure.DeadlineExpired:
+		event = eventlog.ExecCancelled
 	}
 	s.note(c, kind, string(f.Code)+" "+string(f.Outcome))
 	s.Logger.Log(event, "request", c.request.GetRequestId(), "attempt", c.request.GetAttemptId(),
