--- a/pkg/agent/core.go
+++ b/pkg/agent/core.go
@@ -28,6 +28,8 @@
 	placementOffset uint64
 	placementKnown  bool
 	memo            planMemo
+	// turnSince tells since when the agent has seen each unfinished claim hold its turn to load.
+	turnSince map[uint64]time.Time
 
 	hosts   []platform.Host
 	hostsAt time.Time
@@ -44,6 +46,8 @@
 	reportAt time.Time
 	// reportOld is set while reports fail.
 	reportOld bool
+	// engineGone is set while nothing listens at the engine's address.
+	engineGone bool
 	// lost tells since when the report lacks a ready copy.
 	lost map[placement.Key]time.Time
 
--- a/pkg/entry/unavailable.go
+++ b/pkg/entry/unavailable.go
@@ -24,23 +24,18 @@
 	if f.Outcome != failure.NotRun || !absent[f.Code] {
 		return f
 	}
-	if j.attempts < d.settings.Retry.MaxAttempts && d.untried(j) {
+	// Refused attempts leave the number of attempts to those that can do work: a request that waited for a
+	// restart must still be resumed when its stream breaks later.
+	j.attempts--
+	if d.untried(j) {
 		return f
 	}
 	return failure.Wrap(failure.NoBackend, failure.NotRun, "no runner is available for "+j.request.object(), f)
 }
 
-// untried reports whether a runner is left that has not failed the request.
+// untried reports whether a runner is left that would be chosen and has not failed the request.
 func (d *Dispatcher) untried(j *job) bool {
 	snapshot := d.snapshots.Load()
-	candidates := snapshot.Providers(j.request.Target)
-	if j.request.generation() {
-		candidates = j.usable(snapshot.Holders(j.request.Target))
-	}
-	for _, c := range candidates {
-		if !c.Leaving && !j.tried[c.Runner] {
-			return true
-		}
-	}
-	return false
+	policy, candidates := d.holders(snapshot, j)
+	return len(policy.Filter(d.query(snapshot, j), candidates)) > 0
 }
