cluster: take ports from a block that belongs to the process

Cause: two test processes that ran at once took each other's ports between the choice of a port and its use, or while a daemon was restarted; one run failed with an agent that could not listen. Ruled out: retrying the start, which would hide daemons that fail to listen for other reasons. Change: a process claims a block of 500 ports by listening on its first one and hands the others out in turn.

--- a/internal/cluster/ports.go
+++ b/internal/cluster/ports.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync"
 
 	"trefoilferry.example/ferry/pkg/failure"
 )
@@ -16,31 +17,64 @@
 const (
 	firstPort = 12000
 	lastPort  = 32000
-	// portTries bounds the search for free ports.
-	portTries = 2000
+	// blockPorts is the size of a block of ports; a cluster of the integration tests needs about 70.
+	blockPorts = 500
+	blocks     = (lastPort - firstPort) / blockPorts
 )
 
-// freeAddresses returns n distinct loopback addresses with ports that were free a moment ago.
-// All ports are held until the last one is found, so that no port is returned twice.
+// portBlock is a block of ports that belongs to this process. Other processes that start clusters would otherwise take
+// the port of a daemon while it is restarted.
+type portBlock struct {
+	mu sync.Mutex
+	// marker listens on the first port of the block for as long as the process lives.
+	marker net.Listener
+	first  int
+	next   int
+}
+
+var ownPorts portBlock
+
+// freeAddresses returns n distinct loopback addresses with ports that were free a moment ago. A port is returned again
+// only after all others of the block.
 func freeAddresses(n int) ([]string, error) {
-	listeners := make([]net.Listener, 0, n)
-	defer func() {
-		for _, l := range listeners {
-			_ = l.Close()
-		}
-	}()
+	return ownPorts.take(n)
+}
+
+func (b *portBlock) take(n int) ([]string, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err := b.claim(); err != nil {
+		return nil, err
+	}
 	addresses := make([]string, 0, n)
-	for range portTries {
+	for range blockPorts {
 		if len(addresses) == n {
 			return addresses, nil
 		}
-		address := fmt.Sprintf("%s:%d", Loopback, firstPort+rand.IntN(lastPort-firstPort))
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
+		b.next = b.next%(blockPorts-1) + 1
+		if l, err := listenOn(b.first + b.next); err == nil {
+			addresses = append(addresses, l.Addr().String())
+			_ = l.Close()
 		}
-		listeners = append(listeners, l)
-		addresses = append(addresses, address)
 	}
 	return nil, failure.New(failure.Internal, failure.NotRun, "no free port")
 }
+
+// claim makes a block without another owner this process's own.
+func (b *portBlock) claim() error {
+	if b.marker != nil {
+		return nil
+	}
+	for _, i := range rand.Perm(blocks) {
+		first := firstPort + i*blockPorts
+		if l, err := listenOn(first); err == nil {
+			b.marker, b.first = l, first
+			return nil
+		}
+	}
+	return failure.New(failure.Internal, failure.NotRun, "no free block of ports")
+}
+
+func listenOn(port int) (net.Listener, error) {
+	return net.Listen("tcp", fmt.Sprintf("%s:%d", Loopback, port))
+}
