integration: soak with seeded random faults

Cause: the tables inject one or two chosen faults; combinations that nobody lists stay untested. Change: TestSoak injects overlapping faults from a seed for 60 s under chat, keyed and keyless calls, and checks whole answers, told outcomes, keys and memory; -soak.seed and -soak.duration select other runs. Conclusion: part of the integration tests.

--- /dev/null
+++ b/test/integration/soak_test.go
@@ -0,0 +1,184 @@
+package integration
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"trefoilferry.example/ferry/internal/cluster"
+)
+
+var (
+	soakSeed     = flag.Uint64("soak.seed", 20261204, "seed of the soak's faults and requests")
+	soakDuration = flag.Duration("soak.duration", 60*time.Second, "time for which the soak injects faults")
+)
+
+const (
+	soakCallers = 12
+	// soakFaultsAtOnce is the number of faults that may overlap.
+	soakFaultsAtOnce = 2
+	soakSettle       = 20 * time.Second
+	// soakMinimum is the share of requests that must be answered well in spite of the faults, so that a system that
+	// refuses everything does not pass.
+	soakMinimum = 0.5
+)
+
+// kindKeyed marks calls with an idempotency key in notes; a repeated one is answered without a run of its own.
+const kindKeyed = "keyed"
+
+// soak is one run of seeded random faults under load.
+type soak struct {
+	c     *cluster.Cluster
+	notes notes
+	wait  sync.WaitGroup
+
+	mu     sync.Mutex
+	keys   []string
+	spoilt []string
+	good   int
+	sent   int
+}
+
+// Guards against combinations of faults that no table lists: at any time answers are whole or explicit errors, what
+// was told not_run was not run, keys run at most once and memory is not overdrawn; afterwards everything is served again.
+func TestSoak(t *testing.T) {
+	t.Logf("seed %d, duration %v", *soakSeed, *soakDuration)
+	s := &soak{c: start(t, soakSpec())}
+	ctx, cancel := context.WithTimeout(context.Background(), *soakDuration)
+	defer cancel()
+	for i := range soakCallers {
+		s.wait.Go(func() { s.send(ctx, rand.New(rand.NewPCG(*soakSeed, uint64(i)))) })
+	}
+	for i := range soakFaultsAtOnce {
+		s.wait.Go(func() { s.injectFaults(ctx, t, i) })
+	}
+	s.wait.Wait()
+	must(t, s.c.WaitReady(context.Background(), soakSettle))
+	waitCopies(t, s.c)
+	s.check(t)
+	l := startLoad(loadShape{callers: 4, tokens: 8, pause: 20 * time.Millisecond}, func(i int) *cluster.Entry {
+		return s.c.Entries[i%len(s.c.Entries)]
+	})
+	time.Sleep(2 * time.Second)
+	l.stop()
+	l.requireClean(t, 20)
+}
+
+func soakSpec() cluster.Spec {
+	spec := smallSpec()
+	spec.EntrySettings = map[string]string{"limits.frame_timeout": "1s", "limits.request_timeout": "8s"}
+	return spec
+}
+
+// injectFaults injects one fault after the other until ctx ends. Each lane has runners of its own, so that healing one
+// fault does not end another.
+func (s *soak) injectFaults(ctx context.Context, t *testing.T, lane int) {
+	random := rand.New(rand.NewPCG(*soakSeed, uint64(1000+lane)))
+	faults := soakFaults(lane)
+	for ctx.Err() == nil {
+		f := faults[random.IntN(len(faults))]
+		runner := s.c.Runners[(random.IntN(len(s.c.Runners)/soakFaultsAtOnce)*soakFaultsAtOnce+lane)%len(s.c.Runners)]
+		entry := s.c.Entries[lane%len(s.c.Entries)]
+		length := time.Duration(300+random.IntN(2500)) * time.Millisecond
+		t.Logf("lane %d: %s at %s for %v", lane, f.name, runner.Spec.Name, length)
+		f.inject(s.c, runner, entry)
+		select {
+		case <-ctx.Done():
+		case <-time.After(length):
+		}
+		if err := f.heal(s.c, runner, entry); err != nil {
+			t.Errorf("healing %s at %s: %v", f.name, runner.Spec.Name, err)
+		}
+		time.Sleep(time.Duration(random.IntN(500)) * time.Millisecond)
+	}
+}
+
+// send sends one request after the other until ctx ends. Requests in progress at the end are finished.
+func (s *soak) send(ctx context.Context, random *rand.Rand) {
+	for ctx.Err() == nil {
+		entry := s.c.Entries[random.IntN(len(s.c.Entries))]
+		one, cancel := limited(15 * time.Second)
+		switch random.IntN(4) {
+		case 0:
+			s.note(s.notes.post(one, entry, "", "slot").status == http.StatusOK)
+		case 1:
+			s.keyed(one, entry, random)
+		default:
+			s.chat(one, entry, []string{"alpha", "beta"}[random.IntN(2)], 5+random.IntN(60), random.IntN(2) == 0)
+		}
+		cancel()
+		time.Sleep(time.Duration(random.IntN(40)) * time.Millisecond)
+	}
+}
+
+// keyed sends a call with a new key or repeats one of the last keys, as callers do that were told unknown.
+func (s *soak) keyed(ctx context.Context, entry *cluster.Entry, random *rand.Rand) {
+	key := "soak-" + uuid.NewString()
+	s.mu.Lock()
+	if recent := min(len(s.keys), 8); recent > 0 && random.IntN(2) == 0 {
+		key = s.keys[len(s.keys)-1-random.IntN(recent)]
+	} else {
+		s.keys = append(s.keys, key)
+	}
+	s.mu.Unlock()
+	id := uuid.NewString()
+	r := callAs(ctx, http.MethodPost, entry.URL+"/services/booking/crews", key, id, "crew of "+key)
+	s.notes.add(told{result: r, id: id, kind: kindKeyed})
+	s.note(r.status == http.StatusOK)
+}
+
+func (s *soak) chat(ctx context.Context, entry *cluster.Entry, model string, tokens int, stream bool) {
+	prompt := uniquePrompt()
+	r := chat(ctx, entry.URL, model, prompt, tokens, stream, nil)
+	whole := r.whole(model, "", prompt, tokens)
+	s.note(whole)
+	claimed := r.done && r.err == nil
+	if claimed && !whole {
+		s.spoil(fmt.Sprintf("%s via %s was delivered as complete and is not: %v", model, entry.Spec.Name, r))
+	}
+	expected := expectedText(model, "", prompt, tokens)
+	if r.status == http.StatusOK && (len(r.text) > len(expected) || expected[:len(r.text)] != r.text) {
+		s.spoil(fmt.Sprintf("%s via %s: text is no prefix of the answer: %v", model, entry.Spec.Name, r))
+	}
+	s.notes.add(told{result: r, id: r.requestID, kind: kindGenerate, prompt: prompt})
+}
+
+func (s *soak) note(good bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent++
+	if good {
+		s.good++
+	}
+}
+
+func (s *soak) spoil(what string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spoilt = append(s.spoilt, what)
+}
+
+func (s *soak) check(t *testing.T) {
+	t.Helper()
+	runs := countRuns(t, s.c)
+	s.notes.checkTold(t, runs)
+	for _, what := range s.spoilt {
+		t.Error(what)
+	}
+	for _, key := range s.keys {
+		if runs.byKey[key] > 1 {
+			t.Errorf("key %s ran %d times", key, runs.byKey[key])
+		}
+	}
+	t.Logf("%d requests, %d answered well, %d keys", s.sent, s.good, len(s.keys))
+	if float64(s.good) < soakMinimum*float64(s.sent) {
+		t.Errorf("only %d of %d requests were answered well", s.good, s.sent)
+	}
+}
