agent, placement: keep the memory of the adapter slots free of models

Cause: with backend.memory_bytes set, models could take all of the engine's memory, and adapters were then loaded beyond it; the arena was also not renewed when adapters were published after the start. Ruled out: orders that were lost, late or sent by a replaced agent; the case without any fault was overdrawn too. Change: memory for models is the smaller of setting and report less the arena, follows the published adapters and is announced again; an adapter or model is loaded only if both together fit; a runner above its memory releases copies, never a last one. Conclusion: committed memory includes adapters now.

--- a/internal/cluster/publish.go
+++ b/internal/cluster/publish.go
@@ -21,10 +21,19 @@
 
 // Publish publishes configuration text.
 func (c *Cluster) Publish(ctx context.Context, text string) error {
+	return c.publish(ctx, text)
+}
+
+// PublishAll publishes configuration text and deletes every object that it does not hold, except drains.
+func (c *Cluster) PublishAll(ctx context.Context, text string) error {
+	return c.publish(ctx, text, "--replace-all")
+}
+
+func (c *Cluster) publish(ctx context.Context, text string, flags ...string) error {
 	path := filepath.Join(c.dir, "publish.ini")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return failure.Wrap(failure.Internal, failure.NotRun, "configuration not written", err)
 	}
-	_, err := c.Ferryctl(ctx, "publish", path)
+	_, err := c.Ferryctl(ctx, append(append([]string{"publish"}, flags...), path)...)
 	return err
 }
--- a/pkg/agent/adapter_table.go
+++ b/pkg/agent/adapter_table.go
@@ -25,8 +25,10 @@
 
 // adapterState is one adapter that is wanted or holds a slot.
 type adapterState struct {
-	phase   adapterPhase
-	order   string
+	phase adapterPhase
+	order string
+	// bytes is the memory that the last order named; 0 without an order.
+	bytes   uint64
 	since   time.Time
 	lastUse time.Time
 	// unknown is set while the result of the order is not known; the slot stays taken.
@@ -95,6 +97,7 @@
 	s := t.state(key)
 	if phase == adapterAbsent && s.phase != adapterAbsent {
 		t.removed[key] = now
+		s.bytes = 0
 	}
 	s.phase = phase
 	s.since = now
--- a/pkg/agent/core_adapters.go
+++ b/pkg/agent/core_adapters.go
@@ -87,10 +87,15 @@
 		if c.adapters.count(adapterLoading) >= c.adapterShare() {
 			return
 		}
-		if c.adapters.taken() < int(c.id.AdapterSlots) {
+		fits := c.adapterFits(key)
+		if fits && c.adapters.taken() < int(c.id.AdapterSlots) {
 			c.sendAdapter(key, engine.LoadAdapter, adapterLoading)
 			continue
 		}
+		if !fits && c.adapters.taken() == 0 {
+			c.refuseAdapter(key)
+			continue
+		}
 		need++
 		if c.adapters.count(adapterUnloading) >= need {
 			continue
@@ -136,9 +141,8 @@
 	s := c.adapters.state(key)
 	s.order = c.nextOrderID()
 	order := engine.Order{ID: s.order, Kind: kind, Model: key.Model, Adapter: key.Adapter, Fencing: c.fencing}
-	if a, ok := c.set.Adapter(key.Adapter); ok {
-		order.Bytes = a.Bytes
-	}
+	order.Bytes = c.adapterBytes(key)
+	s.bytes = order.Bytes
 	event := timeline.AdapterLoaded
 	if kind == engine.UnloadAdapter {
 		event = timeline.AdapterEvicted
--- a/pkg/agent/core_announce.go
+++ b/pkg/agent/core_announce.go
@@ -7,13 +7,14 @@
 	"trefoilferry.example/ferry/pkg/eventlog"
 )
 
-// announceDue reports whether an AgentStart must be appended: at the start, after an eviction by mistake,
-// and to void lost orders at an engine that honours fencing.
+// announceDue reports whether an AgentStart must be appended: at the start, after an eviction by mistake, to void lost
+// orders at an engine that honours fencing, and when the memory for models changed. The memory depends on the published
+// adapters, so an engine's agent waits for the configuration.
 func (c *Core) announceDue() bool {
 	if c.superseded || c.stopping || !c.placementKnown {
 		return false
 	}
-	if c.isEngine() && !c.engineKnown() {
+	if c.isEngine() && (!c.engineKnown() || !c.configKnown) {
 		return false
 	}
 	if c.fencing == 0 {
@@ -22,7 +23,7 @@
 	if _, ok := c.placement.Runner(c.id.Runner); !ok {
 		return true
 	}
-	return c.refenceDue()
+	return c.refenceDue() || c.capacityDue()
 }
 
 func (c *Core) agentStart() *ferrypb.PlacementRecord {
--- a/pkg/agent/core_events.go
+++ b/pkg/agent/core_events.go
@@ -20,6 +20,7 @@
 	c.engineGone = false
 	c.noteLost(replaced)
 	if c.ledger != nil {
+		c.followCapacity()
 		c.ledger.Report(e.Report)
 	}
 	c.adapters.reconcile(c.now, e.Report)
@@ -54,6 +55,7 @@
 	c.configKnown = c.configKnown || e.CaughtUp
 	if c.set == nil || e.Set.Offset >= c.set.Offset {
 		c.set = e.Set
+		c.followCapacity()
 	}
 }
 
--- a/pkg/agent/core_ledger.go
+++ b/pkg/agent/core_ledger.go
@@ -8,28 +8,11 @@
 	"trefoilferry.example/ferry/pkg/timeline"
 )
 
-// capacity returns the memory for models in bytes. Without a setting it is the engine's memory less the arena of the
-// adapters.
-func (c *Core) capacity() uint64 {
-	if c.id.MemoryBytes > 0 {
-		return c.id.MemoryBytes
-	}
-	arena := uint64(0)
-	if c.set != nil {
-		for _, a := range c.set.Adapters() {
-			arena = max(arena, a.Bytes*uint64(c.id.AdapterSlots))
-		}
-	}
-	if arena >= c.report.MemoryBytes {
-		return 0
-	}
-	return c.report.MemoryBytes - arena
-}
-
 // openLedger starts the memory accounting at the first fencing number and adopts what earlier incarnations left.
 func (c *Core) openLedger() {
 	if c.ledger != nil {
 		c.ledger.SetFencing(c.fencing)
+		c.followCapacity()
 		return
 	}
 	c.ledger = placement.NewLedger(c.capacity(), c.fencing)
--- a/pkg/agent/core_orders.go
+++ b/pkg/agent/core_orders.go
@@ -106,6 +106,9 @@
 }
 
 func (c *Core) sendLoad(key placement.Key, bytes uint64) bool {
+	if _, reserved := c.ledger.Get(key); !reserved && !c.modelFits(bytes) {
+		return false
+	}
 	id := c.nextOrderID()
 	if !c.ledger.BeginLoad(key, bytes, id) {
 		return false
--- a/pkg/agent/identity.go
+++ b/pkg/agent/identity.go
@@ -11,7 +11,7 @@
 	FailureDomain string
 	// Service is the name of the plain service; empty for a model engine.
 	Service string
-	// MemoryBytes is the memory for models; 0 takes the engine's report.
+	// MemoryBytes is the accelerator memory; 0 takes the engine's report.
 	MemoryBytes    uint64
 	Accelerators   uint32
 	AdapterSlots   uint32
--- a/pkg/placement/ledger.go
+++ b/pkg/placement/ledger.go
@@ -72,6 +72,9 @@
 // SetFencing sets the number of a new announcement by the same process.
 func (l *Ledger) SetFencing(fencing uint64) { l.fencing = max(l.fencing, fencing) }
 
+// SetCapacity changes the memory for models. What is reserved beyond it stays reserved.
+func (l *Ledger) SetCapacity(bytes uint64) { l.capacity = bytes }
+
 func (l *Ledger) item(key Key, bytes uint64) *ledgerItem {
 	i, ok := l.items[key]
 	if !ok {
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -13,6 +13,7 @@
 	}
 	f := newFleet(in)
 	f.planUnwanted(&out)
+	f.planShrink(&out)
 	f.planFloor(&out)
 	f.planSurplus(&out)
 	out.Load = f.nextLoad(out.Abandons)
--- a/test/integration/answer_test.go
+++ b/test/integration/answer_test.go
@@ -174,6 +174,7 @@
 			continue
 		}
 		total.Overdraws += one.Overdraws
+		total.Loads += one.Loads
 		total.Started += one.Started
 		total.Cancelled += one.Cancelled
 		for id, n := range one.ByRequest {
--- /dev/null
+++ b/test/integration/churn_test.go
@@ -0,0 +1,109 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/internal/cluster"
+)
+
+// Models of the churn: six with two copies each of 20 GiB ask for more memory than two thirds of the runners have, so that
+// versions and drains force evictions.
+const (
+	churnModels = 6
+	churnSteps  = 5
+	churnPause  = 250 * time.Millisecond
+)
+
+// churnSet returns a configuration in which the models have versions that depend on the step.
+func churnSet(step int) string {
+	var b strings.Builder
+	b.WriteString(sampleConfig)
+	for i := range churnModels {
+		version := churnVersion(step, i)
+		if version == "" {
+			continue
+		}
+		fmt.Fprintf(&b, "[model \"churn-%d\"]\nversion = %s\nbytes = %dGiB\nmin_copies = %d\npriority = %d\nmax_tokens = 8192\n",
+			i, version, 14+2*i, 1+i%2, i)
+		fmt.Fprintf(&b, "[adapter \"churn-%d-a\"]\nmodel = churn-%d\nbytes = 512MiB\n", i, i)
+	}
+	return b.String()
+}
+
+// churnVersion returns the version of a model in a step. A step changes the version of two models; one model is absent,
+// version "", in every other step.
+func churnVersion(step, model int) string {
+	if model == churnModels-1 && step%2 == 1 {
+		return ""
+	}
+	return fmt.Sprintf("v%d", 1+(step+model)/3)
+}
+
+// churnPlaced reports whether every model of a step has a ready copy of its version.
+func churnPlaced(c *cluster.Cluster, step int) bool {
+	ready := map[string]bool{}
+	for _, r := range modelRunners(c) {
+		status, err := c.AgentStatus(context.Background(), r)
+		if err != nil {
+			return false
+		}
+		for _, m := range status.GetModels() {
+			ready[m.GetModel()+m.GetVersion()] = ready[m.GetModel()+m.GetVersion()] || m.GetState() == "ready"
+		}
+	}
+	for i := range churnModels {
+		if version := churnVersion(step, i); version != "" && !ready[fmt.Sprintf("churn-%d%s", i, version)] {
+			return false
+		}
+	}
+	return true
+}
+
+// churn publishes sets, drains and demand hints one after the other. between runs after each publication.
+func churn(t *testing.T, c *cluster.Cluster, first int, between func(step int)) {
+	t.Helper()
+	engines := modelRunners(c)
+	for step := first; step < first+churnSteps; step++ {
+		must(t, c.PublishAll(context.Background(), churnSet(step)))
+		drained := engines[step%len(engines)]
+		if out := ferryctl(t, "--log-url", c.LogURL, "--json", "drain", drained.Spec.Name); out.exit != 0 {
+			t.Fatalf("drain: %s", out.output)
+		}
+		for i, r := range engines {
+			hint(c, r, fmt.Sprintf("churn-%d", (step+i)%churnModels))
+		}
+		between(step)
+		for i := range churnModels {
+			ctx, cancel := limited(200 * time.Millisecond)
+			chat(ctx, c.Entries[step%len(c.Entries)].URL, fmt.Sprintf("churn-%d-a", i), uniquePrompt(), 4, false, nil)
+			cancel()
+		}
+		time.Sleep(churnPause)
+		if out := ferryctl(t, "--log-url", c.LogURL, "--json", "undrain", drained.Spec.Name); out.exit != 0 {
+			t.Fatalf("undrain: %s", out.output)
+		}
+	}
+}
+
+// hint reports unmet demand to an agent; a lost hint is no failure.
+func hint(c *cluster.Cluster, r *cluster.Runner, model string) {
+	ctx, cancel := limited(time.Second)
+	defer cancel()
+	agent := ferrypb.NewAgentProtobufClient("http://"+r.Control, callerClient)
+	_, _ = agent.Hint(ctx, &ferrypb.HintRequest{Model: model, UnmetPerSecond: 50, Entry: c.Entries[0].Spec.Name})
+}
+
+func modelRunners(c *cluster.Cluster) []*cluster.Runner {
+	var out []*cluster.Runner
+	for _, r := range c.Runners {
+		if r.Spec.Service == "" {
+			out = append(out, r)
+		}
+	}
+	return out
+}
--- a/test/integration/offsets_test.go
+++ b/test/integration/offsets_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"testing"
 	"time"
@@ -123,3 +124,24 @@
 	}
 	return false
 }
+
+// waitCurrent waits until every daemon that answers has applied what any of them has: an entry host does not route to a
+// copy or know a model before it has read of it.
+func waitCurrent(t *testing.T, c *cluster.Cluster) {
+	t.Helper()
+	must(t, c.WaitFor(context.Background(), readyWait, "all daemons are current", func() bool {
+		var lowest, highest [2]uint64
+		lowest = [2]uint64{math.MaxUint64, math.MaxUint64}
+		for _, read := range statusReads(c) {
+			status, err := read.status(context.Background())
+			if err != nil {
+				continue
+			}
+			for i, offset := range []uint64{status.GetConfigOffset(), status.GetPlacementOffset()} {
+				lowest[i] = min(lowest[i], offset)
+				highest[i] = max(highest[i], offset)
+			}
+		}
+		return lowest == highest
+	}))
+}
--- a/test/integration/system_test.go
+++ b/test/integration/system_test.go
@@ -86,6 +86,7 @@
 		copies, err := c.ReadyCopies(ctx)
 		return err == nil && copies["alpha"] >= 2 && copies["beta"] >= 2
 	}))
+	waitCurrent(t, c)
 	return c
 }
 
@@ -103,6 +104,7 @@
 // engineCounters is the part of an engine's counters that the tests read.
 type engineCounters struct {
 	Overdraws   int            `json:"overdraws"`
+	Loads       int            `json:"loads"`
 	Started     int            `json:"started"`
 	Cancelled   int            `json:"cancelled"`
 	CutRequests int            `json:"cut_requests"`
