standin/engine: give a foreign chunk foreign text

Cause: TestDefectiveEngineStreamIsNotDelivered passed with the check of chunk ids removed, because the chunk of another request carried the right text. Ruled out: checking the log for the refusal, which would tie the test to a message. Change: a chunk with a foreign id carries foreign text. Conclusion: a delivered foreign chunk now shows in the answer.

--- a/pkg/standin/engine/writer.go
+++ b/pkg/standin/engine/writer.go
@@ -15,6 +15,9 @@
 // foreignID stands in answers that a fault switch gives the id of another request.
 const foreignID = "00000000-foreign"
 
+// foreignText is the text of a chunk of another request, so that a delivered one shows in the answer.
+const foreignText = "foreign "
+
 // writer sends the answer of one job.
 type writer struct {
 	server *Server
@@ -155,10 +158,12 @@
 
 func (o *writer) tokenEvent(index, sent int) engine.StreamEvent {
 	e := o.base()
+	text := o.text(index)
 	if o.wrongChunk && sent == 1 {
 		e.ID = foreignID
+		text = foreignText
 	}
-	e.Choices = []engine.Choice{o.choice(o.text(index), nil)}
+	e.Choices = []engine.Choice{o.choice(text, nil)}
 	one := uint32(1)
 	e.Tokens = &one
 	return e
