agent: serve what the engine holds before the announcement

Cause: an agent that restarted while the log was out could not append its AgentStart and refused every request as not_ready, so models whose holders restarted were unreachable until the log was back. Ruled out: placement and configuration, which the restarted agents had from their peers. Change: until its announcement an agent serves under the incarnation that the records name for its runner, if they name its own address; it gives no orders in that time. Conclusion: an adapter that is not resident still needs an order and waits for the log.

--- a/pkg/agent/core_refusal.go
+++ b/pkg/agent/core_refusal.go
@@ -32,7 +32,7 @@
 		return failure.New(failure.Leaving, failure.NotRun, "runner is leaving")
 	case !c.configKnown:
 		return failure.New(failure.NotReady, failure.NotRun, "configuration is not known yet")
-	case c.fencing == 0 && c.isEngine():
+	case !c.announced() && c.isEngine():
 		return failure.New(failure.NotReady, failure.NotRun, "agent is not announced yet")
 	}
 	return nil
--- a/pkg/agent/core_view.go
+++ b/pkg/agent/core_view.go
@@ -13,6 +13,7 @@
 	configOffset    uint64
 	reportAt        time.Time
 	fencing         uint64
+	servedAs        string
 	adapters        uint64
 	closed          int
 	refusal         *failure.Failure
@@ -36,11 +37,12 @@
 		placementOffset: c.placementOffset,
 		reportAt:        c.reportAt,
 		fencing:         c.fencing,
+		servedAs:        c.servedAs(),
 		adapters:        c.adapters.version,
 		closed:          len(c.closed),
 		refusal:         c.refusal,
 		gone:            c.engineGone,
-		ready:           c.refusal == nil && c.configKnown && c.placementKnown && c.fencing > 0 && (!c.isEngine() || c.engineKnown()),
+		ready:           c.refusal == nil && c.configKnown && c.placementKnown && c.announced() && (!c.isEngine() || c.engineKnown()),
 	}
 	if c.set != nil {
 		key.configOffset = c.set.Offset
@@ -52,6 +54,7 @@
 	v := &View{
 		Identity:        c.id,
 		Fencing:         c.fencing,
+		ServedAs:        c.servedAs(),
 		Refusal:         c.refusal,
 		Ready:           isReady,
 		Leaving:         c.stopping || c.handingOver(),
--- a/pkg/agent/daemon.go
+++ b/pkg/agent/daemon.go
@@ -91,7 +91,7 @@
 
 // startView refuses everything until the core has published its first view.
 func startView(id Identity) *View {
-	return &View{Identity: id, Refusal: failure.New(failure.NotReady, failure.NotRun, "agent is starting")}
+	return &View{Identity: id, ServedAs: id.Incarnation, Refusal: failure.New(failure.NotReady, failure.NotRun, "agent is starting")}
 }
 
 func queueConfig(s *Settings) queue.Config {
--- a/pkg/agent/exec_server.go
+++ b/pkg/agent/exec_server.go
@@ -106,7 +106,7 @@
 	ident := frame.Ident{
 		RequestID:   request.GetRequestId(),
 		AttemptID:   request.GetAttemptId(),
-		Incarnation: view.Identity.Incarnation,
+		Incarnation: view.ServedAs,
 	}
 	return &call{
 		request: request,
@@ -147,7 +147,7 @@
 
 // run checks a request and runs it. A failure is not yet written.
 func (s *ExecServer) run(ctx context.Context, c *call) error {
-	if want := c.request.GetAgentIncarnation(); want != "" && want != c.view.Identity.Incarnation {
+	if want := c.request.GetAgentIncarnation(); want != "" && want != c.view.ServedAs {
 		return failure.New(failure.WrongIncarnation, failure.NotRun, "request is meant for another incarnation of the agent")
 	}
 	if c.view.Refusal != nil {
--- a/pkg/agent/twirp_agent.go
+++ b/pkg/agent/twirp_agent.go
@@ -32,7 +32,7 @@
 	prediction := s.Gate.Predict(request)
 	waiting, running := s.Gate.Load()
 	out := &ferrypb.ProbeResponse{
-		Incarnation:         view.Identity.Incarnation,
+		Incarnation:         view.ServedAs,
 		Accepts:             true,
 		FirstTokenMicros:    prediction.FirstToken.Microseconds(),
 		BetweenTokensMicros: prediction.BetweenTokens.Microseconds(),
--- a/pkg/agent/view.go
+++ b/pkg/agent/view.go
@@ -10,6 +10,8 @@
 // View is the immutable state that traffic goroutines read.
 type View struct {
 	Identity Identity
+	// ServedAs is the incarnation that requests must name: the own one, or that of the predecessor until the agent is announced.
+	ServedAs string
 	// Fencing is 0 until the agent has announced itself.
 	Fencing uint64
 	// Refusal refuses all new work; nil while it is accepted.
