integration: test that models and adapters stay reachable

Ruled out: reachability through one entry host only; every request goes through each of them. Change: a table of a lost failure domain, a log outage with and without restarted agents, two draining holders, and a cold start at 2 loads/s.

--- /dev/null
+++ b/test/integration/reach_test.go
@@ -0,0 +1,150 @@
+package integration
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"trefoilferry.example/ferry/internal/cluster"
+	"trefoilferry.example/ferry/pkg/faultproxy"
+)
+
+// reachDeadline is the deadline of a caller's request while parts are lost.
+const reachDeadline = 10 * time.Second
+
+// outage takes parts away while models must stay reachable.
+type outage struct {
+	name   string
+	inject func(t *testing.T, c *cluster.Cluster)
+	heal   func(t *testing.T, c *cluster.Cluster)
+}
+
+func outages() []outage {
+	ctx := context.Background()
+	logDown := func(t *testing.T, c *cluster.Cluster) {
+		must(t, c.LogProxy.Set(faultproxy.Faults{Refuse: true}))
+		c.LogProxy.Cut()
+	}
+	logUp := func(t *testing.T, c *cluster.Cluster) { must(t, c.LogProxy.Set(faultproxy.Faults{})) }
+	return []outage{
+		{"failure domain lost", func(_ *testing.T, c *cluster.Cluster) { eachInDomain(c, killRunner) },
+			func(t *testing.T, c *cluster.Cluster) {
+				eachInDomain(c, func(r *cluster.Runner) {
+					must(t, c.StartBackend(ctx, r))
+					must(t, c.StartAgent(ctx, r))
+				})
+			}},
+		{"log down", logDown, logUp},
+		{"log down, agents killed and restarted", func(t *testing.T, c *cluster.Cluster) {
+			logDown(t, c)
+			for _, r := range modelRunners(c) {
+				r.Agent.Kill()
+				must(t, c.StartAgent(ctx, r))
+			}
+		}, logUp},
+		{"two holders drain at once", func(t *testing.T, c *cluster.Cluster) {
+			var wait sync.WaitGroup
+			for _, r := range holders(t, c, "alpha") {
+				wait.Go(func() {
+					if out := ferryctl(t, "--log-url", c.LogURL, "--json", "drain", r.Spec.Name); out.exit != 0 {
+						t.Errorf("drain: %s", out.output)
+					}
+				})
+			}
+			wait.Wait()
+		}, func(t *testing.T, c *cluster.Cluster) {
+			for _, r := range modelRunners(c) {
+				if out := ferryctl(t, "--log-url", c.LogURL, "--json", "undrain", r.Spec.Name); out.exit != 0 {
+					t.Errorf("undrain: %s", out.output)
+				}
+			}
+		}},
+	}
+}
+
+func killRunner(r *cluster.Runner) {
+	r.Agent.Kill()
+	r.Backend.Kill()
+}
+
+// eachInDomain acts on the runners of the first failure domain.
+func eachInDomain(c *cluster.Cluster, act func(*cluster.Runner)) {
+	for _, r := range c.Runners {
+		if r.Spec.FailureDomain == regions[0] {
+			act(r)
+		}
+	}
+}
+
+// holders returns the runners with a ready copy of a model.
+func holders(t *testing.T, c *cluster.Cluster, model string) []*cluster.Runner {
+	t.Helper()
+	var out []*cluster.Runner
+	for _, r := range modelRunners(c) {
+		status, err := c.AgentStatus(context.Background(), r)
+		must(t, err)
+		for _, m := range status.GetModels() {
+			if m.GetModel() == model && m.GetState() == "ready" {
+				out = append(out, r)
+			}
+		}
+	}
+	return out
+}
+
+// Guards against a published model or adapter that no entry host can reach while parts of the system are lost.
+func TestModelsStayReachable(t *testing.T) {
+	c := start(t, smallSpec())
+	for _, o := range outages() {
+		t.Run(o.name, func(t *testing.T) {
+			o.inject(t, c)
+			for range 3 {
+				requireReachable(t, c, reachDeadline)
+				time.Sleep(500 * time.Millisecond)
+			}
+			o.heal(t, c)
+			must(t, c.WaitReady(context.Background(), readyWait))
+			waitCopies(t, c)
+			waitCurrent(t, c)
+		})
+	}
+}
+
+// Guards against models that stay unplaced when everything starts at once and the store is slow, and against adapters that
+// have to wait for the floor copies of other models.
+func TestModelsAreReachableAfterAColdStart(t *testing.T) {
+	spec := smallSpec()
+	spec.Store = cluster.StoreSpec{LoadsPerSecond: 2, Concurrent: 3, AdaptersInFlight: 24, LoadTime: time.Second}
+	c := start(t, spec)
+	for _, p := range c.Daemons() {
+		p.Kill()
+	}
+	for _, r := range modelRunners(c) {
+		r.Backend.Kill()
+		must(t, c.StartBackend(context.Background(), r))
+	}
+	for _, r := range c.Runners {
+		must(t, c.StartAgent(context.Background(), r))
+	}
+	for _, e := range c.Entries {
+		must(t, c.StartEntry(context.Background(), e))
+	}
+	must(t, c.WaitReady(context.Background(), readyWait))
+	// Two models with two copies each take 2 s of the store's rate and 1 s of loading; engines that came back empty are
+	// noticed before that.
+	requireReachable(t, c, reachDeadline)
+	waitCopies(t, c)
+}
+
+// requireReachable asks every entry host for both models and the adapter at once, whole and within the deadline.
+func requireReachable(t *testing.T, c *cluster.Cluster, deadline time.Duration) {
+	t.Helper()
+	var wait sync.WaitGroup
+	for _, entry := range c.Entries {
+		wait.Go(func() { requireAnswer(t, entry, "alpha", "", deadline) })
+		wait.Go(func() { requireAnswer(t, entry, "beta", "", deadline) })
+		wait.Go(func() { requireAnswer(t, entry, "alpha", "alpha-notes", deadline) })
+	}
+	wait.Wait()
+}
