cluster: start no process while a port is checked

Cause: with clusters started side by side, 3 of about 60 starts failed with an address in use: a process that was being started held a copy of the listener that had checked the port until it executed its program. Ruled out: other processes' outgoing connections, whose range starts at 32768; other processes' clusters, since the failures came only when several clusters of one process started at once. Change: the check holds syscall.ForkLock for reading, which every start of a process takes for writing. Conclusion: a port is really free when it is returned.

--- a/internal/cluster/ports.go
+++ b/internal/cluster/ports.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"syscall"
 
 	"trefoilferry.example/ferry/pkg/failure"
 )
@@ -52,9 +53,8 @@
 			return addresses, nil
 		}
 		b.next = b.next%(blockPorts-1) + 1
-		if l, err := listenOn(b.first + b.next); err == nil {
-			addresses = append(addresses, l.Addr().String())
-			_ = l.Close()
+		if address, ok := freeAddress(b.first + b.next); ok {
+			addresses = append(addresses, address)
 		}
 	}
 	return nil, failure.New(failure.Internal, failure.NotRun, "no free port")
@@ -75,6 +75,19 @@
 	return failure.New(failure.Internal, failure.NotRun, "no free block of ports")
 }
 
+// freeAddress reports whether a port is free. No process is started meanwhile: a child would keep a copy of the listener
+// until it executes its program, and the port would still be in use after the return.
+func freeAddress(port int) (string, bool) {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	l, err := listenOn(port)
+	if err != nil {
+		return "", false
+	}
+	_ = l.Close()
+	return l.Addr().String(), true
+}
+
 func listenOn(port int) (net.Listener, error) {
 	return net.Listen("tcp", fmt.Sprintf("%s:%d", Loopback, port))
 }
