integration: wait for the regions before every case, more keys per case

Cause: TestKeyedCallsRunAtMostOnce/requests_to_agents_delivered_late failed 1 of 3 runs with no call told unknown: the case before it left the runners avoided, so that all calls went to the one runner without the fault. Ruled out: dropping the expectation, without which a case could pass without its fault. Change: every case first waits until each entry host uses the service runner of its region; 10 keys per case. Conclusion: no case depends on the one before it.

--- a/test/integration/keyed_test.go
+++ b/test/integration/keyed_test.go
@@ -17,8 +17,8 @@
 const (
 	// midKeyedCall is a moment at which claims are in the log and the calls of 300 ms are being run.
 	midKeyedCall = 200 * time.Millisecond
-	// keysPerCase spreads the calls over the service's runners.
-	keysPerCase = 6
+	// keysPerCase makes it unlikely (1 in 59,000) that no key belongs to two of the service's three runners.
+	keysPerCase = 10
 )
 
 // keyedFault is a fault around keyed calls that are sent through two entry hosts at once and again afterwards.
@@ -78,7 +78,7 @@
 	return []keyedFault{
 		{name: "none", first: "ran", again: "ran"},
 		{name: "agents killed after the services acted", during: killServices, heal: startServices, first: "unknown", again: "unknown"},
-		{name: "most agents killed after the services acted", before: waitOwnRegion, during: each(serviceMajority, killAgent),
+		{name: "most agents killed after the services acted", during: each(serviceMajority, killAgent),
 			heal: each(serviceMajority, startAgent), first: "unknown", again: "unknown"},
 		{name: "agents killed before", before: each(serviceMajority, killAgent), heal: each(serviceMajority, startAgent),
 			first: "ran", again: "ran"},
@@ -124,6 +124,7 @@
 				keys[i] = uuid.NewString()
 			}
 			var first, again notes
+			waitOwnRegion(t, c)
 			do(c, fault.before)
 			calls := sendKeys(c, &first, keys, 0, 1)
 			time.Sleep(midKeyedCall)
--- a/test/integration/outcome_test.go
+++ b/test/integration/outcome_test.go
@@ -116,19 +116,32 @@
 }
 
 // waitOwnRegion waits until every entry host uses the service runner of its region again, which it avoids for a moment
-// after an earlier fault. If it gives up, the test fails for lack of the expected outcome.
-func waitOwnRegion(c *cluster.Cluster) {
+// after an earlier fault. Without the wait a fault could hit runners that get no calls.
+func waitOwnRegion(t *testing.T, c *cluster.Cluster) {
+	t.Helper()
+	var waits sync.WaitGroup
 	for i, e := range c.Entries {
-		_ = c.WaitFor(context.Background(), 10*time.Second, "calls stay in the region", func() bool {
-			ctx, cancel := limited(5 * time.Second)
-			defer cancel()
-			id := uuid.NewString()
-			callAs(ctx, http.MethodGet, e.URL+"/services/booking/crews", "", id, "")
-			var counts serviceCounts
-			err := c.Counters(ctx, services(c)[i].BackendURL, "/counts", &counts)
-			return err == nil && counts.ByRequest[id] == 1
+		waits.Go(func() {
+			err := c.WaitFor(context.Background(), 10*time.Second, "calls stay in the region", func() bool {
+				return servedBy(c, e, services(c)[i])
+			})
+			if err != nil {
+				t.Error(err)
+			}
 		})
 	}
+	waits.Wait()
+}
+
+// servedBy sends a call and reports whether it was run at the runner.
+func servedBy(c *cluster.Cluster, e *cluster.Entry, r *cluster.Runner) bool {
+	ctx, cancel := limited(5 * time.Second)
+	defer cancel()
+	id := uuid.NewString()
+	callAs(ctx, http.MethodGet, e.URL+"/services/booking/crews", "", id, "")
+	var counts serviceCounts
+	err := c.Counters(ctx, r.BackendURL, "/counts", &counts)
+	return err == nil && counts.ByRequest[id] == 1
 }
 
 func outcomeFaults() []outcomeFault {
@@ -138,7 +151,7 @@
 		{name: "none", calls: "ran", generations: "ran"},
 		{name: "agents of a region killed before", before: each(victims, killAgent), heal: each(victims, startAgent),
 			calls: "ran", generations: "ran"},
-		{name: "agents of a region killed during", before: waitOwnRegion, during: each(victims, killAgent), heal: each(victims, startAgent),
+		{name: "agents of a region killed during", during: each(victims, killAgent), heal: each(victims, startAgent),
 			calls: "unknown", generations: "ran"},
 		{name: "all agents killed before", before: each(all, killAgent), heal: each(all, startAgent),
 			calls: "not_run", generations: "not_run"},
@@ -190,6 +203,7 @@
 	for _, fault := range outcomeFaults() {
 		t.Run(fault.name, func(t *testing.T) {
 			var n notes
+			waitOwnRegion(t, c)
 			do(c, fault.before)
 			requests := sendBatch(c, &n)
 			time.Sleep(midCall)
