integration: make the leaving and retention tests independent of load times

Cause: with fast loads a departing runner handed its copies over before the watched time, so the test passed without the agent's refusal; the retention test asked for an offset that an empty stream never reports as gone. Ruled out: a second mechanism that protects the leaving runner; it was the placement alone. Change: loads outlast the watched time; each view has a system of its own; the retention test asks for the last offset of each stream.

--- a/test/integration/leaving_test.go
+++ b/test/integration/leaving_test.go
@@ -67,9 +67,11 @@
 func TestLeavingRunnerGetsNoNewWork(t *testing.T) {
 	spec := smallSpec()
 	spec.HostLag = leavingLag
-	// Entry hosts read the host list too seldom to see the change, so that the agents have to act on it.
+	// Loads outlast the watched time, so that a runner that does not refuse still holds its copies then.
+	spec.Store.LoadTime = leavingWithin + 2*watchLeaving
+	// Entry hosts read the host list too seldom to see the change, so that the agents have to act on it. Each view has a
+	// system of its own, which ends before the second read of the list.
 	spec.EntrySettings = map[string]string{"platform.hosts_interval": "1m"}
-	c := start(t, spec)
 	views := []struct {
 		name   string
 		faults faultproxy.Faults
@@ -78,15 +80,19 @@
 		{"an entry host without the log", faultproxy.Faults{HoldToTarget: true, HoldToClient: true}},
 	}
 	for _, view := range views {
-		for _, d := range departures() {
-			t.Run(view.name+", "+d.name, func(t *testing.T) {
-				must(t, c.Entries[0].LogProxy.Set(view.faults))
-				defer func() { must(t, c.Entries[0].LogProxy.Set(faultproxy.Faults{})) }()
-				checkDeparture(t, c, d)
-			})
-			must(t, c.WaitReady(context.Background(), readyWait))
-			waitCopies(t, c)
-		}
+		t.Run(view.name, func(t *testing.T) {
+			c := start(t, spec)
+			for _, d := range departures() {
+				t.Run(d.name, func(t *testing.T) {
+					must(t, c.Entries[0].LogProxy.Set(view.faults))
+					defer func() { must(t, c.Entries[0].LogProxy.Set(faultproxy.Faults{})) }()
+					checkDeparture(t, c, d)
+				})
+				must(t, c.WaitReady(context.Background(), readyWait))
+				waitCopies(t, c)
+				waitCurrent(t, c)
+			}
+		})
 	}
 }
 
--- a/test/integration/retention_test.go
+++ b/test/integration/retention_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -24,9 +25,11 @@
 	offset, _ := publish(t, c, "late", adapterText("alpha-late", "1MiB"))
 	paused := c.Entries[2].Process
 	paused.Pause()
-	for _, name := range []string{"config", "placement"} {
+	placed, err := c.EntryStatus(context.Background(), c.Entries[0])
+	must(t, err)
+	for name, last := range map[string]uint64{"config": offset, "placement": placed.GetPlacementOffset()} {
 		must(t, c.WaitFor(context.Background(), 3*shortRetention, "the first records have expired", func() bool {
-			resp, err := callerClient.Get(c.LogURL + "/streams/" + name + "/records?from=3")
+			resp, err := callerClient.Get(fmt.Sprintf("%s/streams/%s/records?from=%d", c.LogURL, name, last))
 			if err != nil {
 				return false
 			}
