integration: test late orders of former agents and versions that change

Cause: the churn test does not fail when a successor forgets its predecessor's open orders, and no test showed that an old version serves until the new one is ready. Ruled out: the churn as a proof of adoption; accepted claims are counted there even without it. Change: TestLateOrder publishes a second model that fits only without the first; reach cases for a new version and a domain that holds a copy, with loads slower than the deadline; test processes use ports of their own.

--- a/internal/cluster/ports.go
+++ b/internal/cluster/ports.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
+	"sync"
 
 	"trefoilferry.example/ferry/pkg/failure"
 )
@@ -16,6 +18,9 @@
 const (
 	firstPort = 12000
 	lastPort  = 32000
+	// portSlices is the number of parts of the range. A test process uses one of them, chosen by its process number, since
+	// the ports of killed daemons are free until they are restarted and another process could take them.
+	portSlices = 8
 	// portTries bounds the search for free ports.
 	portTries = 2000
 )
@@ -30,17 +35,39 @@
 		}
 	}()
 	addresses := make([]string, 0, n)
+	const size = (lastPort - firstPort) / portSlices
+	first := firstPort + os.Getpid()%portSlices*size
 	for range portTries {
 		if len(addresses) == n {
 			return addresses, nil
 		}
-		address := fmt.Sprintf("%s:%d", Loopback, firstPort+rand.IntN(lastPort-firstPort))
+		address := fmt.Sprintf("%s:%d", Loopback, first+rand.IntN(size))
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
 		}
 		listeners = append(listeners, l)
+		if !reserve(address) {
+			continue
+		}
 		addresses = append(addresses, address)
 	}
 	return nil, failure.New(failure.Internal, failure.NotRun, "no free port")
 }
+
+var (
+	reservedMu sync.Mutex
+	// reserved holds the addresses given out by this process; clusters of parallel tests must not share any.
+	reserved = map[string]bool{}
+)
+
+// reserve reports whether an address is given out for the first time.
+func reserve(address string) bool {
+	reservedMu.Lock()
+	defer reservedMu.Unlock()
+	if reserved[address] {
+		return false
+	}
+	reserved[address] = true
+	return true
+}
--- /dev/null
+++ b/test/integration/late_order_test.go
@@ -0,0 +1,110 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"trefoilferry.example/ferry/internal/cluster"
+	"trefoilferry.example/ferry/pkg/standin/faults"
+)
+
+// lateBy is the time after which the order of a former agent takes effect.
+const lateBy = 2500 * time.Millisecond
+
+// Guards against a successor that gives memory away for which a load order of its predecessor is still on its way.
+func TestLateOrderOfAFormerAgentFindsItsMemory(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		honours bool
+		succeed func(t *testing.T, c *cluster.Cluster, r *cluster.Runner)
+	}{
+		{"agent killed, engine ignores fencing", false, killAndRestart},
+		{"agent killed, engine honours fencing", true, killAndRestart},
+		{"agent paused and succeeded, engine ignores fencing", false, pauseAndSucceed},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := startSingle(t, test.honours)
+			r := c.Runners[0]
+			must(t, c.SetFaults(context.Background(), r.BackendURL, faults.Switches{DelayOrderMillis: int(lateBy.Milliseconds())}))
+			must(t, c.PublishAll(context.Background(), bigModel("first")))
+			waitClaimed(t, c)
+			test.succeed(t, c, r)
+			must(t, c.PublishAll(context.Background(), bigModel("second")))
+			if !test.honours {
+				// Such an engine may carry the order out at any time, so the second model has to wait.
+				time.Sleep(3 * lateBy)
+				return
+			}
+			waitSecond(t, c)
+			checkMemory(t, c)
+		})
+	}
+}
+
+// Guards against memory that is never given back: once the engine process that a lost order was sent to is gone, a killed
+// agent's order cannot arrive any more.
+func TestHeldMemoryIsGivenBackAfterAnEngineRestart(t *testing.T) {
+	c := startSingle(t, false)
+	r := c.Runners[0]
+	must(t, c.SetFaults(context.Background(), r.BackendURL, faults.Switches{DelayOrderMillis: int(lateBy.Milliseconds())}))
+	must(t, c.PublishAll(context.Background(), bigModel("first")))
+	waitClaimed(t, c)
+	killAndRestart(t, c, r)
+	must(t, c.PublishAll(context.Background(), bigModel("second")))
+	time.Sleep(3 * lateBy)
+	r.Backend.Kill()
+	must(t, c.StartBackend(context.Background(), r))
+	waitSecond(t, c)
+}
+
+// waitClaimed waits until the first model is claimed and its order is on the way.
+func waitClaimed(t *testing.T, c *cluster.Cluster) {
+	t.Helper()
+	must(t, c.WaitFor(context.Background(), placeWait, "the first model is claimed", func() bool {
+		status, err := c.AgentStatus(context.Background(), c.Runners[0])
+		return err == nil && len(status.GetModels()) == 1
+	}))
+	time.Sleep(500 * time.Millisecond)
+}
+
+func waitSecond(t *testing.T, c *cluster.Cluster) {
+	t.Helper()
+	must(t, c.WaitFor(context.Background(), placeWait, "the second model is ready", func() bool {
+		copies, err := c.ReadyCopies(context.Background())
+		return err == nil && copies["second"] == 1
+	}))
+}
+
+func killAndRestart(t *testing.T, c *cluster.Cluster, r *cluster.Runner) {
+	r.Agent.Kill()
+	must(t, c.StartAgent(context.Background(), r))
+}
+
+func pauseAndSucceed(t *testing.T, c *cluster.Cluster, r *cluster.Runner) {
+	r.Agent.Pause()
+	former, err := c.StartSuccessor(context.Background(), r)
+	must(t, err)
+	time.AfterFunc(lateBy/2, former.Resume)
+}
+
+// bigModel returns a configuration with one model that takes more than half of the memory.
+func bigModel(name string) string {
+	return fmt.Sprintf("[model %q]\nversion = v1\nbytes = 30GiB\nmin_copies = 1\npriority = 1\nmax_tokens = 8192\n", name)
+}
+
+// startSingle runs a system with one runner and no configuration.
+func startSingle(t *testing.T, honours bool) *cluster.Cluster {
+	t.Helper()
+	spec := smallSpec()
+	spec.Entries = spec.Entries[:1]
+	spec.Runners = spec.Runners[:1]
+	spec.Runners[0].HonoursFencing = honours
+	c, err := cluster.Start(context.Background(), binaries, t.TempDir(), spec)
+	must(t, err)
+	t.Cleanup(func() { finish(t, c) })
+	must(t, c.WaitReady(context.Background(), readyWait))
+	return c
+}
--- a/test/integration/reach_test.go
+++ b/test/integration/reach_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -10,40 +11,55 @@
 	"trefoilferry.example/ferry/pkg/faultproxy"
 )
 
-// reachDeadline is the deadline of a caller's request while parts are lost.
-const reachDeadline = 10 * time.Second
+const (
+	// reachDeadline is the deadline of a caller's request while nothing can be loaded.
+	reachDeadline = 10 * time.Second
+	// reachLoad is the time of a model load and reachAtOnce the deadline while loads are possible: it is shorter, so that
+	// only a copy that was never gone can answer.
+	reachLoad   = 4 * time.Second
+	reachAtOnce = 2500 * time.Millisecond
+)
 
 // outage takes parts away while models must stay reachable.
 type outage struct {
-	name   string
-	inject func(t *testing.T, c *cluster.Cluster)
-	heal   func(t *testing.T, c *cluster.Cluster)
+	name     string
+	deadline time.Duration
+	inject   func(t *testing.T, c *cluster.Cluster)
+	heal     func(t *testing.T, c *cluster.Cluster)
 }
 
 func outages() []outage {
 	ctx := context.Background()
+	domain := ""
 	logDown := func(t *testing.T, c *cluster.Cluster) {
 		must(t, c.LogProxy.Set(faultproxy.Faults{Refuse: true}))
 		c.LogProxy.Cut()
 	}
 	logUp := func(t *testing.T, c *cluster.Cluster) { must(t, c.LogProxy.Set(faultproxy.Faults{})) }
 	return []outage{
-		{"failure domain lost", func(_ *testing.T, c *cluster.Cluster) { eachInDomain(c, killRunner) },
+		{"failure domain lost", reachAtOnce, func(t *testing.T, c *cluster.Cluster) {
+			domain = holders(t, c, "alpha")[0].Spec.FailureDomain
+			eachInDomain(c, domain, killRunner)
+		},
 			func(t *testing.T, c *cluster.Cluster) {
-				eachInDomain(c, func(r *cluster.Runner) {
+				eachInDomain(c, domain, func(r *cluster.Runner) {
 					must(t, c.StartBackend(ctx, r))
 					must(t, c.StartAgent(ctx, r))
 				})
 			}},
-		{"log down", logDown, logUp},
-		{"log down, agents killed and restarted", func(t *testing.T, c *cluster.Cluster) {
+		{"new version of both models", reachAtOnce, func(t *testing.T, c *cluster.Cluster) {
+			must(t, c.Publish(ctx, strings.ReplaceAll(sampleConfig, "version = v1", "version = v2")))
+		}, func(*testing.T, *cluster.Cluster) {}},
+		{"log down", reachDeadline, logDown, logUp},
+		{"log down, agents killed and restarted", reachDeadline, func(t *testing.T, c *cluster.Cluster) {
 			logDown(t, c)
 			for _, r := range modelRunners(c) {
 				r.Agent.Kill()
 				must(t, c.StartAgent(ctx, r))
 			}
 		}, logUp},
-		{"two holders drain at once", func(t *testing.T, c *cluster.Cluster) {
+		// A leaving runner takes no new work, so callers wait for the load of the replacement.
+		{"two holders drain at once", reachDeadline, func(t *testing.T, c *cluster.Cluster) {
 			var wait sync.WaitGroup
 			for _, r := range holders(t, c, "alpha") {
 				wait.Go(func() {
@@ -68,10 +84,10 @@
 	r.Backend.Kill()
 }
 
-// eachInDomain acts on the runners of the first failure domain.
-func eachInDomain(c *cluster.Cluster, act func(*cluster.Runner)) {
+// eachInDomain acts on the runners of a failure domain.
+func eachInDomain(c *cluster.Cluster, domain string, act func(*cluster.Runner)) {
 	for _, r := range c.Runners {
-		if r.Spec.FailureDomain == regions[0] {
+		if r.Spec.FailureDomain == domain {
 			act(r)
 		}
 	}
@@ -95,12 +111,14 @@
 
 // Guards against a published model or adapter that no entry host can reach while parts of the system are lost.
 func TestModelsStayReachable(t *testing.T) {
-	c := start(t, smallSpec())
+	spec := smallSpec()
+	spec.Store.LoadTime = reachLoad
+	c := start(t, spec)
 	for _, o := range outages() {
 		t.Run(o.name, func(t *testing.T) {
 			o.inject(t, c)
-			for range 3 {
-				requireReachable(t, c, reachDeadline)
+			for range 4 {
+				requireReachable(t, c, o.deadline)
 				time.Sleep(500 * time.Millisecond)
 			}
 			o.heal(t, c)
