integration: late orders without a repeated load, retention without any daemon left

Cause: two tests passed without their mechanism: a successor that repeats the first load needs no adoption, and a daemon that starts later takes the state from its peers instead of a checkpoint. Ruled out: that the mechanisms do nothing; the tests did not isolate them. Change: the second model is published before the successor starts; all daemons are killed and started again after the records have expired.

--- a/test/integration/late_order_test.go
+++ b/test/integration/late_order_test.go
@@ -32,7 +32,6 @@
 			must(t, c.PublishAll(context.Background(), bigModel("first")))
 			waitClaimed(t, c)
 			test.succeed(t, c, r)
-			must(t, c.PublishAll(context.Background(), bigModel("second")))
 			if !test.honours {
 				// Such an engine may carry the order out at any time, so the second model has to wait.
 				time.Sleep(3 * lateBy)
@@ -53,7 +52,6 @@
 	must(t, c.PublishAll(context.Background(), bigModel("first")))
 	waitClaimed(t, c)
 	killAndRestart(t, c, r)
-	must(t, c.PublishAll(context.Background(), bigModel("second")))
 	time.Sleep(3 * lateBy)
 	r.Backend.Kill()
 	must(t, c.StartBackend(context.Background(), r))
@@ -78,13 +76,17 @@
 	}))
 }
 
+// killAndRestart and pauseAndSucceed publish the second model before the successor starts, so that the successor has no
+// reason to repeat the first load.
 func killAndRestart(t *testing.T, c *cluster.Cluster, r *cluster.Runner) {
 	r.Agent.Kill()
+	must(t, c.PublishAll(context.Background(), bigModel("second")))
 	must(t, c.StartAgent(context.Background(), r))
 }
 
 func pauseAndSucceed(t *testing.T, c *cluster.Cluster, r *cluster.Runner) {
 	r.Agent.Pause()
+	must(t, c.PublishAll(context.Background(), bigModel("second")))
 	former, err := c.StartSuccessor(context.Background(), r)
 	must(t, err)
 	time.AfterFunc(lateBy/2, former.Resume)
--- a/test/integration/retention_test.go
+++ b/test/integration/retention_test.go
@@ -11,10 +11,10 @@
 )
 
 // shortRetention is the age at which the log drops records. Daemons look for due checkpoints once a second.
-const shortRetention = 6 * time.Second
+const shortRetention = 10 * time.Second
 
 // Guards against configuration or placement that vanishes with the records of the log that carried it, for a daemon that
-// starts later and for one that was paused longer than the retention.
+// starts later, for one that was paused longer than the retention, and for all of them after none was left.
 func TestStateOutlivesTheRecordsOfTheLog(t *testing.T) {
 	spec := smallSpec()
 	spec.LogMaxAge = shortRetention
@@ -54,4 +54,15 @@
 	if status.GetPlacementOffset() == 0 || status.GetConfigOffset() < offset {
 		t.Errorf("the new agent has offsets %d and %d", status.GetPlacementOffset(), status.GetConfigOffset())
 	}
+	// With every daemon gone, only checkpoints in the log are left.
+	for _, p := range c.Daemons() {
+		p.Kill()
+	}
+	for _, p := range c.Daemons() {
+		must(t, p.Start())
+	}
+	must(t, c.WaitReady(context.Background(), readyWait))
+	requireInForce(t, c, offset, time.Now().Add(inForceWithin), nil)
+	requireAnswer(t, entry, "alpha", "alpha-late", 10*time.Second)
+	requireAnswer(t, entry, "beta", "", 10*time.Second)
 }
