--- a/pkg/standin/hosts/server.go
+++ b/pkg/standin/hosts/server.go
@@ -2,16 +2,20 @@
 package hosts
 
 import (
+	"compress/gzip"
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 
 	"trefoilferry.example/ferry/pkg/platform"
 	"trefoilferry.example/ferry/pkg/standin/faults"
-	"trefoilferry.example/ferry/pkg/standin/serve"
 )
 
 // Server is the stand-in. It is safe for concurrent use.
@@ -52,11 +56,40 @@
 	})
 }
 
-func (s *Server) get(w http.ResponseWriter, _ *http.Request) {
+// Visible returns the list as readers see it.
+func (s *Server) Visible() []platform.Host {
 	s.mu.Lock()
-	hosts := s.list.visible(time.Now())
-	s.mu.Unlock()
-	serve.JSON(w, http.StatusOK, hosts)
+	defer s.mu.Unlock()
+	return s.list.visible(time.Now())
+}
+
+// get answers 304 to a reader that names the current ETag.
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	body, err := json.Marshal(s.Visible())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	etag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(body), 16))
+	w.Header().Set("ETag", etag)
+	if r.Header.Get("If-None-Match") == etag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	write(w, r, body)
+}
+
+// write sends the list, compressed if the reader accepts it.
+func write(w http.ResponseWriter, r *http.Request, body []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	if !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		_, _ = w.Write(body)
+		return
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	z := gzip.NewWriter(w)
+	_, _ = z.Write(body)
+	_ = z.Close()
 }
 
 func (s *Server) put(w http.ResponseWriter, r *http.Request) {
