stream, entry, agent: read streams and host list along a relay tree

Ruled out: a tree per stream; it would need one held call for each stream. Freshness by the last answer of a parent; two hosts could keep each other fresh. Change: the live hosts of a failure domain are ranked by rendezvous hash; two read the log and the platform's list, all others hold a call at a parent and have a second one. State whose age since the last contact with the log reaches 2 s is read from the log itself. ferry-capacity speaks the new call and measures roots and leaves.

--- a/cmd/ferry-capacity/main.go
+++ b/cmd/ferry-capacity/main.go
@@ -39,7 +39,8 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "bin", Usage: "directory of the programs", Value: programDir()},
 			&cli.StringFlag{Name: "role", Usage: "entry or agent", Value: "entry"},
-			&cli.StringFlag{Name: "vary", Usage: "size, entries, runners, models, adapters, changes, restarts, children or probes", Value: "size"},
+			&cli.StringFlag{Name: "position", Usage: "root or leaf of the relay tree", Value: "leaf"},
+			&cli.StringFlag{Name: "vary", Usage: "size, entries, runners, models, adapters, changes, restarts, children, probes or load", Value: "size"},
 			&cli.StringFlag{Name: "values", Usage: "comma-separated values; factors of the target size for size", Value: "0.125,0.25,0.5,1"},
 			&cli.FloatFlag{Name: "factor", Usage: "size of the system for the other series, as a factor of the target size", Value: 1},
 			&cli.DurationFlag{Name: "duration", Usage: "length of one measurement", Value: 15 * time.Second},
@@ -56,7 +57,7 @@
 	}
 	var series capacity.Series
 	for _, v := range values {
-		scenario, err := capacity.Vary(capacity.Role(c.String("role")), c.String("vary"), c.Float("factor"), v)
+		scenario, err := capacity.Vary(capacity.Role(c.String("role")), capacity.Position(c.String("position")), c.String("vary"), c.Float("factor"), v)
 		if err != nil {
 			return err
 		}
@@ -93,8 +94,8 @@
 		return json.NewEncoder(os.Stdout).Encode(r)
 	}
 	u := r.Usage
-	fmt.Printf("%s %s=%g: cpu %.2f %% of a core, rss %.1f MB, log %.0f + host list %.0f + peers %.0f = %.0f bytes/s, ready after %d ms\n",
-		r.Scenario.Role, c.String("vary"), value, u.CPU, u.RSS, u.LogBytes, u.HostBytes, u.PeerBytes, u.Bytes(), r.Startup)
+	fmt.Printf("%s %s %s=%g: cpu %.2f %% of a core, rss %.1f MB, log %.0f + host list %.0f + peers %.0f = %.0f bytes/s, ready after %d ms\n",
+		r.Scenario.Role, r.Scenario.Position, c.String("vary"), value, u.CPU, u.RSS, u.LogBytes, u.HostBytes, u.PeerBytes, u.Bytes(), r.Startup)
 	return nil
 }
 
--- a/internal/capacity/daemon.go
+++ b/internal/capacity/daemon.go
@@ -39,14 +39,15 @@
 	stopWait   = 10 * time.Second
 )
 
-// startDaemon runs the program of the role as the host number 0 of the system.
-func startDaemon(ctx context.Context, binDir, dir string, role Role, s *surroundings, size Size) (*daemon, error) {
-	d, err := newDaemon(role)
+// startDaemon runs the program of the role as the measured host of the population.
+func startDaemon(ctx context.Context, binDir, dir string, p *population, s *surroundings) (*daemon, error) {
+	role := p.role
+	d, err := newDaemon()
 	if err != nil {
 		return nil, err
 	}
 	path := filepath.Join(dir, "settings.ini")
-	if err := os.WriteFile(path, []byte(d.settings(role, s, size)), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(d.settings(p, s)), 0o600); err != nil {
 		return nil, failure.Wrap(failure.Internal, failure.NotRun, "settings not written", err)
 	}
 	d.process = cluster.NewProcess(string(role), nil, filepath.Join(binDir, "ferry-"+string(role)), "--settings", path)
@@ -62,7 +63,7 @@
 	return d, nil
 }
 
-func newDaemon(role Role) (*daemon, error) {
+func newDaemon() (*daemon, error) {
 	addresses := make([]string, 3)
 	for i := range addresses {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -75,13 +76,14 @@
 	return &daemon{control: addresses[0], admin: addresses[1], callers: addresses[2]}, nil
 }
 
-func (d *daemon) settings(role Role, s *surroundings, size Size) string {
+func (d *daemon) settings(p *population, s *surroundings) string {
 	var b strings.Builder
-	name := entryName(0)
+	role, size := p.role, p.size
+	name := entryName(p.self)
 	if role == RoleAgent {
-		name = runnerName(0)
+		name = runnerName(p.self)
 	}
-	fmt.Fprintf(&b, "[host]\nname = %s\nregion = %s\nfailure_domain = %s\n", name, size.region(0), size.domain(0))
+	fmt.Fprintf(&b, "[host]\nname = %s\nregion = %s\nfailure_domain = %s\n", name, size.region(p.self), size.domain(p.self))
 	fmt.Fprintf(&b, "[listen]\ncontrol = %s\nadmin = %s\n", d.control, d.admin)
 	if role == RoleEntry {
 		fmt.Fprintf(&b, "callers = %s\n", d.callers)
--- a/internal/capacity/peers.go
+++ b/internal/capacity/peers.go
@@ -12,6 +12,7 @@
 // peers answers control calls for every host but the measured one.
 type peers struct {
 	streams map[string]*stream.Follower
+	watched *stream.WatchServer
 }
 
 // Probe accepts every request.
@@ -30,7 +31,7 @@
 }
 
 // ReadStream serves records as a relay does.
-func (p *peers) ReadStream(ctx context.Context, r *ferrypb.ReadStreamRequest) (*ferrypb.ReadStreamResponse, error) {
+func (p *peers) ReadStream(_ context.Context, r *ferrypb.ReadStreamRequest) (*ferrypb.ReadStreamResponse, error) {
 	f, ok := p.streams[r.Stream]
 	if !ok {
 		return nil, twirp.NotFoundError("unknown stream")
@@ -38,6 +39,11 @@
 	return f.ReadStream(r), nil
 }
 
+// Watch holds calls as a parent in the relay tree does.
+func (p *peers) Watch(ctx context.Context, r *ferrypb.WatchRequest) (*ferrypb.WatchResponse, error) {
+	return p.watched.Watch(ctx, r), nil
+}
+
 // Status returns an empty status.
 func (p *peers) Status(context.Context, *ferrypb.StatusRequest) (*ferrypb.StatusResponse, error) {
 	return &ferrypb.StatusResponse{Ready: true}, nil
--- a/internal/capacity/population.go
+++ b/internal/capacity/population.go
@@ -26,6 +26,9 @@
 	log     platform.Log
 	address string
 	writer  *stream.Writer
+	// self is the number of the measured host within its role.
+	self int
+	role Role
 }
 
 func newPopulation(size Size, log platform.Log, address string) *population {
@@ -104,11 +107,11 @@
 	return fencing, nil
 }
 
-// place writes one claim for each copy; copies are ready at once. The measured runner, number 0, holds none.
+// place writes one claim for each copy; copies are ready at once. The measured runner holds none.
 func (p *population) place(ctx context.Context, fencing []uint64) error {
 	for m := range p.size.Models {
 		for c := range p.size.Copies {
-			r := 1 + (m*p.size.Copies+c)%(p.size.Runners-1)
+			r := (p.self + 1 + (m*p.size.Copies+c)%(p.size.Runners-1)) % p.size.Runners
 			_, err := p.append(ctx, &ferrypb.PlacementRecord{Record: &ferrypb.PlacementRecord_Claim{Claim: &ferrypb.Claim{
 				Model: modelName(m), Version: "v1", Runner: runnerName(r), Fencing: fencing[r], Bytes: modelBytes,
 				Kind: ferrypb.ClaimKind_CLAIM_KIND_FLOOR, Wanted: uint32(p.size.Copies),
--- /dev/null
+++ b/internal/capacity/position.go
@@ -0,0 +1,30 @@
+package capacity
+
+import (
+	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/stream"
+)
+
+// Position is the place of a host in the relay tree of its failure domain.
+type Position string
+
+// Positions that can be measured. A leaf with children stands for an inner host of the tree.
+const (
+	PositionRoot Position = "root"
+	PositionLeaf Position = "leaf"
+)
+
+// choose returns the number of the first host of the role that has the position.
+func (p *population) choose(role Role, position Position) (int, error) {
+	count, name := p.size.Entries, entryName
+	if role == RoleAgent {
+		count, name = p.size.Runners, runnerName
+	}
+	hosts := p.hosts()
+	for i := range count {
+		if stream.PlaceOf(name(i), p.size.domain(i), hosts).Root == (position == PositionRoot) {
+			return i, nil
+		}
+	}
+	return 0, failure.New(failure.BadRequest, failure.NotRun, "no host of the role has the position "+string(position))
+}
--- a/internal/capacity/run.go
+++ b/internal/capacity/run.go
@@ -35,13 +35,17 @@
 	}
 	defer s.close()
 	p := newPopulation(scenario.Size, httplog.New(s.ownLogURL, &http.Client{Timeout: callTimeout}), s.peers)
+	p.role = scenario.Role
+	if p.self, err = p.choose(scenario.Role, scenario.Position); err != nil {
+		return Result{}, err
+	}
 	if err := p.fill(ctx); err != nil {
 		return Result{}, err
 	}
 	for _, h := range p.hosts() {
 		s.hosts.Put(h)
 	}
-	d, err := startDaemon(ctx, binDir, dir, scenario.Role, s, scenario.Size)
+	d, err := startDaemon(ctx, binDir, dir, p, s)
 	if err != nil {
 		return Result{}, err
 	}
--- a/internal/capacity/scenario.go
+++ b/internal/capacity/scenario.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -10,17 +11,20 @@
 
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/stream"
 )
 
 // Scenario is what happens while a daemon is measured.
 type Scenario struct {
 	Role Role `json:"role"`
 	Size Size `json:"size"`
+	// Position is the place of the measured host in the relay tree.
+	Position Position `json:"position"`
 	// Changes is the number of configuration changes a second.
 	Changes float64 `json:"changes_per_second"`
 	// Restarts is the number of agent starts a second.
 	Restarts float64 `json:"restarts_per_second"`
-	// Children is the number of daemons that read both streams from the measured one.
+	// Children is the number of daemons that watch the measured one.
 	Children int `json:"children"`
 	// Probes is the number of probes a second that an agent gets.
 	Probes float64 `json:"probes_per_second"`
@@ -60,15 +64,16 @@
 		n++
 		_ = a.population.submit(ctx, a.population.adapter(n%a.scenario.Size.Adapters, 64+n%2))
 	})
-	every(ctx, a.scenario.Restarts, func() { _ = a.population.restart(ctx, 1+int(time.Now().UnixNano())%(a.scenario.Size.Runners-1)) })
+	every(ctx, a.scenario.Restarts, func() {
+		others := a.scenario.Size.Runners - 1
+		_ = a.population.restart(ctx, (a.population.self+1+rand.IntN(others))%a.scenario.Size.Runners)
+	})
 	agent := ferrypb.NewAgentProtobufClient("http://"+a.daemon.control, a.client)
 	every(ctx, a.scenario.Probes, func() {
 		_, _ = agent.Probe(ctx, &ferrypb.ProbeRequest{RequestId: "capacity", Target: modelName(0), PromptTokens: 500})
 	})
 	for range a.scenario.Children {
-		for _, stream := range []string{configStream, placementStream} {
-			go a.child(ctx, stream)
-		}
+		go a.child(ctx)
 	}
 }
 
@@ -85,21 +90,23 @@
 	}()
 }
 
-// child reads a stream from the daemon as another daemon does.
-func (a *activity) child(ctx context.Context, name string) {
+// child watches the daemon as another daemon in the relay tree does.
+func (a *activity) child(ctx context.Context) {
 	peer := ferrypb.NewPeerProtobufClient("http://"+a.daemon.control, a.client)
-	next := uint64(1)
+	req := &ferrypb.WatchRequest{WaitMillis: uint32(stream.WatchWait.Milliseconds()), Hosts: true,
+		Streams: []*ferrypb.StreamCursor{{Stream: configStream, From: 1}, {Stream: placementStream, From: 1}}}
 	for ctx.Err() == nil {
-		res, err := peer.ReadStream(ctx, &ferrypb.ReadStreamRequest{Stream: name, From: next, Max: 500})
-		if err == nil {
-			next = max(next, res.Next)
+		res, err := peer.Watch(ctx, req)
+		if err != nil {
+			time.Sleep(childPause)
+			continue
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(childPause):
+		for i, u := range res.Streams {
+			req.Streams[i].From = max(req.Streams[i].From, u.Answer.Next)
 		}
+		req.HostsHash = res.Hosts.Hash
 	}
 }
 
-// childPause is the pause between two reads of a child.
+// childPause is the pause of a child after a failed call.
 const childPause = 250 * time.Millisecond
--- a/internal/capacity/surroundings.go
+++ b/internal/capacity/surroundings.go
@@ -10,6 +10,7 @@
 	"trefoilferry.example/ferry/pkg/configlog"
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/placement"
+	"trefoilferry.example/ferry/pkg/platform"
 	"trefoilferry.example/ferry/pkg/platform/httplog"
 	"trefoilferry.example/ferry/pkg/standin/engine"
 	"trefoilferry.example/ferry/pkg/standin/hosts"
@@ -73,13 +74,18 @@
 // servePeers starts the server that answers for all other hosts.
 func (s *surroundings) servePeers(ctx context.Context) error {
 	log := httplog.New(s.ownLogURL, &http.Client{Timeout: callTimeout})
-	p := &peers{streams: map[string]*stream.Follower{}}
+	relay := stream.NewRelay(stream.RelayConfig{Alone: true, Clock: systemClock{}})
+	p := &peers{streams: map[string]*stream.Follower{}, watched: relay.Server()}
 	for name, fold := range map[string]stream.Fold{configStream: configlog.NewFold(), placementStream: placement.NewFold()} {
-		f := stream.NewFollower(stream.FollowerConfig{Stream: name, Fold: fold, Log: log})
+		f := stream.NewFollower(stream.FollowerConfig{Stream: name, Fold: fold, Log: log, Changes: relay.Changes})
+		relay.Add(name, f)
 		p.streams[name] = f
 		s.followers = append(s.followers, f)
 		go follow(ctx, f)
 	}
+	relay.Watcher()
+	reader := relay.Reader(ownList{s.hosts}, time.Second, func([]platform.Host) {})
+	go repeat(ctx, reader.Poll)
 	mux := http.NewServeMux()
 	mux.Handle(ferrypb.AgentPathPrefix, ferrypb.NewAgentServer(p))
 	mux.Handle(ferrypb.PeerPathPrefix, ferrypb.NewPeerServer(p))
@@ -92,8 +98,13 @@
 const callTimeout = 10 * time.Second
 
 func follow(ctx context.Context, f *stream.Follower) {
+	repeat(ctx, func(ctx context.Context) { _, _ = f.Poll(ctx) })
+}
+
+// repeat calls f at the interval of polls until ctx ends.
+func repeat(ctx context.Context, f func(context.Context)) {
 	for ctx.Err() == nil {
-		_, _ = f.Poll(ctx)
+		f(ctx)
 		select {
 		case <-ctx.Done():
 		case <-time.After(stream.DefaultPollInterval):
@@ -101,6 +112,12 @@
 	}
 }
 
+// ownList reads the stand-in without the network, so that the reads of other hosts are not counted.
+type ownList struct{ server *hosts.Server }
+
+// Hosts implements platform.HostList.
+func (l ownList) Hosts(context.Context) ([]platform.Host, error) { return l.server.Visible(), nil }
+
 // close ends all servers.
 func (s *surroundings) close() {
 	if s.cancel != nil {
--- a/pkg/agent/core_events.go
+++ b/pkg/agent/core_events.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"slices"
 	"time"
 
 	"trefoilferry.example/ferry/pkg/eventlog"
@@ -58,8 +59,11 @@
 }
 
 func (e HostsRead) apply(c *Core) {
-	c.hosts = e.Hosts
 	c.hostsAt = c.now
+	if slices.Equal(c.hosts, e.Hosts) {
+		return
+	}
+	c.hosts = e.Hosts
 	c.memo.made = time.Time{}
 }
 
--- a/pkg/agent/daemon.go
+++ b/pkg/agent/daemon.go
@@ -150,8 +150,11 @@
 
 func (d *Daemon) configOffset() uint64 { return d.view.Load().ConfigOffset() }
 
-// behind reads the configuration at once.
-func (d *Daemon) behind(uint64) { d.streams.configPoller.Wake() }
+// behind makes sure that the configuration at an offset is read soon.
+func (d *Daemon) behind(offset uint64) {
+	d.streams.config.Expect(offset)
+	d.streams.configPoller.Wake()
+}
 
 // changed reads placement records and the engine at once.
 func (d *Daemon) changed() {
@@ -176,6 +179,7 @@
 	for _, p := range d.pollers() {
 		d.running.Go(func() { p.Run(ctx) })
 	}
+	d.running.Go(func() { d.streams.relay.Watcher().Run(ctx) })
 	d.streams.start()
 	s := d.deps.Settings
 	d.ring.Add(timeline.Event{Kind: timeline.ProcessStarted})
@@ -188,7 +192,7 @@
 	agent := &ControlServer{View: d.view, Gate: d.gate, Prefixes: d.prefixes, Clock: d.deps.Clock, Ring: d.ring,
 		Send: d.control.Send, Behind: d.behind}
 	peer := &PeerServer{View: d.view, Gate: d.gate, Ring: d.ring, Streams: d.streams.served(),
-		ConfigAge: d.streams.configAge, Behind: d.behind}
+		Watched: d.streams.relay.Server(), ConfigAge: d.streams.configAge, Behind: d.behind}
 	handlers := []struct {
 		address string
 		handler http.Handler
--- a/pkg/agent/sources.go
+++ b/pkg/agent/sources.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"trefoilferry.example/ferry/pkg/configlog"
 	"trefoilferry.example/ferry/pkg/engine"
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/placement"
-	"trefoilferry.example/ferry/pkg/platform"
 	"trefoilferry.example/ferry/pkg/stream"
 )
 
@@ -19,7 +17,7 @@
 	placementStream = "placement"
 	// readTimeout bounds one round of reads; a paused source must not stop the others.
 	readTimeout = 3 * time.Second
-	// hostsInterval is the time between two reads of the host list, which lags by more than that.
+	// hostsInterval is the time between two reads of the host list by a root of the relay tree.
 	hostsInterval = time.Second
 )
 
@@ -38,13 +36,17 @@
 	// The follower logs failures; the last configuration stays in force.
 	_, _ = s.follower.Poll(ctx)
 	caughtUp := s.follower.CaughtUp()
-	offset := s.fold.Offset()
+	offset := s.follower.Offset()
 	if offset == s.sent && caughtUp == s.caughtUp {
 		return
 	}
-	s.sent = offset
+	read := ConfigRead{CaughtUp: caughtUp}
+	s.follower.View(func() {
+		read.Set = s.fold.Set()
+		s.sent = s.fold.Offset()
+	})
 	s.caughtUp = caughtUp
-	s.send(ConfigRead{Set: s.fold.Set(), CaughtUp: caughtUp})
+	s.send(read)
 }
 
 // placementSource turns the placement stream into events.
@@ -62,39 +64,18 @@
 	// The follower logs failures; the last records stay in force.
 	_, _ = s.follower.Poll(ctx)
 	caughtUp := s.follower.CaughtUp()
-	offset := s.fold.Offset()
+	offset := s.follower.Offset()
 	if offset == s.sent && caughtUp == s.caughtUp {
 		return
 	}
-	s.sent = offset
+	read := PlacementRead{CaughtUp: caughtUp}
+	s.follower.View(func() {
+		read.Placement = s.fold.Snapshot()
+		read.Offset = s.fold.Offset()
+	})
+	s.sent = read.Offset
 	s.caughtUp = caughtUp
-	s.send(PlacementRead{Placement: s.fold.Snapshot(), Offset: offset, CaughtUp: caughtUp})
-}
-
-// hostSource reads the host list.
-type hostSource struct {
-	list platform.HostList
-	send func(Event)
-	last atomic.Pointer[[]platform.Host]
-}
-
-// Hosts returns the last list that could be read.
-func (s *hostSource) Hosts() []platform.Host {
-	if hosts := s.last.Load(); hosts != nil {
-		return *hosts
-	}
-	return nil
-}
-
-func (s *hostSource) poll(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	hosts, err := s.list.Hosts(ctx)
-	if err != nil {
-		return
-	}
-	s.last.Store(&hosts)
-	s.send(HostsRead{Hosts: hosts})
+	s.send(read)
 }
 
 // engineSource reads the engine's report and cache events.
--- a/pkg/agent/streams.go
+++ b/pkg/agent/streams.go
@@ -6,15 +6,18 @@
 	"trefoilferry.example/ferry/pkg/configlog"
 	"trefoilferry.example/ferry/pkg/idempotency"
 	"trefoilferry.example/ferry/pkg/placement"
+	"trefoilferry.example/ferry/pkg/platform"
 	"trefoilferry.example/ferry/pkg/stream"
 )
 
 // streams are the log streams that an agent follows.
 type streams struct {
+	relay           *stream.Relay
 	config          *stream.Follower
 	placement       *stream.Follower
 	configPoller    *poller
 	placementPoller *poller
+	hostsPoller     *poller
 	others          []*poller
 	followers       map[string]*stream.Follower
 	// keeper is nil for a model engine.
@@ -25,37 +28,50 @@
 func newStreams(d *Daemon) *streams {
 	clk := d.deps.Clock
 	interval := d.deps.Settings.Platform.PollInterval
-	hosts := &hostSource{list: d.deps.Hosts, send: d.control.Send}
 	s := &streams{followers: map[string]*stream.Follower{}, now: clk.Now}
+	s.relay = stream.NewRelay(stream.RelayConfig{
+		Self:          d.deps.Settings.Host.Name,
+		FailureDomain: d.deps.Settings.Host.FailureDomain,
+		Peers:         stream.TwirpPeers{Client: d.deps.Client},
+		Clock:         clk,
+		ConfigOffset:  d.configOffset,
+		Lamport:       d.ring.Tick,
+		Updated:       s.updated,
+	})
 
 	configFold := configlog.NewFold()
-	s.config = newFollower(d, configStream, configFold, hosts)
+	s.config = newFollower(d, configStream, configFold, s.relay)
 	config := &configSource{fold: configFold, follower: s.config, send: d.control.Send}
 	s.configPoller = newPoller(clk, interval, config.poll)
 
 	placementFold := placement.NewFold()
-	s.placement = newFollower(d, placementStream, placementFold, hosts)
+	s.placement = newFollower(d, placementStream, placementFold, s.relay)
 	records := &placementSource{fold: placementFold, follower: s.placement, send: d.control.Send}
 	s.placementPoller = newPoller(clk, interval, records.poll)
 
 	s.followers[configStream] = s.config
 	s.followers[placementStream] = s.placement
-	s.others = []*poller{newPoller(clk, hostsInterval, hosts.poll)}
+	s.relay.Add(configStream, s.config)
+	s.relay.Add(placementStream, s.placement)
+	s.relay.Watcher()
+	reader := s.relay.Reader(d.deps.Hosts, hostsInterval, func(hosts []platform.Host) { d.control.Send(HostsRead{Hosts: hosts}) })
+	s.hostsPoller = newPoller(clk, interval, reader.Poll)
+	s.others = []*poller{s.hostsPoller}
 	for _, name := range []string{configStream, placementStream} {
 		s.others = append(s.others, newCheckpointPoller(d, name, s.followers[name]))
 	}
 	if d.deps.Service != nil {
-		s.followKeys(d, hosts)
+		s.followKeys(d)
 	}
 	return s
 }
 
 // followKeys adds the stream of the service's idempotency keys, which the keeper reads and writes.
-func (s *streams) followKeys(d *Daemon, hosts *hostSource) {
+func (s *streams) followKeys(d *Daemon) {
 	settings := d.deps.Settings
 	name := idempotency.StreamName(settings.Backend.Service)
 	fold := idempotency.NewFold(settings.Keys.Retention)
-	follower := newFollower(d, name, fold, hosts)
+	follower := newFollower(d, name, fold, nil)
 	s.followers[name] = follower
 	s.others = append(s.others, newCheckpointPoller(d, name, follower))
 	log := &countedLog{Log: d.deps.Log, appends: d.deps.Metrics.keyAppends}
@@ -96,23 +112,34 @@
 // keysDrained reports whether every outcome of a key is in the log.
 func (s *streams) keysDrained() bool { return s.keeper == nil || s.keeper.Drained() }
 
-func newFollower(d *Daemon, name string, fold stream.Fold, hosts *hostSource) *stream.Follower {
+// updated publishes what a parent has brought.
+func (s *streams) updated() {
+	for _, p := range []*poller{s.configPoller, s.placementPoller, s.hostsPoller} {
+		p.Wake()
+	}
+}
+
+// newFollower returns a follower; one without a relay reads the log itself, as few hosts follow such a stream.
+func newFollower(d *Daemon, name string, fold stream.Fold, relay *stream.Relay) *stream.Follower {
 	s := d.deps.Settings
-	return stream.NewFollower(stream.FollowerConfig{
-		Stream:        name,
-		Fold:          fold,
-		Log:           d.deps.Log,
-		Peers:         stream.TwirpPeers{Client: d.deps.Client},
-		Hosts:         hosts.Hosts,
-		Self:          s.Host.Name,
-		FailureDomain: s.Host.FailureDomain,
-		UseRelays:     true,
-		PollInterval:  s.Platform.PollInterval,
-		Now:           d.deps.Clock.Now,
-		ConfigOffset:  d.configOffset,
-		Lamport:       d.ring.Tick,
-		Logger:        d.deps.Logger,
-	})
+	config := stream.FollowerConfig{
+		Stream:       name,
+		Fold:         fold,
+		Log:          d.deps.Log,
+		Peers:        stream.TwirpPeers{Client: d.deps.Client},
+		Hosts:        func() []platform.Host { return d.streams.relay.Hosts.Hosts() },
+		Self:         s.Host.Name,
+		PollInterval: s.Platform.PollInterval,
+		Now:          d.deps.Clock.Now,
+		ConfigOffset: d.configOffset,
+		Lamport:      d.ring.Tick,
+		Logger:       d.deps.Logger,
+	}
+	if relay != nil {
+		config.Root = relay.Root
+		config.Changes = relay.Changes
+	}
+	return stream.NewFollower(config)
 }
 
 // newWriter returns a writer with an id of its own, so that its sequence numbers stay in order.
--- a/pkg/agent/twirp_peer.go
+++ b/pkg/agent/twirp_peer.go
@@ -8,6 +8,7 @@
 	"github.com/twitchtv/twirp"
 
 	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/stream"
 	"trefoilferry.example/ferry/pkg/timeline"
 )
 
@@ -21,6 +22,8 @@
 	Ring *timeline.Ring
 	// Streams holds the followed streams by name.
 	Streams map[string]Stream
+	// Watched answers held calls for the streams of the relay tree.
+	Watched *stream.WatchServer
 	// ConfigAge returns the time since the configuration was known to equal the log; negative if it never was.
 	ConfigAge func() time.Duration
 	// Behind is called when a message shows that the agent's configuration is out of date.
@@ -46,6 +49,18 @@
 	return out, nil
 }
 
+// Watch waits for something new in the streams of the relay tree or in the host list.
+func (s *PeerServer) Watch(ctx context.Context, in *ferrypb.WatchRequest) (*ferrypb.WatchResponse, error) {
+	s.Ring.Observe(in.GetLamport())
+	if in.GetConfigOffset() > s.View.Load().ConfigOffset() {
+		s.Behind(in.GetConfigOffset())
+	}
+	out := s.Watched.Watch(ctx, in)
+	out.ConfigOffset = s.View.Load().ConfigOffset()
+	out.Lamport = s.Ring.Tick()
+	return out, nil
+}
+
 // Status reports what is in force.
 func (s *PeerServer) Status(context.Context, *ferrypb.StatusRequest) (*ferrypb.StatusResponse, error) {
 	v := s.View.Load()
--- a/pkg/entry/control_loop.go
+++ b/pkg/entry/control_loop.go
@@ -18,7 +18,7 @@
 	state     *ControlState
 	snapshots *Snapshots
 	events    chan ControlEvent
-	poke      chan struct{}
+	poke      chan uint64
 	// poked is the highest offset for which a read was asked.
 	poked   atomic.Uint64
 	clock   clock.Clock
@@ -33,7 +33,7 @@
 		state:     NewControlState(),
 		snapshots: snapshots,
 		events:    make(chan ControlEvent, eventQueue),
-		poke:      make(chan struct{}, 1),
+		poke:      make(chan uint64, 1),
 		clock:     c,
 		ring:      ring,
 		log:       log,
@@ -77,8 +77,8 @@
 	}
 }
 
-// Poke returns a channel that receives when the configuration is known to be behind.
-func (l *ControlLoop) Poke() <-chan struct{} { return l.poke }
+// Poke returns a channel that receives an offset of the configuration that other processes have seen.
+func (l *ControlLoop) Poke() <-chan uint64 { return l.poke }
 
 // RunnerFailed implements Reporter.
 func (l *ControlLoop) RunnerFailed(runner string) { l.offer(RunnerFailed{Runner: runner}) }
@@ -98,7 +98,7 @@
 		return
 	}
 	select {
-	case l.poke <- struct{}{}:
+	case l.poke <- offset:
 	default:
 	}
 }
--- a/pkg/entry/daemon.go
+++ b/pkg/entry/daemon.go
@@ -45,6 +45,8 @@
 	for _, p := range d.sources.pollers {
 		d.work.Go(func() { p.run(background) })
 	}
+	d.work.Go(func() { d.sources.relay.Watcher().Run(background) })
+	d.work.Go(func() { d.expect(background) })
 	d.serve(d.callers, listeners[0])
 	d.serve(d.control, countedListener{Listener: listeners[1], metrics: d.metrics})
 	d.serve(d.admin, listeners[2])
@@ -53,6 +55,18 @@
 	return nil
 }
 
+// expect passes offsets that other processes have seen to the sources.
+func (d *Daemon) expect(ctx context.Context) {
+	for {
+		select {
+		case offset := <-d.loop.Poke():
+			d.sources.expect(offset)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // listen opens all addresses or none.
 func listen(ctx context.Context, addresses ...string) ([]net.Listener, error) {
 	var out []net.Listener
--- a/pkg/entry/module.go
+++ b/pkg/entry/module.go
@@ -164,6 +164,7 @@
 		incarnation: p.Entry,
 		snapshots:   p.Snapshots,
 		followers:   sources.followers,
+		watched:     sources.relay.Server(),
 		reporter:    p.Reporter,
 		ring:        p.Ring,
 		clock:       p.Clock,
--- a/pkg/entry/observed_peers.go
+++ b/pkg/entry/observed_peers.go
@@ -10,7 +10,7 @@
 
 // observedPeers takes Lamport times and configuration offsets from the answers of peers.
 type observedPeers struct {
-	peers    stream.PeerReader
+	peers    stream.TwirpPeers
 	ring     *timeline.Ring
 	reporter Reporter
 }
@@ -25,3 +25,14 @@
 	o.reporter.Observed(response.GetConfigOffset())
 	return response, nil
 }
+
+// Watch implements stream.PeerWatcher.
+func (o observedPeers) Watch(ctx context.Context, address string, r *ferrypb.WatchRequest) (*ferrypb.WatchResponse, error) {
+	response, err := o.peers.Watch(ctx, address, r)
+	if err != nil {
+		return nil, err
+	}
+	o.ring.Observe(response.GetLamport())
+	o.reporter.Observed(response.GetConfigOffset())
+	return response, nil
+}
--- a/pkg/entry/peer.go
+++ b/pkg/entry/peer.go
@@ -19,6 +19,7 @@
 	incarnation string
 	snapshots   *Snapshots
 	followers   map[string]*stream.Follower
+	watched     *stream.WatchServer
 	reporter    Reporter
 	ring        *timeline.Ring
 	clock       clock.Clock
@@ -40,6 +41,16 @@
 	return response, nil
 }
 
+// Watch waits for something new in the streams or the host list.
+func (p *Peer) Watch(ctx context.Context, r *ferrypb.WatchRequest) (*ferrypb.WatchResponse, error) {
+	p.ring.Observe(r.GetLamport())
+	p.reporter.Observed(r.GetConfigOffset())
+	response := p.watched.Watch(ctx, r)
+	response.ConfigOffset = p.snapshots.Load().ConfigOffset
+	response.Lamport = p.ring.Tick()
+	return response, nil
+}
+
 // Status reports what is in force.
 func (p *Peer) Status(context.Context, *ferrypb.StatusRequest) (*ferrypb.StatusResponse, error) {
 	snapshot := p.snapshots.Load()
--- a/pkg/entry/poller.go
+++ b/pkg/entry/poller.go
@@ -12,11 +12,23 @@
 type poller struct {
 	read     func(ctx context.Context)
 	interval time.Duration
-	// poke asks for a read at once; nil means never.
-	poke  <-chan struct{}
+	// poke asks for a read at once.
+	poke  chan struct{}
 	clock clock.Clock
 }
 
+func newPoller(read func(ctx context.Context), interval time.Duration, c clock.Clock) *poller {
+	return &poller{read: read, interval: interval, poke: make(chan struct{}, 1), clock: c}
+}
+
+// wake asks for a read at once.
+func (p *poller) wake() {
+	select {
+	case p.poke <- struct{}{}:
+	default:
+	}
+}
+
 // run polls until ctx ends.
 func (p *poller) run(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -37,9 +37,10 @@
 	LogURL       string        `key:"log_url" required:"true" doc:"base URL of the log service"`
 	HostsURL     string        `key:"hosts_url" required:"true" doc:"base URL of the host list"`
 	PollInterval time.Duration `key:"poll_interval" default:"250ms" min:"10ms" max:"1s" doc:"pause between two reads of a stream"`
-	// HostsInterval is longer than PollInterval, because every read returns the whole list: 1,100 hosts are about 130 KB.
-	HostsInterval time.Duration `key:"hosts_interval" default:"2s" min:"10ms" max:"1m" doc:"pause between two reads of the host list"`
-	UseRelays     bool          `key:"use_relays" default:"false" doc:"read streams from two hosts of the failure domain instead of the log"`
+	// HostsInterval is longer than PollInterval, because a read returns the whole list when it has changed: 1,100 hosts are
+	// about 140 KB. With 1 s a leaving host is known everywhere within 3 s.
+	HostsInterval time.Duration `key:"hosts_interval" default:"1s" min:"10ms" max:"1m" doc:"pause between two reads of the host list by a root of the relay tree"`
+	UseRelays     bool          `key:"use_relays" default:"true" doc:"take part in the relay tree of the failure domain; without it the log and the host list are read directly"`
 	LogRetention  time.Duration `key:"log_retention" default:"1h" min:"1s" doc:"time for which the log keeps records"`
 }
 
--- a/pkg/entry/stream_source.go
+++ b/pkg/entry/stream_source.go
@@ -22,15 +22,18 @@
 	log          *eventlog.Logger
 	down         bool
 	published    bool
+	// offset is the last published one.
+	offset uint64
 }
 
 // read does one round. The state is published when it changed and once at the first time it is complete.
 func (s *streamSource) read(ctx context.Context) {
-	changed, err := s.follower.Poll(ctx)
+	_, err := s.follower.Poll(ctx)
 	s.noteAvailability(ctx, err)
 	complete := s.follower.CaughtUp()
-	if changed || (complete && !s.published) {
+	if offset := s.follower.Offset(); offset != s.offset || (complete && !s.published) {
 		s.published = complete
+		s.offset = offset
 		s.publish(ctx)
 	}
 	s.writer.Observe(s.follower.Offset() + 1)
--- a/pkg/stream/apply.go
+++ b/pkg/stream/apply.go
@@ -45,6 +45,7 @@
 	f.cfg.Fold.Apply(offset, f.admit(offset, e))
 	f.tail.add(offset, e)
 	f.seqs.advance(offset)
+	f.cfg.Changes.Notify()
 }
 
 // admit returns the envelope, or an empty one when the record must change nothing.
@@ -86,6 +87,7 @@
 	f.seqs = restoreWriterSeqs(c.WriterSeqs)
 	f.tail.reset()
 	f.served = nil
+	f.cfg.Changes.Notify()
 	f.cfg.Logger.Log(eventlog.StateRestored, "stream", f.cfg.Stream, "offset", c.Covers)
 	return true
 }
--- a/pkg/stream/config.go
+++ b/pkg/stream/config.go
@@ -12,7 +12,7 @@
 	DefaultPollInterval = 250 * time.Millisecond
 	// DefaultKeepRecords is the length of the tail kept for peers.
 	DefaultKeepRecords = 1024
-	// DefaultStaleAfter is the time without fresh data from a relay after which the log is read directly.
+	// DefaultStaleAfter is the age beyond WatchWait at which the log is read directly.
 	DefaultStaleAfter = time.Second
 	// DefaultPeerTimeout bounds one call to a peer.
 	DefaultPeerTimeout = time.Second
@@ -29,11 +29,12 @@
 	Hosts func() []platform.Host
 	// Self is the name of the own host, which is never asked.
 	Self string
-	// FailureDomain is the own failure domain.
-	FailureDomain string
-	// UseRelays reads from the relays of the own failure domain instead of the log.
-	UseRelays bool
-	// PollInterval is the pause between two rounds; relays are stale after StaleAfter plus this.
+	// Root reports whether the own host reads the log itself; others leave it to a Watcher while that keeps the state
+	// fresh. Nil always reads the log.
+	Root func() bool
+	// Changes is notified when records were applied.
+	Changes *Signal
+	// PollInterval is the pause between two rounds.
 	PollInterval time.Duration
 	StaleAfter   time.Duration
 	PeerTimeout  time.Duration
--- a/pkg/stream/follower.go
+++ b/pkg/stream/follower.go
@@ -20,8 +20,12 @@
 	At time.Time
 }
 
+// downPause is the time between two attempts of a host that is no root to read a log that is out. A thousand hosts that
+// tried at every poll would spend more on it than on all other control.
+const downPause = time.Second
+
 // Follower reads a stream and feeds one fold. One goroutine calls Poll; the other methods are safe for
-// concurrent use. The fold may be read by the goroutine that calls Poll.
+// concurrent use. The fold is read inside View only, because a Watcher applies records as well.
 type Follower struct {
 	cfg FollowerConfig
 
@@ -38,10 +42,15 @@
 	caughtUp bool
 	logEnd   bool
 	oldest   uint64
+	// expected is the largest offset that another process has told of, and expectedAt the time of the first notice of one
+	// that has not arrived; zero once the log was read for it.
+	expected   uint64
+	expectedAt time.Time
 
 	// Fields of the polling goroutine.
 	logDown     bool
-	relayAt     time.Time
+	logErr      error
+	logTriedAt  time.Time
 	relaysStale bool
 	nextPeer    int
 }
@@ -54,7 +63,6 @@
 		seqs:    newWriterSeqs(),
 		tail:    tail{limit: cfg.KeepRecords},
 		refused: map[string]uint64{},
-		relayAt: cfg.Now(),
 	}
 }
 
@@ -67,12 +75,17 @@
 }
 
 func (f *Follower) round(ctx context.Context) error {
-	if f.cfg.UseRelays && f.cfg.Peers != nil && f.CaughtUp() {
-		if done := f.pollRelays(ctx); done {
+	if f.cfg.Root != nil && f.CaughtUp() {
+		if f.relayed() {
 			return nil
 		}
+		if wait := f.cfg.Now().Sub(f.logTriedAt); f.logDown && !f.cfg.Root() && wait < downPause {
+			return f.logErr
+		}
 	}
+	f.logTriedAt = f.cfg.Now()
 	err := f.pollLog(ctx)
+	f.logErr = err
 	f.noteLog(err)
 	if err == nil || f.cfg.Peers == nil {
 		return err
@@ -103,6 +116,13 @@
 	return f.cfg.Fold.Offset()
 }
 
+// View calls f while no record is applied. It must not call other methods of the follower.
+func (f *Follower) View(view func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	view()
+}
+
 // CaughtUp reports whether the follower has once reached the end of the log or, with the log out, of every
 // peer that answered.
 func (f *Follower) CaughtUp() bool {
--- a/pkg/stream/follower_test.go
+++ b/pkg/stream/follower_test.go
@@ -28,6 +28,27 @@
 	return f.ReadStream(req), nil
 }
 
+func (m memPeers) Watch(ctx context.Context, address string, req *ferrypb.WatchRequest) (*ferrypb.WatchResponse, error) {
+	f, ok := m[address]
+	if !ok {
+		return nil, failure.New(failure.PeerUnavailable, failure.NotRun, "no such peer")
+	}
+	s := WatchServer{Followers: map[string]*Follower{testStream: f}, Hosts: &HostCache{}, Changes: &Signal{}, Renewals: &Signal{}, Now: f.cfg.Now}
+	return s.Watch(ctx, req), nil
+}
+
+type testClock func() time.Time
+
+func (c testClock) Now() time.Time                         { return c() }
+func (c testClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
+
+func testWatcher(self string, list []platform.Host, peers memPeers, f *Follower, now func() time.Time) *Watcher {
+	cache := &HostCache{}
+	cache.Store(list, now())
+	return NewWatcher(WatcherConfig{Self: self, FailureDomain: "d", Peers: peers, Followers: map[string]*Follower{testStream: f},
+		Hosts: cache, Renewals: &Signal{}, Clock: testClock(now), ConfigOffset: zeroLamport, Lamport: zeroLamport, Updated: func() {}})
+}
+
 func hosts(n int) func() []platform.Host {
 	var list []platform.Host
 	for i := range n {
@@ -128,31 +149,40 @@
 	now := testNow()
 	clock := func() time.Time { return now }
 	list := hosts(5)
-	relays := Relays(testStream, "d", list())
-	peers := memPeers{}
-	for _, r := range relays {
-		peers[r.Address] = NewFollower(FollowerConfig{Stream: testStream, Fold: &listFold{}, Log: log, Now: clock})
-	}
-	self := "h0"
+	self := ""
 	for _, h := range list() {
-		if h.Name != relays[0].Name && h.Name != relays[1].Name {
+		if !PlaceOf(h.Name, "d", list()).Root {
 			self = h.Name
 		}
 	}
+	parents := PlaceOf(self, "d", list()).Parents
+	peers := memPeers{}
+	for _, p := range parents {
+		peers[p.Address] = NewFollower(FollowerConfig{Stream: testStream, Fold: &listFold{}, Log: log, Now: clock})
+	}
 	counting := &countingLog{Log: log}
 	fold := &listFold{}
+	var w *Watcher
 	f := NewFollower(FollowerConfig{Stream: testStream, Fold: fold, Log: counting, Peers: peers, Hosts: list,
-		Self: self, FailureDomain: "d", UseRelays: true, Now: clock})
+		Self: self, Root: func() bool { return w.Root() }, Now: clock})
+	w = testWatcher(self, list(), peers, f, clock)
 	mustPoll(t, f)
 	reads := counting.reads
 	fill(t, log, 1, 3)
-	mustPoll(t, peers[relays[0].Address])
+	mustPoll(t, peers[parents[0].Address])
+	now = now.Add(DefaultPollInterval)
+	if !w.Round(context.Background(), 0) {
+		t.Fatal("a fresh parent counts as stale")
+	}
 	mustPoll(t, f)
 	if len(fold.ids) != 3 || counting.reads != reads {
 		t.Fatalf("%d ids, %d reads of the log", len(fold.ids), counting.reads-reads)
 	}
 	fill(t, log, 4, 5)
-	now = now.Add(DefaultStaleAfter + 2*DefaultPollInterval)
+	now = now.Add(DefaultStaleAfter + WatchWait)
+	if w.Round(context.Background(), 0) {
+		t.Fatal("a stale parent counts as fresh")
+	}
 	mustPoll(t, f)
 	if len(fold.ids) != 5 {
 		t.Fatalf("%d ids behind stale relays", len(fold.ids))
--- /dev/null
+++ b/pkg/stream/host_cache.go
@@ -0,0 +1,134 @@
+package stream
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/platform"
+)
+
+// HostCache holds the last known host list. It is safe for concurrent use.
+type HostCache struct {
+	// Changes is notified when the rows change.
+	Changes *Signal
+
+	mu    sync.Mutex
+	hosts []platform.Host
+	hash  uint64
+	// freshAt is the time up to which the list is known to equal the platform's; zero if never.
+	freshAt time.Time
+}
+
+// Hosts returns the last list, which callers must not change.
+func (c *HostCache) Hosts() []platform.Host {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hosts
+}
+
+// Hash identifies the rows; 0 for none.
+func (c *HostCache) Hash() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hash
+}
+
+// Age returns the time since the list was known to equal the platform's; -1 if it never was.
+func (c *HostCache) Age(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.freshAt.IsZero() {
+		return -1
+	}
+	return max(0, now.Sub(c.freshAt))
+}
+
+// Store takes over a list that equalled the platform's at a time. A list older than the present one is dropped.
+func (c *HostCache) Store(hosts []platform.Host, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at.Before(c.freshAt) {
+		return
+	}
+	c.freshAt = at
+	if c.hash != 0 && slices.Equal(c.hosts, hosts) {
+		return
+	}
+	c.hosts = hosts
+	c.hash = hashHosts(hosts)
+	c.Changes.Notify()
+}
+
+// renew notes that the rows with a hash equalled the platform's at a time.
+func (c *HostCache) renew(hash uint64, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if hash == c.hash && at.After(c.freshAt) {
+		c.freshAt = at
+	}
+}
+
+// update answers a reader that has the list with the given hash.
+func (c *HostCache) update(known uint64, now time.Time) *ferrypb.HostsUpdate {
+	age := c.Age(now)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := &ferrypb.HostsUpdate{Hash: c.hash, AgeMillis: -1}
+	if age >= 0 {
+		out.AgeMillis = age.Milliseconds()
+	}
+	if known == c.hash {
+		return out
+	}
+	for _, h := range c.hosts {
+		out.Rows = append(out.Rows, &ferrypb.HostRow{Name: h.Name, Role: string(h.Role), Address: h.Address,
+			Region: h.Region, FailureDomain: h.FailureDomain, State: string(h.State)})
+	}
+	return out
+}
+
+// apply takes over a parent's list.
+func (c *HostCache) apply(u *ferrypb.HostsUpdate, now time.Time) {
+	if u == nil || u.AgeMillis < 0 {
+		return
+	}
+	at := now.Add(-time.Duration(u.AgeMillis) * time.Millisecond)
+	if u.Hash == c.Hash() {
+		c.renew(u.Hash, at)
+		return
+	}
+	words := interner{}
+	hosts := make([]platform.Host, 0, len(u.Rows))
+	for _, r := range u.Rows {
+		hosts = append(hosts, platform.Host{Name: r.Name, Role: platform.Role(words.share(r.Role)), Address: r.Address,
+			Region: words.share(r.Region), FailureDomain: words.share(r.FailureDomain), State: platform.HostState(words.share(r.State))})
+	}
+	c.Store(hosts, at)
+}
+
+// interner shares equal strings of one list.
+type interner map[string]string
+
+func (i interner) share(s string) string {
+	if known, ok := i[s]; ok {
+		return known
+	}
+	i[s] = s
+	return s
+}
+
+// hashHosts identifies a list by its rows in order; it is never 0.
+func hashHosts(hosts []platform.Host) uint64 {
+	d := xxhash.New()
+	for _, h := range hosts {
+		for _, field := range []string{h.Name, string(h.Role), h.Address, h.Region, h.FailureDomain, string(h.State)} {
+			_, _ = d.WriteString(field)
+			_, _ = d.WriteString("\x00")
+		}
+	}
+	return max(1, d.Sum64())
+}
--- a/pkg/stream/peers.go
+++ b/pkg/stream/peers.go
@@ -28,3 +28,12 @@
 	}
 	return res, nil
 }
+
+// Watch implements PeerWatcher.
+func (t TwirpPeers) Watch(ctx context.Context, address string, req *ferrypb.WatchRequest) (*ferrypb.WatchResponse, error) {
+	res, err := ferrypb.NewPeerProtobufClient("http://"+address, t.Client).Watch(ctx, req)
+	if err != nil {
+		return nil, failure.Wrap(failure.PeerUnavailable, failure.NotRun, "peer "+address+" did not answer", err)
+	}
+	return res, nil
+}
--- a/pkg/stream/source_peer.go
+++ b/pkg/stream/source_peer.go
@@ -19,30 +19,22 @@
 	peersPerRound = 2
 	// askAtOnce bounds the calls in flight when a starting process asks all peers.
 	askAtOnce = 32
+	// expectWait is the time that the relay tree has to bring a record that another process has seen; it takes
+	// milliseconds per level.
+	expectWait = 500 * time.Millisecond
 )
 
-// pollRelays reads from the relays of the own failure domain. It returns false when the log must be read directly:
-// the process is a relay itself or no relay gave fresh data for StaleAfter.
-func (f *Follower) pollRelays(ctx context.Context) bool {
-	relays := Relays(f.cfg.Stream, f.cfg.FailureDomain, f.cfg.Hosts())
-	if len(relays) == 0 {
+// relayed reports whether the relay tree keeps the state fresh, so that the log need not be read. The age counts from the
+// last contact with the log, so that processes that read from each other cannot keep each other fresh.
+func (f *Follower) relayed() bool {
+	if f.cfg.Root() {
 		return false
 	}
-	for _, r := range relays {
-		if r.Name == f.cfg.Self {
-			return false
-		}
-	}
-	for _, r := range relays {
-		if f.readRelay(ctx, r.Address) {
-			f.relayAt = f.cfg.Now()
-			f.noteRelays(false)
-			return true
-		}
-	}
-	stale := f.cfg.Now().Sub(f.relayAt) >= f.cfg.StaleAfter
+	now := f.cfg.Now()
+	age := f.Age(now)
+	stale := age < 0 || age >= f.cfg.StaleAfter+WatchWait
 	f.noteRelays(stale)
-	return !stale
+	return !stale && !f.overdue(now)
 }
 
 func (f *Follower) noteRelays(stale bool) {
@@ -57,20 +49,44 @@
 	f.cfg.Logger.Log(event, "stream", f.cfg.Stream)
 }
 
-// readRelay reads one relay up to its end and reports whether its data is fresh.
-func (f *Follower) readRelay(ctx context.Context, address string) bool {
-	res, err := f.readPeer(ctx, address)
-	if err != nil || res.AgeMillis < 0 {
+// Expect tells that another process has seen an offset. If the tree does not bring it within expectWait, the next Poll
+// reads the log.
+func (f *Follower) Expect(offset uint64) {
+	now := f.cfg.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if offset <= f.cfg.Fold.Offset() || offset <= f.expected {
+		return
+	}
+	if f.expected <= f.cfg.Fold.Offset() {
+		f.expectedAt = now
+	}
+	f.expected = offset
+}
+
+// overdue reports whether an expected record has not arrived in time. Each expectation causes one read of the log.
+func (f *Follower) overdue(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.expected <= f.cfg.Fold.Offset() || f.expectedAt.IsZero() || now.Sub(f.expectedAt) < expectWait {
 		return false
 	}
-	age := time.Duration(res.AgeMillis) * time.Millisecond
-	if age > f.cfg.StaleAfter+f.cfg.PollInterval || f.Offset()+1 > res.Next {
+	f.expectedAt = time.Time{}
+	return true
+}
+
+// takeAnswer applies a parent's answer and reports whether the parent's data is fresh.
+func (f *Follower) takeAnswer(res *ferrypb.ReadStreamResponse) bool {
+	f.restore(res.Checkpoint)
+	f.applyStored(res.Records)
+	if res.AgeMillis < 0 || f.Offset()+1 > res.Next {
 		return false
 	}
+	age := time.Duration(res.AgeMillis) * time.Millisecond
 	if f.Offset()+1 == res.Next {
 		f.fresh(f.cfg.Now().Add(-age))
 	}
-	return true
+	return age <= f.cfg.StaleAfter+2*f.cfg.PollInterval
 }
 
 // readPeer reads a peer up to its end, one page per call, and returns the last answer.
