placement: count copies and loads on first use

Cause: every plan counted all copies of 760 runners into nested maps, although a settled placement asks for few of them. Ruled out: a plan kept from call to call; it would make the planner depend on its history.

--- a/pkg/placement/fleet.go
+++ b/pkg/placement/fleet.go
@@ -11,126 +11,196 @@
 // time; more open claims would only block copies that another runner could load.
 const maxOpenClaims = 2
 
-// fleet is the planner's working view: the snapshot plus what this round has assigned and released.
+// fleet is the planner's working view: the snapshot plus what this round has assigned and released. It counts copies and
+// loads on first use, because a settled placement of many runners asks for few of them.
 type fleet struct {
 	in PlanInput
-	// targets are the runners that may take new copies, in name order.
-	targets   []Runner
-	departing map[string]bool
-	used      map[string]uint64
-	open      map[string]int
-	// holds lists the versions on each runner, in any state.
-	holds map[string]map[Key]bool
-	// domains counts the live copies of a version per failure domain.
-	domains map[Key]map[string]int
-	// live counts the live copies of a version on runners that stay.
-	live map[Key]int
-	// ready counts the ready copies of a model, any version and runner.
-	ready map[string]int
-	// readyNow counts the ready copies of a version on runners that stay.
-	readyNow map[Key]int
-	// floor counts the floor copies of a version as the fold counts them.
-	floor    map[Key]int
-	released map[uint64]bool
-	regions  map[string][]string
-	epoch    int64
+	// leaving holds the hosts that the list shows as leaving.
+	leaving map[string]bool
+	// candidates are the runners that may take new copies, in name order; built by targets.
+	candidates []Runner
+	listed     bool
+	loads      map[string]*runnerLoad
+	counts     map[string]*modelCount
+	released   map[uint64]bool
+	regions    map[string][]string
+	epoch      int64
+}
+
+// runnerLoad is what one runner holds.
+type runnerLoad struct {
+	used uint64
+	// open is the number of claims whose load is not finished.
+	open int
+	// keys are the versions in any state.
+	keys []Key
+}
+
+// modelCount counts the copies of a model.
+type modelCount struct {
+	// ready counts ready copies of any version and runner.
+	ready    int
+	versions []*versionCount
+}
+
+// versionCount counts the copies of one version.
+type versionCount struct {
+	version string
+	// live counts the live copies on runners that stay.
+	live int
+	// readyNow counts the ready copies on runners that stay.
+	readyNow int
+	// floor counts the floor copies as the fold counts them.
+	floor int
+	// domains holds the failure domain of every live copy on a runner that stays.
+	domains []string
 }
 
 func newFleet(in PlanInput) *fleet {
-	f := &fleet{in: in, departing: map[string]bool{}, used: map[string]uint64{}, open: map[string]int{},
-		holds: map[string]map[Key]bool{}, domains: map[Key]map[string]int{}, live: map[Key]int{},
-		ready: map[string]int{}, readyNow: map[Key]int{}, floor: map[Key]int{}, released: map[uint64]bool{},
-		regions: map[string][]string{}, epoch: in.Now.UnixNano() / int64(rankEpoch)}
-	states := map[string]platform.HostState{}
+	f := &fleet{in: in, leaving: map[string]bool{}, loads: map[string]*runnerLoad{},
+		counts: make(map[string]*modelCount, len(in.Config.Models())), released: map[uint64]bool{}, regions: map[string][]string{},
+		epoch: in.Now.UnixNano() / int64(rankEpoch)}
 	for _, h := range in.Hosts {
-		states[h.Name] = h.State
+		if h.State == platform.HostLeaving {
+			f.leaving[h.Name] = true
+		}
 	}
 	for _, p := range in.Config.Placements() {
 		f.regions[p.Model] = append(f.regions[p.Model], p.Regions...)
 	}
-	for _, r := range in.Snapshot.Runners() {
-		f.addRunner(r, states[r.Name])
-	}
 	return f
 }
 
-func (f *fleet) addRunner(r Runner, state platform.HostState) {
-	f.departing[r.Name] = state == platform.HostLeaving || f.in.Config.Drained(r.Name)
-	live := state == platform.HostLive || len(f.in.Hosts) == 0
-	if live && !f.departing[r.Name] && r.Service == "" && r.MemoryBytes > 0 {
-		f.targets = append(f.targets, r)
+func (f *fleet) departs(runner string) bool { return f.leaving[runner] || f.in.Config.Drained(runner) }
+
+// targets returns the runners that may take new copies, in name order.
+func (f *fleet) targets() []Runner {
+	if f.listed {
+		return f.candidates
+	}
+	f.listed = true
+	live := make(map[string]bool, len(f.in.Hosts))
+	for _, h := range f.in.Hosts {
+		live[h.Name] = h.State == platform.HostLive
+	}
+	for _, r := range f.in.Snapshot.Runners() {
+		inService := live[r.Name] || len(f.in.Hosts) == 0
+		if inService && r.Service == "" && r.MemoryBytes > 0 && !f.departs(r.Name) {
+			f.candidates = append(f.candidates, r)
+		}
+	}
+	return f.candidates
+}
+
+// load returns what a runner holds.
+func (f *fleet) load(runner string) *runnerLoad {
+	if l, ok := f.loads[runner]; ok {
+		return l
+	}
+	l := &runnerLoad{}
+	for _, c := range f.in.Snapshot.ByRunner(runner) {
+		l.hold(Key{Model: c.Model, Version: c.Version}, c.Bytes)
+		if c.State == Claimed {
+			l.open++
+		}
+	}
+	f.loads[runner] = l
+	return l
+}
+
+func (l *runnerLoad) hold(key Key, bytes uint64) {
+	l.keys = append(l.keys, key)
+	l.used += bytes
+}
+
+// model returns the counts of a model.
+func (f *fleet) model(name string) *modelCount {
+	if m, ok := f.counts[name]; ok {
+		return m
 	}
-	for _, c := range f.in.Snapshot.ByRunner(r.Name) {
-		f.addCopy(c)
+	m := &modelCount{}
+	for _, c := range f.in.Snapshot.Copies(name) {
+		f.addCopy(m, c)
 	}
+	f.counts[name] = m
+	return m
+}
+
+// version returns the counts of a version.
+func (f *fleet) version(key Key) *versionCount { return f.model(key.Model).of(key.Version) }
+
+func (m *modelCount) of(version string) *versionCount {
+	for _, v := range m.versions {
+		if v.version == version {
+			return v
+		}
+	}
+	v := &versionCount{version: version}
+	m.versions = append(m.versions, v)
+	return v
 }
 
 // addCopy counts a copy. Copies on hosts that are absent from the list count until the runner is evicted: the
 // list lags, and a short list must not cause loads everywhere.
-func (f *fleet) addCopy(c Copy) {
-	key := Key{Model: c.Model, Version: c.Version}
-	f.hold(c.Runner, key, c.Bytes)
-	if c.State == Claimed {
-		f.open[c.Runner]++
-	}
+func (f *fleet) addCopy(m *modelCount, c Copy) {
 	if c.State == Ready {
-		f.ready[c.Model]++
+		m.ready++
 	}
 	if !c.Live() {
 		return
 	}
+	v := m.of(c.Version)
 	if c.Floor {
-		f.floor[key]++
+		v.floor++
 	}
-	if f.departing[c.Runner] {
+	if f.departs(c.Runner) {
 		return
 	}
-	f.live[key]++
-	f.inDomain(key, c.FailureDomain)
+	v.live++
+	v.domains = append(v.domains, c.FailureDomain)
 	if c.State == Ready {
-		f.readyNow[key]++
+		v.readyNow++
 	}
 }
 
-func (f *fleet) hold(runner string, key Key, bytes uint64) {
-	if f.holds[runner] == nil {
-		f.holds[runner] = map[Key]bool{}
-	}
-	f.holds[runner][key] = true
-	f.used[runner] += bytes
-}
-
-func (f *fleet) inDomain(key Key, domain string) {
-	if f.domains[key] == nil {
-		f.domains[key] = map[string]int{}
-	}
-	f.domains[key][domain]++
+// inDomain counts the live copies in a failure domain.
+func (v *versionCount) inDomain(domain string) int {
+	n := 0
+	for _, d := range v.domains {
+		if d == domain {
+			n++
+		}
+	}
+	return n
 }
 
 // assign notes a copy that a runner is expected to claim in this round.
 func (f *fleet) assign(r Runner, key Key, bytes uint64) {
-	f.hold(r.Name, key, bytes)
-	f.open[r.Name]++
-	f.live[key]++
-	f.inDomain(key, r.FailureDomain)
+	l := f.load(r.Name)
+	l.hold(key, bytes)
+	l.open++
+	v := f.version(key)
+	v.live++
+	v.domains = append(v.domains, r.FailureDomain)
 }
 
 // drop notes a copy that a runner is expected to release in this round. Its memory is not free yet.
 func (f *fleet) drop(c Copy) {
-	key := Key{Model: c.Model, Version: c.Version}
 	f.released[c.Claim] = true
-	f.ready[c.Model]--
-	if !f.departing[c.Runner] {
-		f.readyNow[key]--
-		f.live[key]--
+	f.model(c.Model).ready--
+	if !f.departs(c.Runner) {
+		v := f.model(c.Model).of(c.Version)
+		v.readyNow--
+		v.live--
 	}
 }
 
 func (f *fleet) free(r Runner) uint64 {
-	if f.used[r.Name] >= r.MemoryBytes {
+	used := f.load(r.Name).used
+	if used >= r.MemoryBytes {
 		return 0
 	}
-	return r.MemoryBytes - f.used[r.Name]
+	return r.MemoryBytes - used
 }
 
 // allowed reports whether a runner may take a further copy of the model.
@@ -139,7 +209,7 @@
 	if restricted && !slices.Contains(regions, r.Region) {
 		return false
 	}
-	return !f.holds[r.Name][keyOf(m)]
+	return !slices.Contains(f.load(r.Name).keys, keyOf(m))
 }
 
 func keyOf(m *object.Model) Key { return Key{Model: m.Name, Version: m.Version} }
--- a/pkg/placement/floor.go
+++ b/pkg/placement/floor.go
@@ -33,7 +33,7 @@
 func (f *fleet) tasks() []task {
 	var out []task
 	for _, m := range f.in.Config.Models() {
-		missing := wanted(m) - f.live[keyOf(m)]
+		missing := wanted(m) - f.version(keyOf(m)).live
 		for n := range max(0, missing) {
 			out = append(out, task{model: m, urgency: f.urgency(m, n)})
 		}
@@ -46,10 +46,10 @@
 }
 
 func (f *fleet) urgency(m *object.Model, nth int) urgency {
-	if nth > 0 || f.live[keyOf(m)] > 0 {
+	if nth > 0 || f.version(keyOf(m)).live > 0 {
 		return short
 	}
-	if f.ready[m.Name] > 0 {
+	if f.model(m.Name).ready > 0 {
 		return replaced
 	}
 	return lost
@@ -72,10 +72,10 @@
 
 func (f *fleet) wish(out *PlanOutput, m *object.Model, r Runner) {
 	key := keyOf(m)
-	floor := f.floor[key] < wanted(m)
+	floor := f.version(key).floor < wanted(m)
 	f.assign(r, key, m.Bytes)
 	if floor {
-		f.floor[key]++
+		f.version(key).floor++
 	}
 	if r.Name != f.in.Self || m.Bytes > f.in.FreeBytes {
 		return
@@ -91,18 +91,18 @@
 func (f *fleet) place(t task) (best Runner, found, waits bool) {
 	key := keyOf(t.model)
 	var widest Runner
-	for _, r := range f.targets {
+	for _, r := range f.targets() {
 		if !f.allowed(r, t.model) || f.free(r) < t.model.Bytes {
 			continue
 		}
 		if !waits || f.better(r, widest, key) {
 			widest, waits = r, true
 		}
-		if f.open[r.Name] < maxOpenClaims && (!found || f.better(r, best, key)) {
+		if f.load(r.Name).open < maxOpenClaims && (!found || f.better(r, best, key)) {
 			best, found = r, true
 		}
 	}
-	worse := f.domains[key][best.FailureDomain] > f.domains[key][widest.FailureDomain]
+	worse := f.version(key).inDomain(best.FailureDomain) > f.version(key).inDomain(widest.FailureDomain)
 	if found && t.urgency == short && worse {
 		return Runner{}, false, true
 	}
@@ -110,7 +110,8 @@
 }
 
 func (f *fleet) better(a, b Runner, key Key) bool {
-	inA, inB := f.domains[key][a.FailureDomain], f.domains[key][b.FailureDomain]
+	v := f.version(key)
+	inA, inB := v.inDomain(a.FailureDomain), v.inDomain(b.FailureDomain)
 	if inA != inB {
 		return inA < inB
 	}
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -36,7 +36,7 @@
 
 func (f *fleet) unwanted(c Copy) bool {
 	m, published := f.in.Config.Model(c.Model)
-	return !published || m.Version != c.Version || f.departing[c.Runner]
+	return !published || m.Version != c.Version || f.departs(c.Runner)
 }
 
 // releasable reports whether an unwanted ready copy can go: at once if the model is not published, else when
@@ -49,18 +49,21 @@
 	if !published {
 		return 0, true
 	}
-	return uint32(wanted(m)), f.readyNow[keyOf(m)] >= wanted(m)
+	return uint32(wanted(m)), f.version(keyOf(m)).readyNow >= wanted(m)
 }
 
 // nextLoad returns the own claim whose load may start: the runner's first open claim, if it is among the first
 // StoreConcurrency runners in claim order. Runners that depart or are not live do not hold a turn.
 func (f *fleet) nextLoad(abandoned []uint64) uint64 {
+	if len(f.in.Snapshot.OpenLoads()) == 0 {
+		return 0
+	}
 	skip := map[uint64]bool{}
 	for _, claim := range abandoned {
 		skip[claim] = true
 	}
 	live := map[string]bool{}
-	for _, r := range f.targets {
+	for _, r := range f.targets() {
 		live[r.Name] = true
 	}
 	turns := map[string]bool{}
--- a/pkg/placement/room.go
+++ b/pkg/placement/room.go
@@ -25,7 +25,7 @@
 	var best Runner
 	var chosen []victim
 	bestCost := -1
-	for _, r := range f.targets {
+	for _, r := range f.targets() {
 		if !f.allowed(r, t.model) || r.MemoryBytes < t.model.Bytes {
 			continue
 		}
@@ -55,10 +55,10 @@
 // victimsFor returns the copies of a runner whose release makes room for the task, cheapest first.
 func (f *fleet) victimsFor(r Runner, t task) ([]victim, int, bool) {
 	room := r.MemoryBytes
-	if f.used[r.Name] > r.MemoryBytes {
+	if f.load(r.Name).used > r.MemoryBytes {
 		return nil, 0, false
 	}
-	room -= f.used[r.Name]
+	room -= f.load(r.Name).used
 	room += f.releasing(r)
 	var chosen []victim
 	cost := 0
@@ -121,11 +121,11 @@
 	if !published {
 		return victim{copy: c, cost: costNone, keep: 0}, true
 	}
-	others := f.ready[c.Model] - taken - 1
+	others := f.model(c.Model).ready - taken - 1
 	if others < 1 {
 		return victim{}, false
 	}
-	spare := f.readyNow[keyOf(m)] - taken
+	spare := f.version(keyOf(m)).readyNow - taken
 	if c.Version == m.Version {
 		spare--
 	}
--- a/pkg/placement/surplus.go
+++ b/pkg/placement/surplus.go
@@ -22,8 +22,11 @@
 
 // planSurplus adds at most one surplus copy on the own runner, for the demand with the largest net value.
 func (f *fleet) planSurplus(out *PlanOutput) {
+	if len(f.in.Demands) == 0 {
+		return
+	}
 	self, ok := f.self()
-	if !ok || len(out.Claims) > 0 || len(out.Releases) > 0 || f.open[self.Name] > 0 {
+	if !ok || len(out.Claims) > 0 || len(out.Releases) > 0 || f.load(self.Name).open > 0 {
 		return
 	}
 	var best *object.Model
@@ -48,7 +51,7 @@
 }
 
 func (f *fleet) self() (Runner, bool) {
-	for _, r := range f.targets {
+	for _, r := range f.targets() {
 		if r.Name == f.in.Self {
 			return r, true
 		}
