--- a/pkg/agent/core_watch.go
+++ b/pkg/agent/core_watch.go
@@ -23,8 +23,13 @@
 }
 
 type watchState struct {
-	names   []string
+	// names are all runners from which the watched ones were chosen.
+	names []string
+	// chosen are the watched runners in name order.
+	chosen  []string
 	targets map[string]*watched
+	// placement is the snapshot that the choice was checked against.
+	placement *placement.Snapshot
 }
 
 func newWatchState() watchState { return watchState{targets: map[string]*watched{}} }
@@ -49,9 +54,9 @@
 		return
 	}
 	c.updateTargets()
-	for _, name := range c.watch.names {
-		t, ok := c.watch.targets[name]
-		if !ok || t.pinging || c.now.Before(t.next) {
+	for _, name := range c.watch.chosen {
+		t := c.watch.targets[name]
+		if t.pinging || c.now.Before(t.next) {
 			continue
 		}
 		t.pinging = true
@@ -62,6 +67,10 @@
 
 // updateTargets chooses the watched runners anew when the set of runners changed.
 func (c *Core) updateTargets() {
+	if c.watch.placement == c.placement {
+		return
+	}
+	c.watch.placement = c.placement
 	all := c.placement.Runners()
 	names := make([]string, 0, len(all))
 	for _, r := range all {
@@ -81,6 +90,7 @@
 
 func (c *Core) chooseTargets(all []placement.Runner) {
 	targets := map[string]*watched{}
+	c.watch.chosen = nil
 	for _, r := range all {
 		if !watches(c.id.Runner, r, all) {
 			continue
@@ -90,6 +100,7 @@
 			t = &watched{runner: r, seen: c.now}
 		}
 		targets[r.Name] = t
+		c.watch.chosen = append(c.watch.chosen, r.Name)
 	}
 	c.watch.targets = targets
 }
@@ -99,9 +110,9 @@
 	if c.hostsAt.IsZero() || c.now.Sub(c.hostsAt) > c.limits.Silence || len(c.hosts) == 0 {
 		return nil
 	}
-	for _, name := range c.watch.names {
-		t, ok := c.watch.targets[name]
-		if !ok || !c.gone(t) {
+	for _, name := range c.watch.chosen {
+		t := c.watch.targets[name]
+		if !c.gone(t) {
 			continue
 		}
 		c.log(eventlog.RunnerEvicted, "runner", name, "fencing", t.runner.Fencing)
--- a/pkg/agent/placement.go
+++ b/pkg/agent/placement.go
@@ -9,29 +9,43 @@
 // Planner decides what the own runner shall claim, release, abandon and load next. It is a pure function.
 type Planner func(in placement.PlanInput) placement.PlanOutput
 
-// planInterval is the time between two plans while nothing but demand and time changes.
-const planInterval = time.Second
+const (
+	// planInterval is the time between two plans while nothing but demand and time changes.
+	planInterval = time.Second
+	// quietInterval is the same while the last plan asked for nothing and nobody reports unmet demand. Only the passing
+	// over of a runner that does not act depends on time alone, and that takes 20 s.
+	quietInterval = 5 * time.Second
+)
 
 // planMemo keeps the last plan. It is made anew when the records, the configuration or the host list change.
 type planMemo struct {
 	made            time.Time
 	placementOffset uint64
 	configOffset    uint64
+	freeBytes       uint64
 	output          placement.PlanOutput
 }
 
 // planned returns the current plan.
 func (c *Core) planned() placement.PlanOutput {
 	m := &c.memo
-	fresh := !m.made.IsZero() && c.now.Sub(m.made) < planInterval
+	fresh := !m.made.IsZero() && c.now.Sub(m.made) < c.planPeriod() && m.freeBytes == c.freeBytes()
 	if fresh && m.placementOffset == c.placementOffset && m.configOffset == c.set.Offset {
 		return m.output
 	}
-	*m = planMemo{made: c.now, placementOffset: c.placementOffset, configOffset: c.set.Offset}
+	*m = planMemo{made: c.now, placementOffset: c.placementOffset, configOffset: c.set.Offset, freeBytes: c.freeBytes()}
 	m.output = c.plan(c.planInput())
 	return m.output
 }
 
+func (c *Core) planPeriod() time.Duration {
+	o := c.memo.output
+	if len(c.demand.hints) > 0 || len(o.Claims)+len(o.Releases)+len(o.Abandons) > 0 || o.Load > 0 {
+		return planInterval
+	}
+	return quietInterval
+}
+
 func (c *Core) planInput() placement.PlanInput {
 	return placement.PlanInput{
 		Snapshot:         c.placement,
