stream: pass on changes of the host list instead of the whole list

Cause: a changed list was sent whole, about 110 KB to each of up to nine children; 160 replacements in an hour change it about 480 times. Ruled out: waiting longer to join changes, which would delay the notice of leaving hosts. Change: a parent remembers the last 16 changes and sends the rows that differ from the list that the child has; the hash of the result is checked, and a mismatch brings the whole list.

--- a/pkg/stream/host_cache.go
+++ b/pkg/stream/host_cache.go
@@ -1,6 +1,7 @@
 package stream
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -21,6 +22,8 @@
 	hash  uint64
 	// freshAt is the time up to which the list is known to equal the platform's; zero if never.
 	freshAt time.Time
+	// deltas lead from earlier lists to the present one, oldest first.
+	deltas []hostDelta
 }
 
 // Hosts returns the last list, which callers must not change.
@@ -47,7 +50,7 @@
 	return max(0, now.Sub(c.freshAt))
 }
 
-// Store takes over a list that equalled the platform's at a time. A list older than the present one is dropped.
+// Store takes over a list, ordered by name, that equalled the platform's at a time. A list older than the present one is dropped.
 func (c *HostCache) Store(hosts []platform.Host, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -55,9 +58,19 @@
 		return
 	}
 	c.freshAt = at
+	hosts = byName(hosts)
 	if c.hash != 0 && slices.Equal(c.hosts, hosts) {
 		return
 	}
+	c.replace(hosts)
+}
+
+// replace puts a different list in force.
+func (c *HostCache) replace(hosts []platform.Host) {
+	if c.hash != 0 {
+		c.deltas = append(c.deltas, newHostDelta(c.hash, c.hosts, hosts))
+		c.deltas = c.deltas[max(0, len(c.deltas)-maxDeltas):]
+	}
 	c.hosts = hosts
 	c.hash = hashHosts(hosts)
 	c.Changes.Notify()
@@ -84,13 +97,30 @@
 	if known == c.hash {
 		return out
 	}
+	if c.sinceKnown(known, out) {
+		return out
+	}
 	for _, h := range c.hosts {
-		out.Rows = append(out.Rows, &ferrypb.HostRow{Name: h.Name, Role: string(h.Role), Address: h.Address,
-			Region: h.Region, FailureDomain: h.FailureDomain, State: string(h.State)})
+		out.Rows = append(out.Rows, hostRow(h))
 	}
 	return out
 }
 
+// sinceKnown fills in what changed since an earlier list; false if that list is not remembered.
+func (c *HostCache) sinceKnown(known uint64, out *ferrypb.HostsUpdate) bool {
+	first := slices.IndexFunc(c.deltas, func(d hostDelta) bool { return d.base == known })
+	if known == 0 || first < 0 {
+		return false
+	}
+	out.Base = known
+	merged := mergeDeltas(c.deltas[first:])
+	for _, h := range merged.rows {
+		out.Rows = append(out.Rows, hostRow(h))
+	}
+	out.Removed = merged.removed
+	return true
+}
+
 // apply takes over a parent's list.
 func (c *HostCache) apply(u *ferrypb.HostsUpdate, now time.Time) {
 	if u == nil || u.AgeMillis < 0 {
@@ -102,12 +132,47 @@
 		return
 	}
 	words := interner{}
-	hosts := make([]platform.Host, 0, len(u.Rows))
+	rows := make([]platform.Host, 0, len(u.Rows))
 	for _, r := range u.Rows {
-		hosts = append(hosts, platform.Host{Name: r.Name, Role: platform.Role(words.share(r.Role)), Address: r.Address,
-			Region: words.share(r.Region), FailureDomain: words.share(r.FailureDomain), State: platform.HostState(words.share(r.State))})
+		rows = append(rows, words.host(r))
+	}
+	if u.Base == 0 {
+		c.Store(rows, at)
+		return
 	}
-	c.Store(hosts, at)
+	c.applyDelta(hostDelta{base: u.Base, rows: rows, removed: u.Removed}, u.Hash, at)
+}
+
+// applyDelta continues the list that the delta is based on. A result with another hash is dropped with the own hash, so
+// that the next answer brings the whole list.
+func (c *HostCache) applyDelta(d hostDelta, hash uint64, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if d.base != c.hash || at.Before(c.freshAt) {
+		return
+	}
+	hosts := d.apply(c.hosts)
+	if hashHosts(hosts) != hash {
+		c.hash = 0
+		return
+	}
+	c.freshAt = at
+	c.replace(hosts)
+}
+
+func hostRow(h platform.Host) *ferrypb.HostRow {
+	return &ferrypb.HostRow{Name: h.Name, Role: string(h.Role), Address: h.Address, Region: h.Region,
+		FailureDomain: h.FailureDomain, State: string(h.State)}
+}
+
+func byName(hosts []platform.Host) []platform.Host {
+	compare := func(a, b platform.Host) int { return cmp.Compare(a.Name, b.Name) }
+	if slices.IsSortedFunc(hosts, compare) {
+		return hosts
+	}
+	sorted := slices.Clone(hosts)
+	slices.SortFunc(sorted, compare)
+	return sorted
 }
 
 // interner shares equal strings of one list.
@@ -121,6 +186,11 @@
 	return s
 }
 
+func (i interner) host(r *ferrypb.HostRow) platform.Host {
+	return platform.Host{Name: r.Name, Role: platform.Role(i.share(r.Role)), Address: r.Address, Region: i.share(r.Region),
+		FailureDomain: i.share(r.FailureDomain), State: platform.HostState(i.share(r.State))}
+}
+
 // hashHosts identifies a list by its rows in order; it is never 0.
 func hashHosts(hosts []platform.Host) uint64 {
 	d := xxhash.New()
