settings, agent, entry: bound the garbage of the daemons

Cause: live state of about 7 MB had a heap of up to twice its size, the first replay left several times that, and objects of change sets were kept twice. Ruled out: a tight memory limit; bodies of requests in progress count as well, and the collector would run without end.

--- a/cmd/ferry-agent/main.go
+++ b/cmd/ferry-agent/main.go
@@ -31,5 +31,6 @@
 	if err != nil || done {
 		return err
 	}
+	s.Runtime.Apply()
 	return agent.Run(ctx, &s)
 }
--- a/cmd/ferry-entry/main.go
+++ b/cmd/ferry-entry/main.go
@@ -32,6 +32,7 @@
 	if done || err != nil {
 		return err
 	}
+	s.Runtime.Apply()
 	app := entry.NewApp(s, os.Stderr)
 	if err := app.Err(); err != nil {
 		return err
--- a/pkg/agent/settings.go
+++ b/pkg/agent/settings.go
@@ -20,6 +20,7 @@
 	Watch    WatchSettings    `section:"watch" doc:"Watching of other runners."`
 	Drain    DrainSettings    `section:"drain" doc:"Graceful stop."`
 	Log      LogSettings      `section:"log" doc:"Log output."`
+	Runtime  settings.Runtime `section:"runtime" doc:"Memory management."`
 }
 
 // HostSettings name the host.
--- a/pkg/agent/sources.go
+++ b/pkg/agent/sources.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
 	"trefoilferry.example/ferry/pkg/configlog"
@@ -45,10 +46,18 @@
 		read.Set = s.fold.Set()
 		s.sent = s.fold.Offset()
 	})
+	releaseStartup(caughtUp && !s.caughtUp)
 	s.caughtUp = caughtUp
 	s.send(read)
 }
 
+// releaseStartup returns the memory of the first replay, which is several times the state, to the host.
+func releaseStartup(first bool) {
+	if first {
+		debug.FreeOSMemory()
+	}
+}
+
 // placementSource turns the placement stream into events.
 type placementSource struct {
 	fold     *placement.Fold
@@ -74,6 +83,7 @@
 		read.Offset = s.fold.Offset()
 	})
 	s.sent = read.Offset
+	releaseStartup(caughtUp && !s.caughtUp)
 	s.caughtUp = caughtUp
 	s.send(read)
 }
--- a/pkg/configlog/fold.go
+++ b/pkg/configlog/fold.go
@@ -1,7 +1,6 @@
 package configlog
 
 import (
-	"google.golang.org/protobuf/proto"
 
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/object"
@@ -60,10 +59,12 @@
 	}
 }
 
+// change keeps the objects of the change set itself, which must not be changed afterwards: a copy would double the memory of
+// the configuration, because the tail for peers holds the change sets as well.
 func (f *Fold) change(cs *ferrypb.ChangeSet) {
 	for _, o := range cs.GetPuts() {
 		k := keyOf(o)
-		f.objects[k] = &ferrypb.VersionedObject{Object: proto.CloneOf(o), Version: f.offset}
+		f.objects[k] = &ferrypb.VersionedObject{Object: o, Version: f.offset}
 		delete(f.tombstones, k)
 	}
 	for _, d := range cs.GetDeletes() {
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"trefoilferry.example/ferry/pkg/retry"
+	"trefoilferry.example/ferry/pkg/settings"
 )
 
 // Settings are the static settings of an entry host.
@@ -16,6 +17,7 @@
 	Retry    RetrySettings    `section:"retry" doc:"Repetition of failed attempts."`
 	Drain    DrainSettings    `section:"drain" doc:"Graceful stop."`
 	Log      LogSettings      `section:"log" doc:"Log output."`
+	Runtime  settings.Runtime `section:"runtime" doc:"Memory management."`
 }
 
 // HostSettings describe the host.
--- a/pkg/entry/stream_source.go
+++ b/pkg/entry/stream_source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/clock"
@@ -32,9 +33,14 @@
 	s.noteAvailability(ctx, err)
 	complete := s.follower.CaughtUp()
 	if offset := s.follower.Offset(); offset != s.offset || (complete && !s.published) {
+		first := complete && !s.published
 		s.published = complete
 		s.offset = offset
 		s.publish(ctx)
+		if first {
+			// The first replay needs several times the memory of the state.
+			debug.FreeOSMemory()
+		}
 	}
 	s.writer.Observe(s.follower.Offset() + 1)
 	s.renew(ctx)
