--- a/pkg/configlog/fold.go
+++ b/pkg/configlog/fold.go
@@ -1,7 +1,6 @@
 package configlog
 
 import (
-
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/object"
 )
