--- a/pkg/placement/fleet.go
+++ b/pkg/placement/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"trefoilferry.example/ferry/pkg/object"
 	"trefoilferry.example/ferry/pkg/platform"
@@ -11,6 +12,10 @@
 // time; more open claims would only block copies that another runner could load.
 const maxOpenClaims = 2
 
+// loadPatience is the time from a claim's turn on after which the unfinished load no longer counts. It lies far above
+// the time that a busy weight store needs, so that only engines or agents that hang are passed over.
+const loadPatience = 2 * time.Minute
+
 // fleet is the planner's working view: the snapshot plus what this round has assigned and released. It counts copies and
 // loads on first use, because a settled placement of many runners asks for few of them.
 type fleet struct {
@@ -19,12 +24,13 @@
 	leaving map[string]bool
 	// candidates are the runners that may take new copies, in name order; built by targets.
 	candidates []Runner
-	listed     bool
-	loads      map[string]*runnerLoad
-	counts     map[string]*modelCount
-	released   map[uint64]bool
-	regions    map[string][]string
-	epoch      int64
+	// able tells which runners may load the copies that they have claimed; built by targets.
+	able     map[string]bool
+	loads    map[string]*runnerLoad
+	counts   map[string]*modelCount
+	released map[uint64]bool
+	regions  map[string][]string
+	epoch    int64
 }
 
 // runnerLoad is what one runner holds.
@@ -73,25 +79,54 @@
 
 func (f *fleet) departs(runner string) bool { return f.leaving[runner] || f.in.Config.Drained(runner) }
 
-// targets returns the runners that may take new copies, in name order.
+// targets returns the runners that may take new copies, in name order: those that may load and do not hang.
 func (f *fleet) targets() []Runner {
-	if f.listed {
+	if f.able != nil {
 		return f.candidates
 	}
-	f.listed = true
 	live := make(map[string]bool, len(f.in.Hosts))
 	for _, h := range f.in.Hosts {
 		live[h.Name] = h.State == platform.HostLive
 	}
+	hanging := f.hanging()
+	f.able = make(map[string]bool, len(live))
 	for _, r := range f.in.Snapshot.Runners() {
 		inService := live[r.Name] || len(f.in.Hosts) == 0
-		if inService && r.Service == "" && r.MemoryBytes > 0 && !f.departs(r.Name) {
+		if !inService || r.Service != "" || r.MemoryBytes == 0 || f.departs(r.Name) {
+			continue
+		}
+		f.able[r.Name] = true
+		if !hanging[r.Name] {
 			f.candidates = append(f.candidates, r)
 		}
 	}
 	return f.candidates
 }
 
+// mayLoad reports whether a runner may load the copies that it has claimed.
+func (f *fleet) mayLoad(runner string) bool {
+	f.targets()
+	return f.able[runner]
+}
+
+// hanging returns the runners with an overdue claim.
+func (f *fleet) hanging() map[string]bool {
+	out := map[string]bool{}
+	for _, c := range f.in.Snapshot.OpenLoads() {
+		if f.overdue(c) {
+			out[c.Runner] = true
+		}
+	}
+	return out
+}
+
+// overdue reports whether a claim has held its turn for so long that its runner is to be passed over. The claim keeps
+// its memory; another runner may load a copy and the next claims get its turn at the weight store.
+func (f *fleet) overdue(c Copy) bool {
+	since, known := f.in.TurnSince[c.Claim]
+	return c.State == Claimed && known && f.in.Now.Sub(since) >= loadPatience
+}
+
 // load returns what a runner holds.
 func (f *fleet) load(runner string) *runnerLoad {
 	if l, ok := f.loads[runner]; ok {
@@ -153,7 +188,7 @@
 	if c.Floor {
 		v.floor++
 	}
-	if f.departs(c.Runner) {
+	if f.departs(c.Runner) || f.overdue(c) {
 		return
 	}
 	v.live++
--- a/pkg/stream/follower.go
+++ b/pkg/stream/follower.go
@@ -48,6 +48,7 @@
 	expectedAt time.Time
 
 	// Fields of the polling goroutine.
+	reader      *logReader
 	logDown     bool
 	logErr      error
 	logTriedAt  time.Time
@@ -63,6 +64,7 @@
 		seqs:    newWriterSeqs(),
 		tail:    tail{limit: cfg.KeepRecords},
 		refused: map[string]uint64{},
+		reader:  &logReader{log: cfg.Log, stream: cfg.Stream, patience: cfg.LogPatience, now: cfg.Now},
 	}
 }
 
