--- a/pkg/agent/core.go
+++ b/pkg/agent/core.go
@@ -21,8 +21,11 @@
 	now time.Time
 	out []Action
 
-	set         *object.Set
-	configKnown bool
+	set *object.Set
+	// largestBytes is the size of the largest adapter in adaptersOf.
+	largestBytes uint64
+	adaptersOf   *object.Set
+	configKnown  bool
 
 	placement       *placement.Snapshot
 	placementOffset uint64
--- a/pkg/agent/core_memory.go
+++ b/pkg/agent/core_memory.go
@@ -18,14 +18,17 @@
 // arena returns the bytes that are kept for adapters: every slot may hold the largest published one.
 func (c *Core) arena() uint64 { return c.largestAdapter() * uint64(c.id.AdapterSlots) }
 
+// largestAdapter is looked up once per configuration, because every step asks for it.
 func (c *Core) largestAdapter() uint64 {
-	largest := uint64(0)
-	if c.set != nil {
-		for _, a := range c.set.Adapters() {
-			largest = max(largest, a.Bytes)
-		}
+	if c.set == nil || c.set == c.adaptersOf {
+		return c.largestBytes
+	}
+	c.adaptersOf = c.set
+	c.largestBytes = 0
+	for _, a := range c.set.Adapters() {
+		c.largestBytes = max(c.largestBytes, a.Bytes)
 	}
-	return largest
+	return c.largestBytes
 }
 
 // capacity returns the memory for models in bytes: the engine's memory less the arena of the adapters.
