--- a/pkg/entry/stream_source.go
+++ b/pkg/entry/stream_source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
 	"trefoilferry.example/ferry/api/ferrypb"
@@ -26,16 +27,24 @@
 	log          *eventlog.Logger
 	down         bool
 	published    bool
+	// offset is the last published one.
+	offset uint64
 }
 
 // read does one round. The state is published when it changed and once at the first time it is complete.
 func (s *streamSource) read(ctx context.Context) {
-	changed, err := s.follower.Poll(ctx)
+	_, err := s.follower.Poll(ctx)
 	s.noteAvailability(ctx, err)
 	complete := s.follower.CaughtUp()
-	if changed || (complete && !s.published) {
+	if offset := s.follower.Offset(); offset != s.offset || (complete && !s.published) {
+		first := complete && !s.published
 		s.published = complete
+		s.offset = offset
 		s.publish(ctx)
+		if first {
+			// The first replay needs several times the memory of the state.
+			debug.FreeOSMemory()
+		}
 	}
 	s.writer.Observe(s.follower.Offset() + 1)
 	s.renew(ctx)
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -37,7 +37,7 @@
 
 func (f *fleet) unwanted(c Copy) bool {
 	m, published := f.in.Config.Model(c.Model)
-	return !published || m.Version != c.Version || f.departing[c.Runner]
+	return !published || m.Version != c.Version || f.departs(c.Runner)
 }
 
 // releasable reports whether an unwanted ready copy can go: at once if the model is not published, else when
@@ -50,12 +50,15 @@
 	if !published {
 		return 0, true
 	}
-	return uint32(wanted(m)), f.readyNow[keyOf(m)] >= wanted(m)
+	return uint32(wanted(m)), f.version(keyOf(m)).readyNow >= wanted(m)
 }
 
 // planLoads grants turns at the weight store: the first open claim of each of the first StoreConcurrency runners in
 // claim order. Runners that depart or are not live do not hold a turn, nor do overdue claims of other runners.
 func (f *fleet) planLoads(out *PlanOutput) {
+	if len(f.in.Snapshot.OpenLoads()) == 0 {
+		return
+	}
 	skip := map[uint64]bool{}
 	for _, claim := range out.Abandons {
 		skip[claim] = true
@@ -63,7 +66,7 @@
 	turns := map[string]bool{}
 	for _, c := range f.in.Snapshot.OpenLoads() {
 		passed := c.Runner != f.in.Self && f.overdue(c)
-		if !f.loads[c.Runner] || turns[c.Runner] || skip[c.Claim] || passed {
+		if !f.mayLoad(c.Runner) || turns[c.Runner] || skip[c.Claim] || passed {
 			continue
 		}
 		if len(turns) >= max(1, f.in.StoreConcurrency) {
