agent: placement policy as a setting, with two baselines

Cause: experiments need baselines for the placement of surplus copies. Ruled out: a separate program, because it would differ in more than the policy. Change: [placement] policy is planned, static or on_demand, each a small plugin over the same floor. Conclusion: baselines can be selected with agent.placement.policy.

--- a/pkg/agent/core_demand.go
+++ b/pkg/agent/core_demand.go
@@ -19,8 +19,10 @@
 type demandState struct {
 	hints map[string]placement.Demand
 	// rates are the requests per second that own copies serve, by model.
-	rates    map[string]float64
-	totals   map[string]uint64
+	rates  map[string]float64
+	totals map[string]uint64
+	// usedAt tells when an own copy last served a request, by model.
+	usedAt   map[string]time.Time
 	countsAt time.Time
 	// readySince tells since when an own copy is known to be ready, by claim.
 	readySince map[uint64]time.Time
@@ -33,6 +35,7 @@
 		hints:      map[string]placement.Demand{},
 		rates:      map[string]float64{},
 		totals:     map[string]uint64{},
+		usedAt:     map[string]time.Time{},
 		readySince: map[uint64]time.Time{},
 		releaseAt:  map[uint64]time.Time{},
 	}
@@ -66,6 +69,9 @@
 			rate := float64(total-d.totals[model]) / passed
 			d.rates[model] += min(1, servedWeight*passed) * (rate - d.rates[model])
 		}
+		if total != d.totals[model] {
+			d.usedAt[model] = now
+		}
 		d.totals[model] = total
 	}
 	d.countsAt = now
--- a/pkg/agent/daemon.go
+++ b/pkg/agent/daemon.go
@@ -11,7 +11,6 @@
 	"trefoilferry.example/ferry/pkg/engine"
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/failure"
-	"trefoilferry.example/ferry/pkg/placement"
 	"trefoilferry.example/ferry/pkg/platform"
 	"trefoilferry.example/ferry/pkg/queue"
 	"trefoilferry.example/ferry/pkg/timeline"
@@ -79,7 +78,7 @@
 	d.view.Store(startView(id))
 	d.adapters = NewAdapters(func(e Event) { d.control.Send(e) })
 	d.effects = d.newEffects()
-	d.control = NewControl(NewCore(id, limitsOf(s), placement.Plan), deps.Clock, d.work, d.effects.Do)
+	d.control = NewControl(NewCore(id, limitsOf(s), plannerOf(s)), deps.Clock, d.work, d.effects.Do)
 	d.streams = newStreams(d)
 	d.exec = d.newExec()
 	if deps.Engine != nil {
--- a/pkg/agent/placement.go
+++ b/pkg/agent/placement.go
@@ -7,7 +7,17 @@
 )
 
 // Planner decides what the own runner shall claim, release, abandon and load next. It is a pure function.
-type Planner func(in placement.PlanInput) placement.PlanOutput
+type Planner = placement.Planner
+
+// plannerOf returns the planner of the settings. Settings that have passed their check name a known policy; those that
+// were made without the defaults get the planned one.
+func plannerOf(s *Settings) Planner {
+	planner, err := placement.NewPlanner(s.Placement.Policy)
+	if err != nil {
+		return placement.Plan
+	}
+	return planner
+}
 
 // planInterval is the time between two plans while nothing but demand and time changes.
 const planInterval = time.Second
@@ -75,6 +85,7 @@
 		out[keyOf(own)] = placement.Usage{
 			RatePerSecond: c.demand.rates[own.Model],
 			ReadySince:    c.demand.readySince[own.Claim],
+			LastUsed:      c.demand.usedAt[own.Model],
 			Pinned:        item.Unsettled,
 		}
 	}
--- a/pkg/agent/settings.go
+++ b/pkg/agent/settings.go
@@ -6,20 +6,22 @@
 	"net/url"
 	"time"
 
+	"trefoilferry.example/ferry/pkg/placement"
 	"trefoilferry.example/ferry/pkg/settings"
 )
 
 // Settings are the static settings of an agent.
 type Settings struct {
-	Host     HostSettings     `section:"host" doc:"Identity of the agent's host."`
-	Listen   ListenSettings   `section:"listen" doc:"Addresses and limits of the servers."`
-	Platform PlatformSettings `section:"platform" doc:"Services of the platform."`
-	Backend  BackendSettings  `section:"backend" doc:"The backend server beside the agent."`
-	Queue    QueueSettings    `section:"queue" doc:"Admission of generations."`
-	Keys     KeysSettings     `section:"keys" doc:"Idempotency keys of service calls."`
-	Watch    WatchSettings    `section:"watch" doc:"Watching of other runners."`
-	Drain    DrainSettings    `section:"drain" doc:"Graceful stop."`
-	Log      LogSettings      `section:"log" doc:"Log output."`
+	Host      HostSettings      `section:"host" doc:"Identity of the agent's host."`
+	Listen    ListenSettings    `section:"listen" doc:"Addresses and limits of the servers."`
+	Platform  PlatformSettings  `section:"platform" doc:"Services of the platform."`
+	Backend   BackendSettings   `section:"backend" doc:"The backend server beside the agent."`
+	Queue     QueueSettings     `section:"queue" doc:"Admission of generations."`
+	Placement PlacementSettings `section:"placement" doc:"Copies of models."`
+	Keys      KeysSettings      `section:"keys" doc:"Idempotency keys of service calls."`
+	Watch     WatchSettings     `section:"watch" doc:"Watching of other runners."`
+	Drain     DrainSettings     `section:"drain" doc:"Graceful stop."`
+	Log       LogSettings       `section:"log" doc:"Log output."`
 }
 
 // HostSettings name the host.
@@ -78,6 +80,11 @@
 	PrefixIndex  int           `key:"prefix_index" default:"4096" min:"1" doc:"Prompt prefixes remembered from the engine's cache events."`
 }
 
+// PlacementSettings choose how copies beyond the published minimum come and go.
+type PlacementSettings struct {
+	Policy string `key:"policy" default:"planned" doc:"planned weighs the value of a surplus copy against its cost, static adds none, on_demand adds one at every hint."`
+}
+
 // KeysSettings bound the idempotency keys.
 type KeysSettings struct {
 	Retention time.Duration  `key:"retention" default:"24h" min:"1m" doc:"Time for which a key is remembered."`
@@ -114,6 +121,9 @@
 	if (s.Backend.Kind == BackendService) != (s.Backend.Service != "") {
 		add("backend", "service", "is required for kind service and for no other")
 	}
+	if _, err := placement.NewPlanner(s.Placement.Policy); err != nil {
+		add("placement", "policy", "must be planned, static or on_demand")
+	}
 	for _, a := range []struct{ key, value string }{{"control", s.Listen.Control}, {"admin", s.Listen.Admin}} {
 		if !validAddress(a.value) {
 			add("listen", a.key, "must be an IP address and a port")
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -6,7 +6,9 @@
 //
 // It never asks for the release of the last ready copy of a published model; the fold enforces the same
 // by Keep when agents act on different snapshots.
-func Plan(in PlanInput) PlanOutput {
+func Plan(in PlanInput) PlanOutput { return planWith(in, (*fleet).planSurplus) }
+
+func planWith(in PlanInput, surplus surplusPolicy) PlanOutput {
 	out := PlanOutput{}
 	if _, ok := in.Snapshot.Runner(in.Self); !ok {
 		return out
@@ -15,7 +17,7 @@
 	f.planUnwanted(&out)
 	f.planShrink(&out)
 	f.planFloor(&out)
-	f.planSurplus(&out)
+	surplus(f, &out)
 	f.planLoads(&out)
 	return out
 }
--- a/pkg/placement/plan_types.go
+++ b/pkg/placement/plan_types.go
@@ -32,6 +32,8 @@
 	RatePerSecond float64
 	// ReadySince is the time at which the copy became ready at this agent.
 	ReadySince time.Time
+	// LastUsed is the time of the last request; zero before the first one.
+	LastUsed time.Time
 	// Pinned is true when an unload would not free the memory, because a load order is unsettled.
 	Pinned bool
 }
