entry: count only demand that a copy can cure; keep adapters where they are

Cause: prompts whose own prefill exceeds the target are admitted, yet counted as unmet demand, and one late request after a pause counted as one a second; both load copies. Adapters were loaded on every holder of their model. Ruled out: a change of the protocol; the fastest prediction seen tells the prefill rate of an idle runner. Conclusion: hints report demand that a further copy would serve.

--- a/pkg/entry/dispatcher.go
+++ b/pkg/entry/dispatcher.go
@@ -64,7 +64,7 @@
 
 // NewDispatcher returns a dispatcher.
 func NewDispatcher(p DispatcherParts) (*Dispatcher, error) {
-	services, err := routing.NewPolicy(routing.PolicyRandom, 0)
+	services, err := routing.NewPolicy(routing.PolicyRandom, routing.Costs{})
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/entry/harness_test.go
+++ b/pkg/entry/harness_test.go
@@ -200,7 +200,7 @@
 	if edit != nil {
 		edit(s)
 	}
-	policy, err := routing.NewPolicy(routing.PolicyProbe, 0)
+	policy, err := routing.NewPolicy(routing.PolicyProbe, routing.Costs{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/entry/hinter.go
+++ b/pkg/entry/hinter.go
@@ -27,13 +27,12 @@
 	ring   *timeline.Ring
 	clock  clock.Clock
 
-	mu     sync.Mutex
-	unmet  map[string]int
-	sentAt map[string]time.Time
+	mu    sync.Mutex
+	unmet map[string]*unmetCount
 }
 
 func newHinter(p DispatcherParts) *Hinter {
-	return &Hinter{agents: p.Agents, entry: p.Entry, ring: p.Ring, clock: p.Clock, unmet: map[string]int{}, sentAt: map[string]time.Time{}}
+	return &Hinter{agents: p.Agents, entry: p.Entry, ring: p.Ring, clock: p.Clock, unmet: map[string]*unmetCount{}}
 }
 
 // missed counts a request that no probed copy can meet in time, and sends hints if one is due.
@@ -54,23 +53,21 @@
 	}
 }
 
-// count returns the rate of unmet requests since the last hint and whether a hint is due.
+// count returns the rate of unmet requests over about the last unmetWindow and whether a hint is due.
 func (h *Hinter) count(model string, now time.Time) (float64, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.unmet[model]++
-	passed := now.Sub(h.sentAt[model])
-	if passed < hintInterval {
-		return 0, false
+	u := h.unmet[model]
+	if u == nil {
+		u = &unmetCount{}
+		h.unmet[model] = u
 	}
-	// After a pause the rate is that of the last second, not an average over the pause.
-	if passed > 2*hintInterval {
-		passed = hintInterval
+	u.add(now)
+	if now.Sub(u.sentAt) < hintInterval {
+		return 0, false
 	}
-	rate := float64(h.unmet[model]) / passed.Seconds()
-	h.unmet[model] = 0
-	h.sentAt[model] = now
-	return rate, true
+	u.sentAt = now
+	return u.requests / unmetWindow.Seconds(), true
 }
 
 // hintTargets returns the rendezvous owners of the model among runners that may take a copy.
--- a/pkg/entry/module.go
+++ b/pkg/entry/module.go
@@ -138,7 +138,7 @@
 }
 
 func newParts(in partsIn) (DispatcherParts, error) {
-	policy, err := routing.NewPolicy(in.Settings.Routing.Policy, in.Settings.Routing.RegionCost)
+	policy, err := routing.NewPolicy(in.Settings.Routing.Policy, in.Settings.Routing.costs())
 	if err != nil {
 		return DispatcherParts{}, err
 	}
--- a/pkg/entry/prober.go
+++ b/pkg/entry/prober.go
@@ -25,6 +25,7 @@
 	reporter Reporter
 	clock    clock.Clock
 	metrics  *Metrics
+	rate     idleRate
 }
 
 func newProber(p DispatcherParts) *Prober {
@@ -115,6 +116,7 @@
 		}
 		return c
 	}
+	p.rate.learn(message.GetPromptTokens(), response)
 	p.ring.Observe(response.GetLamport())
 	p.reporter.Observed(response.GetConfigOffset())
 	p.reporter.RunnerAnswered(c.Runner)
@@ -124,9 +126,10 @@
 
 func prediction(c routing.Candidate, r *ferrypb.ProbeResponse) *routing.Prediction {
 	out := &routing.Prediction{
-		Accepts:    r.GetAccepts(),
-		Code:       r.GetCode(),
-		FirstToken: time.Duration(r.GetFirstTokenMicros()) * time.Microsecond,
+		Accepts:         r.GetAccepts(),
+		Code:            r.GetCode(),
+		FirstToken:      time.Duration(r.GetFirstTokenMicros()) * time.Microsecond,
+		AdapterResident: r.GetAdapterResident(),
 	}
 	if c.Incarnation != "" && r.GetIncarnation() != c.Incarnation {
 		out.Accepts = false
@@ -136,20 +139,25 @@
 }
 
 // missesTarget reports whether every candidate that answered lacks the capacity to meet the target.
-// Refusals for other reasons, such as a cap, would not be cured by another copy.
-func missesTarget(answered []routing.Candidate, target time.Duration) bool {
+// Refusals for other reasons, such as a cap, would not be cured by another copy; neither would late predictions for
+// a prompt that does not fit, that is, whose prefill alone takes longer than the target.
+func missesTarget(answered []routing.Candidate, target time.Duration, fits bool) bool {
 	for _, c := range answered {
-		if !lacksCapacity(c.Prediction, target) {
+		if !lacksCapacity(c.Prediction, target, fits) {
 			return false
 		}
 	}
 	return true
 }
 
-func lacksCapacity(p *routing.Prediction, target time.Duration) bool {
+func lacksCapacity(p *routing.Prediction, target time.Duration, fits bool) bool {
 	if p.Accepts {
-		return target > 0 && p.FirstToken > target
+		return fits && target > 0 && p.FirstToken > target
 	}
-	code := failure.Code(p.Code)
+	return capacityCode(failure.Code(p.Code))
+}
+
+// capacityCode reports whether a refusal shows that a copy is busy.
+func capacityCode(code failure.Code) bool {
 	return code == failure.TargetMissed || code == failure.Overloaded
 }
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"trefoilferry.example/ferry/pkg/retry"
+	"trefoilferry.example/ferry/pkg/routing"
 )
 
 // Settings are the static settings of an entry host.
@@ -63,6 +64,11 @@
 	ProbeTimeout       time.Duration `key:"probe_timeout" default:"25ms" min:"1ms" doc:"time for a probe within the region"`
 	ProbeTimeoutRemote time.Duration `key:"probe_timeout_remote" default:"100ms" min:"1ms" doc:"time for a probe to another region"`
 	RegionCost         time.Duration `key:"region_cost" default:"100ms" doc:"first token time that serving from another region must save"`
+	AdapterCost        time.Duration `key:"adapter_cost" default:"150ms" doc:"first token time that loading an adapter must save"`
+}
+
+func (s RoutingSettings) costs() routing.Costs {
+	return routing.Costs{Region: s.RegionCost, Adapter: s.AdapterCost}
 }
 
 // RetrySettings bound repeated attempts.
--- a/pkg/entry/settings_check.go
+++ b/pkg/entry/settings_check.go
@@ -11,7 +11,7 @@
 // Check implements settings.Checker.
 func (s *Settings) Check() []settings.Problem {
 	var out []settings.Problem
-	if _, err := routing.NewPolicy(s.Routing.Policy, 0); err != nil {
+	if _, err := routing.NewPolicy(s.Routing.Policy, routing.Costs{}); err != nil {
 		out = append(out, settings.Problem{Section: "routing", Key: "policy", Message: "must be probe, random or round_robin"})
 	}
 	if _, err := log.ParseLevel(s.Log.Level); err != nil {
--- a/pkg/entry/try.go
+++ b/pkg/entry/try.go
@@ -21,7 +21,12 @@
 	}
 	j.attempts++
 	j.tried[chosen.Runner] = true
-	return d.attempt(ctx, snapshot, j, chosen)
+	err = d.attempt(ctx, snapshot, j, chosen)
+	if err != nil && !d.policy.Probes && j.request.generation() && capacityCode(failure.From(err).Code) {
+		// Without probes only the refusals of agents show unmet demand.
+		d.hinter.missed(ctx, snapshot, j.request.Target)
+	}
+	return err
 }
 
 func (d *Dispatcher) choose(ctx context.Context, snapshot *Snapshot, j *job) (routing.Candidate, error) {
@@ -60,6 +65,7 @@
 func (d *Dispatcher) query(snapshot *Snapshot, j *job) *routing.Query {
 	return &routing.Query{
 		Target:     j.request.Target,
+		Adapter:    j.request.Adapter,
 		PrefixHash: j.request.PrefixHash,
 		Key:        j.request.Key,
 		Region:     d.settings.Host.Region,
@@ -77,7 +83,7 @@
 	if len(answered) == 0 {
 		return selected[0], nil
 	}
-	if missesTarget(answered, j.request.FirstToken) {
+	if missesTarget(answered, j.request.FirstToken, d.prober.rate.fits(j.request.PromptTokens, j.request.FirstToken)) {
 		d.hinter.missed(ctx, snapshot, j.request.Target)
 	}
 	accepting := slices.DeleteFunc(slices.Clone(answered), func(c routing.Candidate) bool { return !c.Prediction.Accepts })
--- a/pkg/routing/candidate.go
+++ b/pkg/routing/candidate.go
@@ -26,4 +26,6 @@
 	Code string
 	// FirstToken is the predicted time to the first token.
 	FirstToken time.Duration
+	// AdapterResident is set when the runner holds the adapter that the request names.
+	AdapterResident bool
 }
--- a/pkg/routing/choose_probe.go
+++ b/pkg/routing/choose_probe.go
@@ -2,7 +2,7 @@
 
 import "slices"
 
-// ProbeChooser selects the rendezvous owner of the prompt's prefix and random others,
+// ProbeChooser selects the rendezvous owner of the adapter or of the prompt's prefix, and random others,
 // first in the entry host's region, then elsewhere.
 type ProbeChooser struct{}
 
@@ -20,10 +20,18 @@
 	for len(chosen) < limit && len(rest) > 0 {
 		i := q.Rand.IntN(len(rest))
 		if len(chosen) == 0 {
-			i = Rendezvous(prefixKey(q.Target, q.PrefixHash), rest)
+			i = Rendezvous(affinityKey(q), rest)
 		}
 		chosen = append(chosen, rest[i])
 		rest = slices.Delete(rest, i, i+1)
 	}
 	return chosen
 }
+
+// affinityKey is what the requests that should meet have in common: the adapter, whose load is a move, before the prefix.
+func affinityKey(q *Query) string {
+	if q.Adapter != "" {
+		return q.Target + "\x00" + q.Adapter
+	}
+	return prefixKey(q.Target, q.PrefixHash)
+}
--- a/pkg/routing/policy.go
+++ b/pkg/routing/policy.go
@@ -13,6 +13,14 @@
 	PolicyRoundRobin = "round_robin"
 )
 
+// Costs are the first token times that a choice must save to be worth its side effect.
+type Costs struct {
+	// Region is the cost of serving from another region.
+	Region time.Duration
+	// Adapter is the cost of loading an adapter.
+	Adapter time.Duration
+}
+
 // Policy is a complete set of plugins.
 type Policy struct {
 	Filters []Filter
@@ -24,16 +32,16 @@
 }
 
 // NewPolicy returns the policy of that name. Other names fail with code SettingsInvalid.
-func NewPolicy(name string, regionCost time.Duration) (*Policy, error) {
+func NewPolicy(name string, costs Costs) (*Policy, error) {
 	p := &Policy{
 		Filters: []Filter{LeavingFilter{}, SuspectFilter{}, TriedFilter{}, RegionFilter{}},
 		Chooser: LocalChooser{},
-		Scorers: []Scorer{RegionCostScorer{Cost: regionCost}},
+		Scorers: []Scorer{RegionCostScorer{Cost: costs.Region}},
 	}
 	switch name {
 	case PolicyProbe:
 		p.Chooser = ProbeChooser{}
-		p.Scorers = append(p.Scorers, FirstTokenScorer{})
+		p.Scorers = append(p.Scorers, FirstTokenScorer{}, AdapterCostScorer{Cost: costs.Adapter})
 		p.Picker = LowestPicker{}
 		p.Probes = true
 	case PolicyRandom:
@@ -66,7 +74,7 @@
 
 // Cost returns the part of the score that does not depend on a probe; no score of the candidate is lower.
 func (p *Policy) Cost(q *Query, c Candidate) time.Duration {
-	c.Prediction = &Prediction{}
+	c.Prediction = &Prediction{AdapterResident: true}
 	return p.Score(q, c)
 }
 
--- a/pkg/routing/query.go
+++ b/pkg/routing/query.go
@@ -9,6 +9,8 @@
 type Query struct {
 	// Target is the name of the model, adapter or service.
 	Target string
+	// Adapter is empty for requests to the model itself.
+	Adapter string
 	// PrefixHash is the hash of the leading part of the prompt.
 	PrefixHash uint64
 	// Key is the idempotency key of a service call; empty without one.
--- a/pkg/routing/routing_test.go
+++ b/pkg/routing/routing_test.go
@@ -59,7 +59,7 @@
 
 // Guards against attempts that are spent on a silent runner while a trusted holder is only restarting.
 func TestTrustedHolderIsAwaited(t *testing.T) {
-	p, _ := NewPolicy(PolicyProbe, 0)
+	p, _ := NewPolicy(PolicyProbe, Costs{})
 	q := query()
 	q.Tried = map[string]bool{"a1": true}
 	q.Suspects = map[string]time.Time{"a2": now.Add(1)}
@@ -123,7 +123,7 @@
 	in[0].Prediction = &Prediction{FirstToken: 150 * time.Millisecond}
 	in[1].Prediction = &Prediction{FirstToken: 100 * time.Millisecond}
 	for cost, want := range map[time.Duration]string{10 * time.Millisecond: "b1", 100 * time.Millisecond: "a1"} {
-		p, err := NewPolicy(PolicyProbe, cost)
+		p, err := NewPolicy(PolicyProbe, Costs{Region: cost})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -131,13 +131,13 @@
 			t.Errorf("cost %v: %s, want %s", cost, got.Runner, want)
 		}
 	}
-	rr, _ := NewPolicy(PolicyRoundRobin, 0)
+	rr, _ := NewPolicy(PolicyRoundRobin, Costs{})
 	first, _ := rr.Pick(query(), in)
 	second, _ := rr.Pick(query(), in)
 	if first.Runner == second.Runner {
 		t.Error("round robin repeats a runner")
 	}
-	if _, err := NewPolicy("best", 0); err == nil {
+	if _, err := NewPolicy("best", Costs{}); err == nil {
 		t.Error("unknown policy accepted")
 	}
 }
@@ -162,3 +162,25 @@
 		t.Fatal("avoidance does not grow to its bound or is not lifted")
 	}
 }
+
+// Guards against adapters that are loaded on every holder of their model while one holds them already.
+func TestAdapterCost(t *testing.T) {
+	p, _ := NewPolicy(PolicyProbe, Costs{Region: 100 * time.Millisecond, Adapter: 150 * time.Millisecond})
+	q := query()
+	q.Adapter = "x"
+	in := runners("a1", "a2")
+	in[0].Prediction = &Prediction{FirstToken: 20 * time.Millisecond}
+	in[1].Prediction = &Prediction{FirstToken: 120 * time.Millisecond, AdapterResident: true}
+	if got, _ := p.Pick(q, in); got.Runner != "a2" {
+		t.Errorf("chose %s instead of the holder", got.Runner)
+	}
+	in[1].Prediction.FirstToken = 200 * time.Millisecond
+	if got, _ := p.Pick(q, in); got.Runner != "a1" {
+		t.Errorf("chose %s although its wait costs more than a load", got.Runner)
+	}
+	first := p.Candidates(q, runners("a1", "a2", "a3"), 1)
+	q.PrefixHash++
+	if again := p.Candidates(q, runners("a1", "a2", "a3"), 1); again[0].Runner != first[0].Runner {
+		t.Errorf("another prompt of the adapter prefers %s, not %s", again[0].Runner, first[0].Runner)
+	}
+}
--- /dev/null
+++ b/pkg/routing/score_adapter.go
@@ -0,0 +1,17 @@
+package routing
+
+import "time"
+
+// AdapterCostScorer adds a cost to candidates that would have to load the adapter of the request: a load takes a slot
+// from another adapter, which is then loaded again.
+type AdapterCostScorer struct {
+	Cost time.Duration
+}
+
+// Score implements Scorer. Candidates without an answer may hold the adapter.
+func (s AdapterCostScorer) Score(q *Query, c Candidate) time.Duration {
+	if q.Adapter == "" || c.Prediction == nil || c.Prediction.AdapterResident {
+		return 0
+	}
+	return s.Cost
+}
