queue: predict cached prompts by all their blocks, share prefills in progress

Cause: probes name the first 4 blocks of a prompt only, so that a cached dossier of 16,000 tokens was predicted as 256 cached tokens; equal prompts that arrived together were computed side by side. Ruled out: the block hashes in the probe, 2 KB for a long prompt; the agent learns them from the prompts that it runs. Change: agents remember the block chain behind a prefix; the queue counts running prompts as cached and lets a request wait for the prefill that computes its beginning. Conclusion: prefix affinity acts on the predicted times.

--- a/cmd/ferry-bench/compare.go
+++ b/cmd/ferry-bench/compare.go
@@ -12,7 +12,7 @@
 const defaultSeeds = 3
 
 func compareCommand() *cli.Command {
-	settings := "settings as key=value,...: profile, policy, load, duration, entry.SECTION.KEY, agent.SECTION.KEY"
+	settings := "settings as key=value,...: profile, policy, load, duration, bin, entry.SECTION.KEY, agent.SECTION.KEY"
 	return &cli.Command{
 		Name:  "compare",
 		Usage: "run two settings in alternation and print the ratios of attainment and moves",
--- a/internal/bench/options.go
+++ b/internal/bench/options.go
@@ -39,7 +39,7 @@
 	agentPrefix = "agent."
 )
 
-// With returns the options with changes of the form "key=value,...". Keys are profile, policy, load, duration, seed,
+// With returns the options with changes of the form "key=value,...". Keys are profile, policy, load, duration, seed, bin,
 // entry.SECTION.KEY and agent.SECTION.KEY. It fails with code SettingsInvalid.
 func (o Options) With(changes string) (Options, error) {
 	o.EntrySettings = copied(o.EntrySettings)
@@ -66,6 +66,8 @@
 		o.Duration, err = time.ParseDuration(value)
 	case key == "seed":
 		o.Seed, err = strconv.ParseUint(value, 10, 64)
+	case key == "bin":
+		o.BinDir = value
 	case strings.HasPrefix(key, entryPrefix):
 		o.EntrySettings[strings.TrimPrefix(key, entryPrefix)] = value
 	case strings.HasPrefix(key, agentPrefix):
--- a/pkg/agent/daemon.go
+++ b/pkg/agent/daemon.go
@@ -45,6 +45,7 @@
 	work     *Work
 	gate     *Gate
 	prefixes *PrefixIndex
+	chains   *PromptChains
 	adapters *Adapters
 	control  *Control
 	effects  *Effects
@@ -72,6 +73,7 @@
 		work:     NewWork(),
 		gate:     NewGate(queueConfig(s), deps.Clock),
 		prefixes: NewPrefixIndex(s.Queue.PrefixIndex),
+		chains:   NewPromptChains(chainBlocksPerPrefix * s.Queue.PrefixIndex),
 		drained:  make(chan struct{}),
 	}
 	id := identityOf(s, deps.Incarnation)
@@ -132,6 +134,7 @@
 		Work:     d.work,
 		Gate:     d.gate,
 		Prefixes: d.prefixes,
+		Chains:   d.chains,
 		Adapters: d.adapters,
 		Engine:   d.deps.Engine,
 		Service:  d.deps.Service,
@@ -184,7 +187,7 @@
 
 func (d *Daemon) open() error {
 	s := d.deps.Settings
-	agent := &ControlServer{View: d.view, Gate: d.gate, Prefixes: d.prefixes, Clock: d.deps.Clock, Ring: d.ring,
+	agent := &ControlServer{View: d.view, Gate: d.gate, Prefixes: d.prefixes, Chains: d.chains, Clock: d.deps.Clock, Ring: d.ring,
 		Send: d.control.Send, Behind: d.behind}
 	peer := &PeerServer{View: d.view, Gate: d.gate, Ring: d.ring, Streams: d.streams.served(),
 		ConfigAge: d.streams.configAge, Behind: d.behind}
--- a/pkg/agent/exec_generate.go
+++ b/pkg/agent/exec_generate.go
@@ -127,6 +127,8 @@
 
 func (s *ExecServer) queueRequest(c *call) queue.Request {
 	request := c.request
+	blocks := promptBlocks(c)
+	s.Chains.Learn(request.GetTarget(), request.GetPrefixHash(), blocks)
 	out := queue.Request{
 		ID:           attemptKey(c),
 		Workspace:    request.GetWorkspace(),
@@ -135,7 +137,8 @@
 		Priority:     request.GetPriority(),
 		Arrived:      c.arrived,
 		PromptTokens: request.GetPromptTokens() + request.GetResumeTokens(),
-		CachedTokens: s.Prefixes.Lookup(request.GetTarget(), request.GetPrefixHash()),
+		CachedTokens: s.Prefixes.Cached(request.GetTarget(), blocks),
+		Blocks:       blocks,
 		AdapterWait:  adapterWait(c.view, request.GetTarget(), request.GetAdapter()),
 	}
 	if request.GetFirstTokenMillis() > 0 {
@@ -147,6 +150,15 @@
 	return out
 }
 
+// promptBlocks returns the block hashes of the prompt; nil for bodies without one, which the engine refuses.
+func promptBlocks(c *call) []uint64 {
+	prompt, err := engine.PromptText(generateRequest(c).Chat, c.body)
+	if err != nil {
+		return nil
+	}
+	return engine.PrefixHashes(c.request.GetTarget(), c.request.GetAdapter(), prompt)
+}
+
 // adapterLoadTime is the expected time to load an adapter within the in-flight limit, with the order's way.
 const adapterLoadTime = 15 * time.Millisecond
 
--- a/pkg/agent/exec_server.go
+++ b/pkg/agent/exec_server.go
@@ -24,6 +24,7 @@
 	Work     *Work
 	Gate     *Gate
 	Prefixes *PrefixIndex
+	Chains   *PromptChains
 	Adapters *Adapters
 	Engine   engine.Engine
 	Service  ServiceClient
--- a/pkg/agent/prefix.go
+++ b/pkg/agent/prefix.go
@@ -77,6 +77,22 @@
 	return e.Value.(*prefixEntry).tokens
 }
 
+// Cached returns the tokens of the leading blocks of a prompt that are cached.
+func (p *PrefixIndex) Cached(model string, blocks []uint64) uint32 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	tokens := uint32(0)
+	for _, block := range blocks {
+		e, ok := p.entries[prefixKey{model, block}]
+		if !ok {
+			break
+		}
+		p.order.MoveToBack(e)
+		tokens = e.Value.(*prefixEntry).tokens
+	}
+	return tokens
+}
+
 func (p *PrefixIndex) clear() {
 	p.order.Init()
 	clear(p.entries)
--- /dev/null
+++ b/pkg/agent/prompt_chains.go
@@ -0,0 +1,81 @@
+package agent
+
+import (
+	"container/list"
+	"sync"
+)
+
+// chainBlocksPerPrefix bounds the remembered blocks as a multiple of the prefixes in the index; most prompts
+// have several blocks.
+const chainBlocksPerPrefix = 4
+
+// promptChain holds the block hashes of the last prompt that began with a prefix.
+type promptChain struct {
+	key    prefixKey
+	blocks []uint64
+	// shared is the number of leading blocks that the last two such prompts had in common.
+	shared int
+}
+
+// PromptChains remembers how prompts go on after the prefix that a probe names, so that a probe without the prompt can
+// tell how much of it is cached. It is bounded by blocks, the least recently used chain goes first.
+// It is safe for concurrent use.
+type PromptChains struct {
+	mu      sync.Mutex
+	limit   int
+	blocks  int
+	order   *list.List
+	entries map[prefixKey]*list.Element
+}
+
+// NewPromptChains returns an empty memory for chains of up to limit blocks together.
+func NewPromptChains(limit int) *PromptChains {
+	return &PromptChains{limit: limit, order: list.New(), entries: map[prefixKey]*list.Element{}}
+}
+
+// Learn takes over the blocks of a prompt.
+func (p *PromptChains) Learn(model string, prefix uint64, blocks []uint64) {
+	if len(blocks) == 0 || len(blocks) > p.limit {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := prefixKey{model, prefix}
+	chain := &promptChain{key: key, blocks: blocks, shared: len(blocks)}
+	if old, ok := p.entries[key]; ok {
+		chain.shared = commonBlocks(old.Value.(*promptChain).blocks, blocks)
+		p.remove(old)
+	}
+	p.entries[key] = p.order.PushBack(chain)
+	p.blocks += len(blocks)
+	for p.blocks > p.limit {
+		p.remove(p.order.Front())
+	}
+}
+
+// Expected returns the blocks that the next prompt with a prefix is expected to begin with; nil if unknown.
+func (p *PromptChains) Expected(model string, prefix uint64) []uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, ok := p.entries[prefixKey{model, prefix}]
+	if !ok {
+		return nil
+	}
+	p.order.MoveToBack(e)
+	chain := e.Value.(*promptChain)
+	return chain.blocks[:chain.shared]
+}
+
+func (p *PromptChains) remove(e *list.Element) {
+	chain := p.order.Remove(e).(*promptChain)
+	delete(p.entries, chain.key)
+	p.blocks -= len(chain.blocks)
+}
+
+func commonBlocks(a, b []uint64) int {
+	n := 0
+	for n < len(a) && n < len(b) && a[n] == b[n] {
+		n++
+	}
+	return n
+}
--- a/pkg/agent/twirp_agent.go
+++ b/pkg/agent/twirp_agent.go
@@ -16,6 +16,7 @@
 	View     *atomic.Pointer[View]
 	Gate     *Gate
 	Prefixes *PrefixIndex
+	Chains   *PromptChains
 	Clock    clock.Clock
 	Ring     *timeline.Ring
 	Send     func(Event)
@@ -68,6 +69,7 @@
 
 // probeRequest has no target for the first token: the entry host compares the predicted times itself.
 func (s *ControlServer) probeRequest(view *View, in *ferrypb.ProbeRequest) queue.Request {
+	blocks := s.Chains.Expected(in.GetTarget(), in.GetPrefixHash())
 	return queue.Request{
 		ID:           "probe/" + in.GetRequestId(),
 		Workspace:    in.GetWorkspace(),
@@ -76,7 +78,8 @@
 		Priority:     in.GetPriority(),
 		Arrived:      s.Clock.Now(),
 		PromptTokens: in.GetPromptTokens(),
-		CachedTokens: s.Prefixes.Lookup(in.GetTarget(), in.GetPrefixHash()),
+		CachedTokens: max(s.Prefixes.Lookup(in.GetTarget(), in.GetPrefixHash()), s.Prefixes.Cached(in.GetTarget(), blocks)),
+		Blocks:       blocks,
 		AdapterWait:  adapterWait(view, in.GetTarget(), in.GetAdapter()),
 	}
 }
--- /dev/null
+++ b/pkg/queue/cached_test.go
@@ -0,0 +1,46 @@
+package queue
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a prompt that is computed twice side by side, and against one that waits without a saving.
+func TestFollowerWaitsForSharedPrompt(t *testing.T) {
+	blocks := make([]uint64, 100)
+	for i := range blocks {
+		blocks[i] = uint64(i + 1)
+	}
+	start := time.Unix(1000, 0)
+	q := New(DefaultConfig(), Rates{Slots: 8, PrefillTokensPerSecond: 10000})
+	request := func(id string, blocks []uint64) Request {
+		return Request{ID: id, Model: "m", Arrived: start, FirstTokenBy: start.Add(time.Second), PromptTokens: 6450, Blocks: blocks}
+	}
+	offer := func(r Request) int {
+		t.Helper()
+		if err := q.Offer(start, r); err != nil {
+			t.Fatal(err)
+		}
+		started, _ := q.Next(start)
+		return len(started)
+	}
+	if offer(request("leader", blocks)) != 1 {
+		t.Fatal("the first request waits")
+	}
+	follower := request("follower", blocks)
+	if got := q.Predict(start, follower).FirstToken; got < 645*time.Millisecond || got > 655*time.Millisecond {
+		t.Errorf("follower is predicted after %v, want the leader's prefill and 50 tokens", got)
+	}
+	if offer(follower) != 0 {
+		t.Error("the follower computes the same prompt")
+	}
+	few := request("short", blocks[:10])
+	few.PromptTokens = 700
+	if offer(few) != 1 {
+		t.Error("a request waits although it saves little")
+	}
+	q.Prefilled("leader")
+	if started, refused := q.Next(start.Add(645 * time.Millisecond)); len(started) != 1 || len(refused) != 0 || started[0].CachedTokens != 6400 {
+		t.Errorf("after the leader's prefill: started %+v, refused %+v", started, refused)
+	}
+}
--- a/pkg/queue/entry.go
+++ b/pkg/queue/entry.go
@@ -16,6 +16,8 @@
 	// started and prefilled are set for running requests.
 	started   time.Time
 	prefilled bool
+	// long is set for running requests with a long prefill.
+	long bool
 }
 
 // before reports whether a is served before b.
--- a/pkg/queue/predict.go
+++ b/pkg/queue/predict.go
@@ -11,7 +11,7 @@
 
 // Predict tells how a request would be served, without admitting it.
 func (q *Queue) Predict(now time.Time, r Request) Prediction {
-	r = q.attainable(r)
+	r = q.attainable(now, r)
 	e := &entry{request: r, due: q.due(r), seq: q.seq + 1}
 	p := Prediction{FirstToken: q.firstToken(now, e), BetweenTokens: q.betweenTokens()}
 	p.Refusal = q.refusal(now, e, p.FirstToken)
@@ -20,8 +20,8 @@
 
 // attainable moves the due time of a request whose own prefill alone takes longer than its target. Every idle runner
 // would refuse such a request, so it could never be served; it gets as much time to wait as its prefill takes.
-func (q *Queue) attainable(r Request) Request {
-	own := q.rates.prefillTime(r.prefillTokens())
+func (q *Queue) attainable(now time.Time, r Request) Request {
+	own := q.alone(now, &r)
 	if !r.FirstTokenBy.IsZero() && r.Arrived.Add(own).After(r.FirstTokenBy) {
 		r.FirstTokenBy = r.Arrived.Add(2 * own)
 	}
@@ -37,7 +37,7 @@
 
 // firstToken estimates the time to the first token: prefill work ahead, own prefill, wait for a slot, adapter load.
 func (q *Queue) firstToken(now time.Time, e *entry) time.Duration {
-	tokens := e.request.prefillTokens()
+	tokens := q.uncached(&e.request)
 	for _, other := range q.running {
 		tokens += other.remaining(now, q.rates)
 	}
@@ -46,7 +46,7 @@
 	for _, other := range q.waiting {
 		if other.before(e) || (over && !q.overCap(&other.request)) {
 			ahead++
-			tokens += other.request.prefillTokens()
+			tokens += q.uncached(&other.request)
 		}
 	}
 	work := q.rates.prefillTime(tokens)
@@ -103,7 +103,7 @@
 
 // spoils reports whether the request would make an admitted one of the same or a higher priority late.
 func (q *Queue) spoils(now time.Time, e *entry) bool {
-	own := q.rates.prefillTime(e.request.prefillTokens())
+	own := q.rates.prefillTime(q.uncached(&e.request))
 	for _, other := range q.waiting {
 		if other.before(e) || other.request.Priority < e.request.Priority {
 			continue
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -48,7 +48,7 @@
 
 // Offer admits a request or refuses it with outcome NotRun.
 func (q *Queue) Offer(now time.Time, r Request) error {
-	r = q.attainable(r)
+	r = q.attainable(now, r)
 	if f := q.Predict(now, r).Refusal; f != nil {
 		return f
 	}
--- a/pkg/queue/request.go
+++ b/pkg/queue/request.go
@@ -24,6 +24,8 @@
 	PromptTokens uint32
 	// CachedTokens is the part of the prompt that the prefix cache holds.
 	CachedTokens uint32
+	// Blocks are the hashes of the prompt's leading blocks, as engine.PrefixHashes; empty while unknown.
+	Blocks []uint64
 	// AdapterWait is the expected time until the adapter is resident.
 	AdapterWait time.Duration
 }
--- a/pkg/queue/start.go
+++ b/pkg/queue/start.go
@@ -49,7 +49,7 @@
 	if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
 		return refuse(failure.DeadlineExpired, "deadline passed in the queue", 0)
 	}
-	late := lateness(now, r, q.rates.prefillTime(r.prefillTokens()))
+	late := lateness(now, r, q.rates.prefillTime(q.uncached(r)))
 	if late > 0 {
 		return refuse(failure.TargetMissed, "first token can no longer come in time", max(minRetryAfter, late))
 	}
@@ -80,8 +80,12 @@
 	return -1
 }
 
-// prefillPermits bounds the long prefills in flight, so that short requests keep a part of the prefill rate.
+// prefillPermits bounds the long prefills in flight, so that short requests keep a part of the prefill rate. A request
+// whose prompt another one is computing waits, because engines share a prefix only once it is computed.
 func (q *Queue) prefillPermits(e *entry) bool {
+	if q.leader(&e.request) != nil {
+		return false
+	}
 	if !q.long(&e.request) {
 		return true
 	}
@@ -90,13 +94,13 @@
 }
 
 func (q *Queue) long(r *Request) bool {
-	return q.rates.prefillTime(r.prefillTokens()) >= q.config.LongPrefill && q.rates.PrefillTokensPerSecond > 0
+	return q.rates.prefillTime(q.uncached(r)) >= q.config.LongPrefill && q.rates.PrefillTokensPerSecond > 0
 }
 
 func (q *Queue) longInFlight() int {
 	n := 0
 	for _, e := range q.running {
-		if !e.prefilled && q.long(&e.request) {
+		if !e.prefilled && e.long {
 			n++
 		}
 	}
@@ -107,6 +111,8 @@
 	e := q.waiting[i]
 	q.removeWaiting(i)
 	e.started = now
+	e.long = q.long(&e.request)
+	e.request.CachedTokens = e.request.PromptTokens - min(e.request.PromptTokens, uint32(q.uncached(&e.request)))
 	q.running[e.request.ID] = e
 	count(q.held, &e.request, 1)
 	return e.request
