--- a/cmd/ferry-bench/options.go
+++ b/cmd/ferry-bench/options.go
@@ -25,6 +25,8 @@
 		&cli.DurationFlag{Name: "warmup", Value: defaultWarmup, Usage: "beginning of the load that is not measured"},
 		&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the arrivals"},
 		&cli.IntFlag{Name: "entries", Value: 1, Usage: "entry hosts per region"},
+		&cli.StringFlag{Name: "flood", Usage: "model or adapter that floods after the warm-up; the others are reported apart"},
+		&cli.Float64Flag{Name: "flood-rate", Usage: "requests per second of the flood"},
 		&cli.StringFlag{Name: "faults", Usage: "file with a fault schedule"},
 		&cli.StringSliceFlag{Name: "set", Usage: "entry.SECTION.KEY=VALUE or agent.SECTION.KEY=VALUE for all daemons"},
 		&cli.StringFlag{Name: "logs", Usage: "directory for the output of the daemons"},
@@ -48,6 +50,7 @@
 		LogDir:           c.String("logs"),
 		BinDir:           c.String("bin"),
 	}
+	o.Flood = bench.Flood{Member: c.String("flood"), Rate: c.Float64("flood-rate")}
 	if path := c.String("faults"); path != "" {
 		faults, err := bench.ReadFaults(path)
 		if err != nil {
--- a/internal/bench/options.go
+++ b/internal/bench/options.go
@@ -24,6 +24,8 @@
 	Seed             uint64
 	EntriesPerRegion int
 	Faults           []Fault
+	// Flood adds requests of one member after the warm-up.
+	Flood Flood
 	// EntrySettings and AgentSettings replace settings of every daemon, as section.key to value.
 	EntrySettings map[string]string
 	AgentSettings map[string]string
@@ -39,7 +41,7 @@
 	agentPrefix = "agent."
 )
 
-// With returns the options with changes of the form "key=value,...". Keys are profile, policy, load, duration, seed, bin,
+// With returns the options with changes of the form "key=value,...". Keys are profile, policy, load, duration, seed, bin, flood, flood_rate,
 // entry.SECTION.KEY and agent.SECTION.KEY. It fails with code SettingsInvalid.
 func (o Options) With(changes string) (Options, error) {
 	o.EntrySettings = copied(o.EntrySettings)
@@ -66,6 +68,10 @@
 		o.Duration, err = time.ParseDuration(value)
 	case key == "seed":
 		o.Seed, err = strconv.ParseUint(value, 10, 64)
+	case key == "flood":
+		o.Flood.Member = value
+	case key == "flood_rate":
+		o.Flood.Rate, err = strconv.ParseFloat(value, 64)
 	case key == "bin":
 		o.BinDir = value
 	case strings.HasPrefix(key, entryPrefix):
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -16,20 +16,25 @@
 	Seed     uint64        `json:"seed"`
 	Faults   []string      `json:"faults"`
 
-	Accelerators int                  `json:"accelerators"`
-	Requests     int                  `json:"requests"`
-	Attainment   Attainment           `json:"attainment"`
-	FirstToken   Quantiles            `json:"first_token"`
-	Between      Quantiles            `json:"between_tokens"`
-	RequestMean  Quantiles            `json:"between_tokens_request_mean"`
-	Moves        Moves                `json:"moves"`
-	Crossing     Crossing             `json:"cross_region"`
-	Rejections   map[failure.Code]int `json:"rejections"`
-	Replayed     int                  `json:"replayed_keys"`
-	Failed       []Failed             `json:"failed"`
-	Breaches     []Breach             `json:"breaches"`
-	Usage        SystemUsage          `json:"usage"`
-	Lateness     Lateness             `json:"lateness"`
+	Accelerators int        `json:"accelerators"`
+	Requests     int        `json:"requests"`
+	Attainment   Attainment `json:"attainment"`
+	// Flood names the flooding member, if any; Others is the attainment of all other members.
+	Flood  string `json:"flood"`
+	Others Share  `json:"others"`
+	// Course is the attainment over time.
+	Course      []CoursePart         `json:"course"`
+	FirstToken  Quantiles            `json:"first_token"`
+	Between     Quantiles            `json:"between_tokens"`
+	RequestMean Quantiles            `json:"between_tokens_request_mean"`
+	Moves       Moves                `json:"moves"`
+	Crossing    Crossing             `json:"cross_region"`
+	Rejections  map[failure.Code]int `json:"rejections"`
+	Replayed    int                  `json:"replayed_keys"`
+	Failed      []Failed             `json:"failed"`
+	Breaches    []Breach             `json:"breaches"`
+	Usage       SystemUsage          `json:"usage"`
+	Lateness    Lateness             `json:"lateness"`
 
 	observations []*Observation
 }
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -47,6 +47,9 @@
 	if r.catalog, err = ReadCatalog(profile.ConfigFile, profile.Service); err != nil {
 		return err
 	}
+	if err := r.options.Flood.check(r.catalog); err != nil {
+		return err
+	}
 	r.printf("starting %d entry hosts and %d runners\n", len(profile.Spec.Entries), len(profile.Spec.Runners))
 	if r.system, err = startSystem(ctx, r.options.BinDir, profile.Spec); err != nil {
 		return err
@@ -84,6 +87,8 @@
 
 func (r *Run) drive(ctx context.Context) (*Result, error) {
 	load := Load{Seed: r.options.Seed, Rate: r.options.Rate, Duration: r.options.Duration, Mix: r.mix, Catalog: r.catalog}
+	load.Flood = r.options.Flood
+	load.Flood.From = r.options.Warmup
 	arrivals := Schedule(load)
 	g := &generator{sender: NewSender(r.system.entryURLs(), time.Now()), collector: r.collector}
 	defer g.sender.Close()
@@ -132,6 +137,9 @@
 	out.Accelerators = r.system.accelerators()
 	out.Requests = len(observations)
 	out.Attainment = attainmentOf(observations, out.Accelerators, (o.Duration - o.Warmup).Seconds())
+	out.Flood = o.Flood.Member
+	out.Others = othersOf(observations, o.Flood.Member)
+	out.Course = courseOf(observations, o.Duration)
 	out.fillTimes(observations)
 	out.fillRejections(observations)
 	out.Failed = failedOf(observations, evidence)
--- a/internal/bench/schedule.go
+++ b/internal/bench/schedule.go
@@ -16,6 +16,8 @@
 	Duration time.Duration
 	Mix      Mix
 	Catalog  Catalog
+	// Flood adds requests of one member.
+	Flood Flood
 }
 
 // Streams of random numbers that are drawn independently, so that a change of one does not shift the others.
@@ -24,6 +26,7 @@
 	streamModels
 	streamAdapters
 	streamSizes
+	streamFlood
 )
 
 // repeatWithin bounds the time after which a keyed call is sent again.
@@ -45,6 +48,7 @@
 	for at := s.gap(); at < load.Duration; at += s.gap() {
 		s.add(at)
 	}
+	s.out = append(s.out, load.Flood.arrivals(load)...)
 	slices.SortStableFunc(s.out, func(a, b Arrival) int { return cmp.Compare(a.At, b.At) })
 	return s.out
 }
