queue: pace prefills that miss their target; entry: offer hints to every runner in turn

Ruled out: refusing such prompts, since no runner would ever serve or cache them. Change: [queue] late_share bounds the part of the time that such prefills take; each hint goes to the next two runners.

--- a/pkg/agent/daemon.go
+++ b/pkg/agent/daemon.go
@@ -103,6 +103,7 @@
 		MaxPriority:  s.Queue.MaxPriority,
 		LongPrefill:  s.Queue.LongPrefill,
 		LongShare:    s.Queue.LongShare,
+		LateShare:    s.Queue.LateShare,
 	}
 }
 
--- a/pkg/entry/hint_rule_test.go
+++ b/pkg/entry/hint_rule_test.go
@@ -51,19 +51,40 @@
 func TestUnmetRate(t *testing.T) {
 	h := &Hinter{unmet: map[string]*unmetCount{}}
 	at := time.Unix(1000, 0)
-	if rate, due := h.count("m", at); !due || rate > 0.101 {
+	if rate, _, due := h.count("m", at); !due || rate > 0.101 {
 		t.Errorf("one request: rate %v, due %v", rate, due)
 	}
 	last := 0.0
 	for i := range 200 {
-		if rate, due := h.count("m", at.Add(time.Duration(i)*100*time.Millisecond)); due {
+		if rate, _, due := h.count("m", at.Add(time.Duration(i)*100*time.Millisecond)); due {
 			last = rate
 		}
 	}
 	if last < 8 || last > 12 {
 		t.Errorf("10 requests/s give a rate of %v", last)
 	}
-	if rate, due := h.count("m", at.Add(time.Hour)); !due || rate > 0.101 {
+	if rate, _, due := h.count("m", at.Add(time.Hour)); !due || rate > 0.101 {
 		t.Errorf("one request after a pause: rate %v, due %v", rate, due)
 	}
 }
+
+// Guards against hints that reach the same two runners for ever although these have no room.
+func TestHintsMoveOn(t *testing.T) {
+	var others []routing.Candidate
+	for _, name := range []string{"a", "b", "c", "d", "e"} {
+		others = append(others, routing.Candidate{Runner: name})
+	}
+	others[4].Leaving = true
+	seen := map[string]int{}
+	for round := range 4 {
+		for _, c := range hintTargets("m", others, round) {
+			seen[c.Runner]++
+		}
+	}
+	if len(seen) != 4 || seen["e"] != 0 || seen["a"] != 2 || seen["b"] != 2 {
+		t.Errorf("hints: %v", seen)
+	}
+	if got := hintTargets("m", others[:1], 7); len(got) != 1 {
+		t.Errorf("one runner: %v", got)
+	}
+}
--- a/pkg/entry/hinter.go
+++ b/pkg/entry/hinter.go
@@ -37,11 +37,11 @@
 
 // missed counts a request that no probed copy can meet in time, and sends hints if one is due.
 func (h *Hinter) missed(ctx context.Context, snapshot *Snapshot, model string) {
-	rate, due := h.count(model, h.clock.Now())
+	rate, round, due := h.count(model, h.clock.Now())
 	if !due {
 		return
 	}
-	for _, c := range hintTargets(model, snapshot.marked(snapshot.Routes.Others(model))) {
+	for _, c := range hintTargets(model, snapshot.marked(snapshot.Routes.Others(model)), round) {
 		message := &ferrypb.HintRequest{
 			Model:          model,
 			UnmetPerSecond: rate,
@@ -53,8 +53,9 @@
 	}
 }
 
-// count returns the rate of unmet requests over about the last unmetWindow and whether a hint is due.
-func (h *Hinter) count(model string, now time.Time) (float64, bool) {
+// count returns the rate of unmet requests over about the last unmetWindow, the number of hints before this one and
+// whether a hint is due.
+func (h *Hinter) count(model string, now time.Time) (float64, int, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	u := h.unmet[model]
@@ -64,21 +65,27 @@
 	}
 	u.add(now)
 	if now.Sub(u.sentAt) < hintInterval {
-		return 0, false
+		return 0, 0, false
 	}
 	u.sentAt = now
-	return u.requests / unmetWindow.Seconds(), true
+	u.hints++
+	return u.requests / unmetWindow.Seconds(), u.hints - 1, true
 }
 
-// hintTargets returns the rendezvous owners of the model among runners that may take a copy.
-func hintTargets(model string, others []routing.Candidate) []routing.Candidate {
+// hintTargets returns the next runners, in the rendezvous order of the model, among those that may take a copy.
+// The round moves on with every hint, because the first runners of the order may have no room.
+func hintTargets(model string, others []routing.Candidate, round int) []routing.Candidate {
 	rest := routing.LeavingFilter{}.Filter(nil, others)
-	var out []routing.Candidate
-	for len(out) < hintRunners && len(rest) > 0 {
+	var order []routing.Candidate
+	for len(rest) > 0 {
 		i := routing.Rendezvous(model, rest)
-		out = append(out, rest[i])
+		order = append(order, rest[i])
 		rest = append(rest[:i:i], rest[i+1:]...)
 	}
+	var out []routing.Candidate
+	for i := range min(hintRunners, len(order)) {
+		out = append(out, order[(round*hintRunners+i)%len(order)])
+	}
 	return out
 }
 
--- a/pkg/entry/unmet_count.go
+++ b/pkg/entry/unmet_count.go
@@ -14,6 +14,7 @@
 	requests  float64
 	countedAt time.Time
 	sentAt    time.Time
+	hints     int
 }
 
 func (u *unmetCount) add(now time.Time) {
--- a/pkg/queue/cached_test.go
+++ b/pkg/queue/cached_test.go
@@ -44,3 +44,39 @@
 		t.Errorf("after the leader's prefill: started %+v, refused %+v", started, refused)
 	}
 }
+
+// Guards against prompts that miss their target in any case and fill the engine all the same, and against ones that
+// are never served.
+func TestLatePrefillsArePaced(t *testing.T) {
+	start := time.Unix(1000, 0)
+	config := DefaultConfig()
+	config.LateShare = 0.5
+	q := New(config, Rates{Slots: 8, PrefillTokensPerSecond: 10000})
+	offer := func(id string, tokens uint32, now time.Time) error {
+		return q.Offer(now, Request{ID: id, Model: "m", Arrived: now, FirstTokenBy: now.Add(500 * time.Millisecond), PromptTokens: tokens})
+	}
+	if err := offer("late", 10000, start); err != nil {
+		t.Fatal(err)
+	}
+	if started, _ := q.Next(start); len(started) != 1 {
+		t.Fatal("a late prefill does not start on an idle runner")
+	}
+	q.Prefilled("late")
+	q.Finish(start.Add(time.Second), "late")
+	if err := offer("late2", 10000, start.Add(1100*time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	if err := offer("short", 1000, start.Add(1100*time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	if started, _ := q.Next(start.Add(1100 * time.Millisecond)); len(started) != 1 || started[0].ID != "short" {
+		t.Errorf("started %+v, want the short request only", started)
+	}
+	q.Prefilled("short")
+	if started, _ := q.Next(start.Add(2 * time.Second)); len(started) != 1 || started[0].ID != "late2" {
+		t.Errorf("started %+v after the pause, want the late prefill", started)
+	}
+	if err := offer("late3", 10000, start.Add(2*time.Second)); err == nil {
+		t.Error("a late prefill is admitted that cannot start in time")
+	}
+}
--- a/pkg/queue/config.go
+++ b/pkg/queue/config.go
@@ -16,6 +16,9 @@
 	LongPrefill time.Duration
 	// LongShare is the largest part of the slots that long prefills may hold; one long prefill is always permitted.
 	LongShare float64
+	// LateShare is the part of the time that prefills may take which miss their target in any case. They cannot
+	// attain it themselves, but each holds up all requests of its batch. 1 does not bound them; 0 means 1.
+	LateShare float64
 }
 
 // Default limits.
--- a/pkg/queue/predict.go
+++ b/pkg/queue/predict.go
@@ -24,6 +24,7 @@
 	own := q.alone(now, &r)
 	if !r.FirstTokenBy.IsZero() && r.Arrived.Add(own).After(r.FirstTokenBy) {
 		r.FirstTokenBy = r.Arrived.Add(2 * own)
+		r.late = true
 	}
 	return r
 }
@@ -50,6 +51,9 @@
 		}
 	}
 	work := q.rates.prefillTime(tokens)
+	if e.request.late {
+		work = max(work, q.lateFrom.Sub(now)+q.rates.prefillTime(q.uncached(&e.request)))
+	}
 	return max(work, e.request.AdapterWait) + q.slotWait(ahead)
 }
 
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -20,6 +20,8 @@
 	queued  map[member]int
 	// service is the mean time that a request holds a slot; 0 until the first one finished.
 	service time.Duration
+	// lateFrom is the time from which the next late prefill may start.
+	lateFrom time.Time
 }
 
 // New returns an empty queue.
--- a/pkg/queue/request.go
+++ b/pkg/queue/request.go
@@ -28,6 +28,8 @@
 	Blocks []uint64
 	// AdapterWait is the expected time until the adapter is resident.
 	AdapterWait time.Duration
+	// late is set by the queue when the own prefill alone takes longer than the target.
+	late bool
 }
 
 // member is one capped entity that a request counts towards.
--- a/pkg/queue/start.go
+++ b/pkg/queue/start.go
@@ -18,7 +18,7 @@
 func (q *Queue) Next(now time.Time) (started []Request, refused []Refused) {
 	refused = q.dropLate(now)
 	for len(q.running) < q.rates.Slots {
-		i := q.pick()
+		i := q.pick(now)
 		if i < 0 {
 			return started, refused
 		}
@@ -58,14 +58,14 @@
 
 // pick returns the index of the waiting request to start; -1 if none may start.
 // Members under their cap come first. A member over its cap borrows a slot only while no other member waits.
-func (q *Queue) pick() int {
+func (q *Queue) pick(now time.Time) int {
 	underCapWaits := false
 	for i, e := range q.waiting {
 		if q.overCap(&e.request) {
 			continue
 		}
 		underCapWaits = true
-		if q.prefillPermits(e) {
+		if q.prefillPermits(now, e) {
 			return i
 		}
 	}
@@ -73,7 +73,7 @@
 		return -1
 	}
 	for i, e := range q.waiting {
-		if q.prefillPermits(e) {
+		if q.prefillPermits(now, e) {
 			return i
 		}
 	}
@@ -82,8 +82,8 @@
 
 // prefillPermits bounds the long prefills in flight, so that short requests keep a part of the prefill rate. A request
 // whose prompt another one is computing waits, because engines share a prefix only once it is computed.
-func (q *Queue) prefillPermits(e *entry) bool {
-	if q.leader(&e.request) != nil {
+func (q *Queue) prefillPermits(now time.Time, e *entry) bool {
+	if q.leader(&e.request) != nil || (e.request.late && now.Before(q.lateFrom)) {
 		return false
 	}
 	if !q.long(&e.request) {
@@ -112,6 +112,10 @@
 	q.removeWaiting(i)
 	e.started = now
 	e.long = q.long(&e.request)
+	if e.request.late && q.config.LateShare > 0 {
+		own := q.rates.prefillTime(q.uncached(&e.request))
+		q.lateFrom = now.Add(time.Duration(float64(own) / q.config.LateShare))
+	}
 	e.request.CachedTokens = e.request.PromptTokens - min(e.request.PromptTokens, uint32(q.uncached(&e.request)))
 	q.running[e.request.ID] = e
 	count(q.held, &e.request, 1)
