--- a/pkg/agent/settings.go
+++ b/pkg/agent/settings.go
@@ -6,21 +6,23 @@
 	"net/url"
 	"time"
 
+	"trefoilferry.example/ferry/pkg/placement"
 	"trefoilferry.example/ferry/pkg/settings"
 )
 
 // Settings are the static settings of an agent.
 type Settings struct {
-	Host     HostSettings     `section:"host" doc:"Identity of the agent's host."`
-	Listen   ListenSettings   `section:"listen" doc:"Addresses and limits of the servers."`
-	Platform PlatformSettings `section:"platform" doc:"Services of the platform."`
-	Backend  BackendSettings  `section:"backend" doc:"The backend server beside the agent."`
-	Queue    QueueSettings    `section:"queue" doc:"Admission of generations."`
-	Keys     KeysSettings     `section:"keys" doc:"Idempotency keys of service calls."`
-	Watch    WatchSettings    `section:"watch" doc:"Watching of other runners."`
-	Drain    DrainSettings    `section:"drain" doc:"Graceful stop."`
-	Log      LogSettings      `section:"log" doc:"Log output."`
-	Runtime  settings.Runtime `section:"runtime" doc:"Memory management."`
+	Host      HostSettings      `section:"host" doc:"Identity of the agent's host."`
+	Listen    ListenSettings    `section:"listen" doc:"Addresses and limits of the servers."`
+	Platform  PlatformSettings  `section:"platform" doc:"Services of the platform."`
+	Backend   BackendSettings   `section:"backend" doc:"The backend server beside the agent."`
+	Queue     QueueSettings     `section:"queue" doc:"Admission of generations."`
+	Placement PlacementSettings `section:"placement" doc:"Copies of models."`
+	Keys      KeysSettings      `section:"keys" doc:"Idempotency keys of service calls."`
+	Watch     WatchSettings     `section:"watch" doc:"Watching of other runners."`
+	Drain     DrainSettings     `section:"drain" doc:"Graceful stop."`
+	Log       LogSettings       `section:"log" doc:"Log output."`
+	Runtime   settings.Runtime  `section:"runtime" doc:"Memory management."`
 }
 
 // HostSettings name the host.
@@ -78,9 +80,15 @@
 	MaxPriority  int32         `key:"max_priority" default:"10" min:"0" doc:"Largest priority that counts."`
 	LongPrefill  time.Duration `key:"long_prefill" default:"250ms" min:"1ms" doc:"Prefill time from which a request counts as long."`
 	LongShare    float64       `key:"long_share" default:"0.25" min:"0" max:"1" doc:"Part of the slots that long prefills may hold."`
+	LateShare    float64       `key:"late_share" default:"0.3" min:"0.01" max:"1" doc:"Part of the time for prefills that alone take longer than their target."`
 	PrefixIndex  int           `key:"prefix_index" default:"4096" min:"1" doc:"Prompt prefixes remembered from the engine's cache events."`
 }
 
+// PlacementSettings choose how copies beyond the published minimum come and go.
+type PlacementSettings struct {
+	Policy string `key:"policy" default:"planned" doc:"planned weighs the value of a surplus copy against its cost, static adds none, on_demand adds one at every hint."`
+}
+
 // KeysSettings bound the idempotency keys.
 type KeysSettings struct {
 	Retention time.Duration  `key:"retention" default:"24h" min:"1m" doc:"Time for which a key is remembered."`
@@ -117,6 +125,9 @@
 	if (s.Backend.Kind == BackendService) != (s.Backend.Service != "") {
 		add("backend", "service", "is required for kind service and for no other")
 	}
+	if _, err := placement.NewPlanner(s.Placement.Policy); err != nil {
+		add("placement", "policy", "must be planned, static or on_demand")
+	}
 	for _, a := range []struct{ key, value string }{{"control", s.Listen.Control}, {"admin", s.Listen.Admin}} {
 		if !validAddress(a.value) {
 			add("listen", a.key, "must be an IP address and a port")
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -20,6 +20,8 @@
 	queued  map[member]int
 	// service is the mean time that a request holds a slot; 0 until the first one finished.
 	service time.Duration
+	// lateFrom is the time from which the next late prefill may start.
+	lateFrom time.Time
 }
 
 // New returns an empty queue.
@@ -48,7 +50,7 @@
 
 // Offer admits a request or refuses it with outcome NotRun.
 func (q *Queue) Offer(now time.Time, r Request) error {
-	r = q.attainable(r)
+	r = q.attainable(now, r)
 	if f := q.Predict(now, r).Refusal; f != nil {
 		return f
 	}
