entry: give each target a retry budget of its own beside the shared one

Cause: a flooding member's refusals used up the retries of all members of an entry host. Ruled out: no retries after cap_exceeded; other runners may have slots to lend.

--- a/pkg/entry/dispatcher.go
+++ b/pkg/entry/dispatcher.go
@@ -91,7 +91,7 @@
 func (d *Dispatcher) Run(ctx context.Context, r *Request, sink Sink) *failure.Failure {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	d.budget.request(d.clock.Now())
+	d.budget.request(d.clock.Now(), r.Target)
 	j := d.newJob(r, sink)
 	for {
 		err := d.try(ctx, j)
@@ -129,7 +129,7 @@
 		return j.report(f)
 	}
 	if decision.Action == retry.Elsewhere {
-		if refused := d.spend(f); refused != nil {
+		if refused := d.spend(j, f); refused != nil {
 			return j.report(refused)
 		}
 	}
@@ -171,8 +171,8 @@
 
 // spend takes a retry from the budget; without one it returns the failure that refuses the retry early.
 // Resumed streams do not spend: they replace work that was lost and are bounded by the number of attempts.
-func (d *Dispatcher) spend(f *failure.Failure) *failure.Failure {
-	ok, after := d.budget.take(d.clock.Now())
+func (d *Dispatcher) spend(j *job, f *failure.Failure) *failure.Failure {
+	ok, after := d.budget.take(d.clock.Now(), j.request.Target)
 	if ok {
 		return nil
 	}
