--- a/test/integration/keyed_test.go
+++ b/test/integration/keyed_test.go
@@ -17,8 +17,8 @@
 const (
 	// midKeyedCall is a moment at which claims are in the log and the calls of 300 ms are being run.
 	midKeyedCall = 200 * time.Millisecond
-	// keysPerCase spreads the calls over the service's runners.
-	keysPerCase = 6
+	// keysPerCase makes it unlikely (1 in 59,000) that no key belongs to two of the service's three runners.
+	keysPerCase = 10
 )
 
 // keyedFault is a fault around keyed calls that are sent through two entry hosts at once and again afterwards.
@@ -113,6 +113,7 @@
 
 // Guards against a second run of a call with an idempotency key.
 func TestKeyedCallsRunAtMostOnce(t *testing.T) {
+	t.Parallel()
 	spec := outcomeSpec()
 	spec.EntrySettings["limits.request_timeout"] = "2s"
 	c := start(t, spec)
@@ -123,6 +124,7 @@
 				keys[i] = uuid.NewString()
 			}
 			var first, again notes
+			waitOwnRegion(t, c)
 			do(c, fault.before)
 			calls := sendKeys(c, &first, keys, 0, 1)
 			time.Sleep(midKeyedCall)
@@ -187,6 +189,7 @@
 
 // Guards against single steps of the key protocol that are left out.
 func TestKeyProtocol(t *testing.T) {
+	t.Parallel()
 	spec := outcomeSpec()
 	spec.EntrySettings["limits.request_timeout"] = "10s"
 	c := start(t, spec)
