--- a/pkg/agent/core_orders.go
+++ b/pkg/agent/core_orders.go
@@ -139,36 +139,49 @@
 	return c.id.Incarnation + "/" + strconv.FormatUint(c.orderSeq, 10)
 }
 
-// closeReleased refuses new work for models that are to be unloaded and accepts it for the others.
+// closeReleased refuses new work for the versions that are to be unloaded and accepts it for the others.
 func (c *Core) closeReleased() {
 	for _, m := range c.report.Models {
-		keep := c.serves(m.Model)
-		if keep != c.closed[m.Model] {
+		key := placement.Key{Model: m.Model, Version: m.Version}
+		target := versionTarget(key)
+		keep := c.servesVersion(key)
+		if keep != c.closed[target] {
 			continue
 		}
 		if keep {
-			delete(c.closed, m.Model)
-			c.do(OpenTarget{Target: m.Model})
+			delete(c.closed, target)
+			c.do(OpenTarget{Target: target})
 			continue
 		}
-		c.closed[m.Model] = true
-		c.do(CloseTarget{Target: m.Model})
+		c.closed[target] = true
+		c.do(CloseTarget{Target: target})
 	}
 }
 
 // serves reports whether a model takes work: one of its loaded versions has a copy that is not released.
 func (c *Core) serves(model string) bool {
 	for _, own := range c.own() {
-		if own.Model == model && own.State != released && c.loadedVersion(keyOf(own)) {
+		if own.Model == model && c.servesVersion(keyOf(own)) {
+			return true
+		}
+	}
+	return false
+}
+
+// servesVersion reports whether a loaded version has a copy that is not released.
+func (c *Core) servesVersion(key placement.Key) bool {
+	for _, own := range c.own() {
+		if keyOf(own) == key && own.State != released && c.loadedVersion(key) {
 			return true
 		}
 	}
 	return false
 }
 
-// idle reports whether a model takes no new work and has none in progress.
-func (c *Core) idle(model string) bool {
-	return c.closed[model] && c.work.Closed[model] && c.work.Counts[model] == 0
+// idle reports whether a version takes no new work and has none in progress.
+func (c *Core) idle(key placement.Key) bool {
+	target := versionTarget(key)
+	return c.closed[target] && c.work.Closed[target] && c.work.Counts[target] == 0
 }
 
 // nextUnload frees a released copy once its work is finished, or a ready one that the engine lost.
@@ -178,7 +191,7 @@
 		if !ok {
 			continue
 		}
-		due := own.State == released && (c.idle(own.Model) || !item.Reported)
+		due := own.State == released && (c.idle(item.Key) || !item.Reported)
 		lost := own.State == ready && c.isLost(keyOf(own))
 		if (due || lost) && c.unloadDue(item) && c.sendUnload(item.Key) {
 			return true
@@ -200,7 +213,7 @@
 		if c.holds(key) || c.adoptable(m) || !ok || !c.unloadDue(item) {
 			continue
 		}
-		if !c.serves(m.Model) && !c.idle(m.Model) {
+		if !c.idle(key) {
 			continue
 		}
 		if c.sendUnload(key) {
--- a/pkg/agent/core_view.go
+++ b/pkg/agent/core_view.go
@@ -5,6 +5,7 @@
 
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/placement"
 )
 
 // viewKey tells whether a view would differ from the last one.
@@ -68,7 +69,8 @@
 		HeldBytes:       c.held(),
 	}
 	for _, m := range c.report.Models {
-		if c.serves(m.Model) && !c.closed[m.Model] && !c.engineGone {
+		key := placement.Key{Model: m.Model, Version: m.Version}
+		if c.servesVersion(key) && !c.closed[versionTarget(key)] && !c.engineGone {
 			v.Models[m.Model] = ServedModel{Version: m.Version, Bytes: m.Bytes}
 		}
 	}
--- a/pkg/agent/exec_server.go
+++ b/pkg/agent/exec_server.go
@@ -15,6 +15,7 @@
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/frame"
 	"trefoilferry.example/ferry/pkg/idempotency"
+	"trefoilferry.example/ferry/pkg/placement"
 	"trefoilferry.example/ferry/pkg/timeline"
 )
 
@@ -157,7 +158,7 @@
 	if c.kind() != backendKind(c.view.Identity) {
 		return failure.New(failure.NotFound, failure.NotRun, "runner does not serve this kind of request")
 	}
-	leave, err := s.Work.Enter(c.request.GetTarget())
+	leave, err := s.Work.Enter(c.targets()...)
 	if err != nil {
 		return err
 	}
@@ -168,6 +169,16 @@
 	return s.generate(ctx, c)
 }
 
+// targets returns what the request counts towards: the service, or the model and the version that serves it.
+func (c *call) targets() []string {
+	target := c.request.GetTarget()
+	served, ok := c.view.Models[target]
+	if !ok {
+		return []string{target}
+	}
+	return []string{target, versionTarget(placement.Key{Model: target, Version: served.Version})}
+}
+
 func backendKind(id Identity) string {
 	if id.Service != "" {
 		return BackendService
--- a/pkg/agent/work.go
+++ b/pkg/agent/work.go
@@ -5,10 +5,11 @@
 	"sync"
 
 	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/placement"
 )
 
 // Work counts the requests in progress per target and closes targets for new ones.
-// Control closes a model before it unloads it and acts once the model is idle. It is safe for concurrent use.
+// Control closes a version of a model before it unloads it and acts once the version is idle. It is safe for concurrent use.
 type Work struct {
 	mu     sync.Mutex
 	counts map[string]int
@@ -25,30 +26,40 @@
 	return &Work{counts: map[string]int{}, served: map[string]uint64{}, closed: map[string]*failure.Failure{}}
 }
 
-// Enter registers a request or refuses it with outcome NotRun. The returned function ends the request.
-func (w *Work) Enter(target string) (func(), error) {
+// versionTarget is the target that stands for one version of a model.
+func versionTarget(key placement.Key) string { return key.Model + "@" + key.Version }
+
+// Enter registers a request under all its targets or refuses it with outcome NotRun if one of them is closed.
+// The returned function ends the request.
+func (w *Work) Enter(targets ...string) (func(), error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.allClosed != nil {
 		return nil, w.allClosed
 	}
-	if f, ok := w.closed[target]; ok {
-		return nil, f
+	for _, target := range targets {
+		if f, ok := w.closed[target]; ok {
+			return nil, f
+		}
+	}
+	for _, target := range targets {
+		w.counts[target]++
+		w.served[target]++
 	}
-	w.counts[target]++
-	w.served[target]++
 	w.total++
 	var once sync.Once
-	return func() { once.Do(func() { w.leave(target) }) }, nil
+	return func() { once.Do(func() { w.leave(targets) }) }, nil
 }
 
-func (w *Work) leave(target string) {
+func (w *Work) leave(targets []string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.total--
-	w.counts[target]--
-	if w.counts[target] == 0 {
-		delete(w.counts, target)
+	for _, target := range targets {
+		w.counts[target]--
+		if w.counts[target] == 0 {
+			delete(w.counts, target)
+		}
 	}
 }
 
