--- a/pkg/agent/core_orders.go
+++ b/pkg/agent/core_orders.go
@@ -158,16 +158,6 @@
 	}
 }
 
-// serves reports whether a model takes work: one of its loaded versions has a copy that is not released.
-func (c *Core) serves(model string) bool {
-	for _, own := range c.own() {
-		if own.Model == model && c.servesVersion(keyOf(own)) {
-			return true
-		}
-	}
-	return false
-}
-
 // servesVersion reports whether a loaded version has a copy that is not released.
 func (c *Core) servesVersion(key placement.Key) bool {
 	for _, own := range c.own() {
