placement, agent: give held memory back when predecessor and engine process are gone

Cause: the ledger never settled a predecessor's unanswered load order at an engine that ignores fencing, because a paused predecessor cannot be told from a dead one; its bytes stayed reserved for ever. Ruled out: a time limit, since a paused process may wake at any time; trusting the host list, which lags. Change: a successor that listens at its predecessor's address knows that the predecessor has exited, since a paused process would hold the port. Orders of an exited process are settled when the engine process that was alive then is replaced.

--- a/pkg/agent/core.go
+++ b/pkg/agent/core.go
@@ -40,6 +40,8 @@
 	// fencing is the offset of the own AgentStart; 0 before it was read back.
 	fencing    uint64
 	superseded bool
+	// exitedFencing is the fencing number of a predecessor that is known to have exited; 0 if none is.
+	exitedFencing uint64
 	// fenced is set while the engine refuses the own fencing number as too old.
 	fenced bool
 	// fenceAcked is set once the engine has acknowledged the own number.
--- a/pkg/agent/core_ledger.go
+++ b/pkg/agent/core_ledger.go
@@ -19,6 +19,9 @@
 	for _, own := range c.own() {
 		c.ledger.Adopt(own)
 	}
+	if c.exitedFencing > 0 {
+		c.ledger.PredecessorExited(c.exitedFencing)
+	}
 	if !c.reportAt.IsZero() {
 		c.ledger.Report(c.report)
 	}
--- a/pkg/agent/core_memory_test.go
+++ b/pkg/agent/core_memory_test.go
@@ -31,6 +31,8 @@
 	flights []*flight
 	zombies []*Core
 	starts  int
+	// address counts the addresses of the agents; one that still runs keeps its own.
+	address int
 	fencing bool
 }
 
@@ -101,11 +103,17 @@
 	m.step(ConfigRead{Set: m.set, CaughtUp: true})
 }
 
-func (m *memorySim) restartAgent() {
+// restartAgent replaces the agent by one at the same address after its exit, or by one at another address while it goes on.
+func (m *memorySim) restartAgent(exited bool) {
 	m.collect()
-	m.zombies = append(m.zombies, m.core)
+	if !exited {
+		m.zombies = append(m.zombies, m.core)
+		m.address++
+	}
 	m.starts++
-	m.restart(simIdentity(fmt.Sprintf("i%d", m.starts), m.fencing))
+	identity := simIdentity(fmt.Sprintf("i%d", m.starts), m.fencing)
+	identity.Address = fmt.Sprintf("127.0.0.%d:1", m.address)
+	m.restart(identity)
 }
 
 // wakeZombie lets a replaced agent act on what it knew when it was replaced.
@@ -154,7 +162,7 @@
 	case 7:
 		m.publishSome(t)
 	case 8:
-		m.restartAgent()
+		m.restartAgent(rapid.Bool().Draw(t, "exited"))
 	case 9:
 		m.wakeZombie(t)
 	case 10:
@@ -168,7 +176,7 @@
 func TestMemoryIsNeverOvercommitted(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		fencing := rapid.Bool().Draw(t, "fencing")
-		m := &memorySim{rt: t, fencing: fencing, starts: 1,
+		m := &memorySim{rt: t, fencing: fencing, starts: 1, address: 1,
 			coreSim: newCoreSim(t, simIdentity("i1", fencing), simModel("m0", "3GiB"), simModel("m3", "6GiB"))}
 		m.collect()
 		steps := rapid.IntRange(1, 150).Draw(t, "steps")
--- a/pkg/agent/core_predecessor.go
+++ b/pkg/agent/core_predecessor.go
@@ -25,3 +25,19 @@
 
 // announced reports whether entry hosts can address this agent.
 func (c *Core) announced() bool { return c.fencing > 0 || c.predecessor() != "" }
+
+// notePredecessor remembers the fencing number of a predecessor at the own address. This process listens there, so the
+// predecessor has exited: a paused process would still hold the port.
+func (c *Core) notePredecessor() {
+	if c.fencing > 0 || !c.placementKnown {
+		return
+	}
+	state, ok := c.placement.Runner(c.id.Runner)
+	if !ok || state.Incarnation == c.id.Incarnation {
+		return
+	}
+	c.exitedFencing = 0
+	if state.Address == c.id.Address {
+		c.exitedFencing = state.Fencing
+	}
+}
--- a/pkg/placement/ledger.go
+++ b/pkg/placement/ledger.go
@@ -13,7 +13,7 @@
 // unload was answered after the last answered load, a report received after that does not show the model,
 // and no load order of the model can still reach the engine. A load order that was never answered can
 // arrive at any time and more than once. It is settled only when an engine that honours fencing has
-// acknowledged a higher number, or when the engine process that it was sent to is gone.
+// acknowledged a higher number, or when its sender has exited and the engine process that it was sent to is gone.
 //
 // Absence from a report alone frees nothing, because reports lag. Load orders are sent only for copies in
 // state Claimed, so that a successor knows every model for which a paused predecessor may still send one;
@@ -69,6 +69,19 @@
 	}
 }
 
+// PredecessorExited tells that the process with that fencing number has exited, so that it sends nothing any more.
+// What it has sent may still be on the way to the engine process of that time.
+func (l *Ledger) PredecessorExited(fencing uint64) {
+	for _, i := range l.items {
+		for n := range i.strays {
+			if s := &i.strays[n]; !s.own && s.fencing == fencing {
+				s.exited = true
+				s.after = l.reports
+			}
+		}
+	}
+}
+
 // SetFencing sets the number of a new announcement by the same process.
 func (l *Ledger) SetFencing(fencing uint64) { l.fencing = max(l.fencing, fencing) }
 
--- a/pkg/placement/ledger_item.go
+++ b/pkg/placement/ledger_item.go
@@ -26,10 +26,13 @@
 type strayOrder struct {
 	id      string
 	fencing uint64
-	// after is the number of reports received when the order was given up; 0 for a predecessor's order.
+	// after is the number of reports received when the sender had certainly ended its sends.
 	after uint64
-	// own is false for a predecessor's order, whose end is not known.
+	// own is true for an order of this process.
 	own bool
+	// exited is true for an order of a predecessor that has exited. Without it the end of a predecessor's order is
+	// not known, because a paused one may still send it.
+	exited bool
 }
 
 type ledgerItem struct {
--- a/pkg/placement/ledger_report.go
+++ b/pkg/placement/ledger_report.go
@@ -40,8 +40,8 @@
 
 func (l *Ledger) ordered(key Key) bool { return l.order != nil && l.order.key == key }
 
-// noteInstance settles own orders that ended while the former engine process was still seen alive: their
-// connections led to that process.
+// noteInstance settles the orders of this process and of exited predecessors that ended while the former engine
+// process was still seen alive: their connections led to that process.
 func (l *Ledger) noteInstance(instance string) {
 	if instance == l.instance {
 		return
@@ -52,7 +52,7 @@
 		return
 	}
 	for _, i := range l.items {
-		i.settle(func(s strayOrder) bool { return s.own && s.after < l.reports })
+		i.settle(func(s strayOrder) bool { return (s.own || s.exited) && s.after < l.reports })
 	}
 }
 
