agent: confirm a closure only by a count of work taken after it

Cause: counts of work reach the core every 200 ms. When a drain ended and SIGTERM followed within that time, the last count still said that all work was refused and none in progress, so the agent stopped at once and cut a stream after 2 s. Ruled out: the per-version counts added before (the stop uses the total); a timeout of the entry host (both sides saw the close at the same millisecond, 2 s after the signal). Change: a new refusal, and a closed or opened target, forget what the last count says of closures. Measured: TestStopRightAfterADrainFinishesWork fails without the change (stopped on an old count) and passes with it.

--- a/pkg/agent/core_orders.go
+++ b/pkg/agent/core_orders.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"maps"
 	"strconv"
 	"time"
 
@@ -148,6 +149,7 @@
 		if keep != c.closed[target] {
 			continue
 		}
+		c.forgetClosure(target)
 		if keep {
 			delete(c.closed, target)
 			c.do(OpenTarget{Target: target})
@@ -158,6 +160,14 @@
 	}
 }
 
+// forgetClosure drops what the last count says of a target's closure. It may stem from an earlier closure; only a
+// later count shows that no work came in between.
+func (c *Core) forgetClosure(target string) {
+	closed := maps.Clone(c.work.Closed)
+	delete(closed, target)
+	c.work.Closed = closed
+}
+
 // servesVersion reports whether a loaded version has a copy that is not released.
 func (c *Core) servesVersion(key placement.Key) bool {
 	for _, own := range c.own() {
--- a/pkg/agent/core_refusal.go
+++ b/pkg/agent/core_refusal.go
@@ -19,6 +19,8 @@
 		c.note(timeline.ProcessDraining, "runner/"+c.id.Runner, want.Message)
 	}
 	c.refusal = want
+	// The last count may stem from an earlier closure; only a later one shows that no work came in between.
+	c.work.AllClosed = false
 	c.do(SetRefusal{Failure: want})
 }
 
--- a/pkg/agent/core_test.go
+++ b/pkg/agent/core_test.go
@@ -198,6 +198,33 @@
 	}
 }
 
+// Guards against a stop that follows the end of a drain so closely that the count of work still stems from the drain.
+func TestStopRightAfterADrainFinishesWork(t *testing.T) {
+	s := readySim(t, true)
+	before := s.set
+	s.set, _ = object.NewSet(2, []*ferrypb.Object{simModel("m", "6GiB"), published("drain", "r1")})
+	s.step(ConfigRead{Set: s.set, CaughtUp: true})
+	s.step(WorkCounted{AllClosed: true})
+	s.step(ConfigRead{Set: before.At(3), CaughtUp: true})
+	if s.refusal != nil {
+		t.Fatalf("refusal %v after the drain", s.refusal)
+	}
+	s.counts["m"] = 1
+	s.step(StopRequested{})
+	if s.stopped {
+		t.Fatal("stopped on a count that is older than the last opening")
+	}
+	s.pass(5 * time.Second)
+	if s.stopped {
+		t.Fatal("stopped while work is in progress")
+	}
+	delete(s.counts, "m")
+	s.pass(time.Second)
+	if !s.stopped {
+		t.Fatal("agent does not stop after its work is finished")
+	}
+}
+
 // Guards against a model that stays announced after the engine lost it.
 func TestLostModelIsFreedAndClaimedAgain(t *testing.T) {
 	s := readySim(t, true)
