idempotency: let requests await the first read of the key stream

Cause: an agent is ready before it has read its key stream once; keyed calls in that moment were refused with log_unavailable, which entry hosts do not repeat. Ruled out: making readiness wait for the key stream, because calls without a key must work while the log is out. Change: Acquire waits up to 1 s for the first read. Measured: TestKeeperAwaitsItsFirstRead fails without the change and passes with it; pkg/idempotency passes three times with the race detector.

--- a/pkg/idempotency/keeper.go
+++ b/pkg/idempotency/keeper.go
@@ -16,6 +16,9 @@
 	readInterval = 25 * time.Millisecond
 	// idleWait is the longest sleep of the timer goroutine.
 	idleWait = time.Second
+	// startWait is the time for which requests wait for a keeper that has just started to reach the log's end. A read of
+	// the key stream takes far less while the log is up.
+	startWait = time.Second
 	// defaultAppendTimeout bounds one append with its searches.
 	defaultAppendTimeout = 5 * time.Second
 )
@@ -47,9 +50,11 @@
 	running sync.WaitGroup
 	timer   chan struct{}
 	read    chan struct{}
+	// ready is closed once the log's end was reached.
+	ready chan struct{}
 }
 
-// NewKeeper returns a keeper that refuses requests until Start has reached the log's end.
+// NewKeeper returns a keeper that refuses requests until it has reached the log's end after Start.
 func NewKeeper(cfg KeeperConfig) *Keeper {
 	if cfg.PollInterval == 0 {
 		cfg.PollInterval = stream.DefaultPollInterval
@@ -61,7 +66,7 @@
 		cfg.Claims.WaitDone = DefaultWaitDone
 	}
 	k := &Keeper{cfg: cfg, claims: NewClaims(cfg.Claims, cfg.Fold), waiters: map[uint64]chan Verdict{},
-		timer: make(chan struct{}, 1), read: make(chan struct{}, 1)}
+		timer: make(chan struct{}, 1), read: make(chan struct{}, 1), ready: make(chan struct{})}
 	k.ctx, k.stop = context.WithCancel(context.Background())
 	return k
 }
@@ -99,6 +104,7 @@
 // Acquire asks for the right to run the request of a key and waits for the verdict. The grant is permission to run
 // or a stored result. It fails with code KeyMismatch (NotRun), KeyInProgress (Unknown) or LogUnavailable (NotRun).
 func (k *Keeper) Acquire(ctx context.Context, key string, hash uint64) (*Grant, error) {
+	k.awaitStart(ctx)
 	id, verdict := k.submit(key, hash)
 	select {
 	case v := <-verdict:
@@ -110,6 +116,22 @@
 	}
 }
 
+// awaitStart waits a short time for the first read of the whole stream, so that an agent that was just replaced does not
+// refuse what it can serve a moment later.
+func (k *Keeper) awaitStart(ctx context.Context) {
+	select {
+	case <-k.ready:
+		return
+	default:
+	}
+	select {
+	case <-k.ready:
+	case <-k.cfg.Clock.After(startWait):
+	case <-ctx.Done():
+	case <-k.ctx.Done():
+	}
+}
+
 func (k *Keeper) submit(key string, hash uint64) (uint64, chan Verdict) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/pkg/idempotency/keeper_loops.go
+++ b/pkg/idempotency/keeper_loops.go
@@ -1,6 +1,7 @@
 package idempotency
 
 import (
+	"sync"
 	"time"
 
 	"trefoilferry.example/ferry/api/ferrypb"
@@ -8,6 +9,7 @@
 
 // readLoop follows the key stream; it reads more often while a record is awaited.
 func (k *Keeper) readLoop() {
+	var ready sync.Once
 	for {
 		// A failed read keeps the state; the follower logs it.
 		_, _ = k.cfg.Follower.Poll(k.ctx)
@@ -15,6 +17,7 @@
 		k.event(func(now time.Time) []Action {
 			if k.cfg.Follower.ReachedLogEnd() {
 				k.claims.SetReady()
+				ready.Do(func() { close(k.ready) })
 			}
 			return k.claims.Tick(now)
 		})
--- a/pkg/idempotency/keeper_test.go
+++ b/pkg/idempotency/keeper_test.go
@@ -17,6 +17,18 @@
 )
 
 func startKeeper(t *testing.T, log *memlog.Log, name string) *Keeper {
+	t.Helper()
+	k := newKeeper(t, log, name)
+	k.Start()
+	waitFor(t, func() bool {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return k.claims.ready
+	})
+	return k
+}
+
+func newKeeper(t *testing.T, log *memlog.Log, name string) *Keeper {
 	t.Helper()
 	fold := NewFold(DefaultKeyRetention)
 	writer := stream.NewWriter(log, testStream, name, time.Now, func() uint64 { return 0 })
@@ -24,16 +36,30 @@
 	k := NewKeeper(KeeperConfig{Claims: ClaimsConfig{Runner: name, Incarnation: name, Interval: Interval(2), WaitDone: time.Second},
 		Fold: fold, Follower: stream.NewFollower(stream.FollowerConfig{Stream: testStream, Fold: fold, Log: log}),
 		Writer: writer, Clock: clock.System{}, PollInterval: 20 * time.Millisecond})
-	k.Start()
 	t.Cleanup(k.Close)
-	waitFor(t, func() bool {
-		k.mu.Lock()
-		defer k.mu.Unlock()
-		return k.claims.ready
-	})
 	return k
 }
 
+// Guards against an agent that refuses keyed requests in the moment between its start and its first read of the log.
+func TestKeeperAwaitsItsFirstRead(t *testing.T) {
+	log := memlog.New()
+	log.SetDown(true)
+	k := newKeeper(t, log, "a")
+	k.Start()
+	time.AfterFunc(100*time.Millisecond, func() { log.SetDown(false) })
+	g, err := k.Acquire(context.Background(), "key", 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.Abandon()
+	log.SetDown(true)
+	late := newKeeper(t, log, "b")
+	late.Start()
+	if _, err := late.Acquire(context.Background(), "key", 7); !failure.HasCode(err, failure.LogUnavailable) {
+		t.Fatalf("got %v with the log out, want log_unavailable", err)
+	}
+}
+
 func waitFor(t *testing.T, done func() bool) {
 	t.Helper()
 	for range 2000 {
