entry: planned refusals do not spend the retry budget

Cause: since each target has a quarter of the burst as its own budget, ten calls on their way to a runner that stops or was replaced used it up, and callers got 503 retry_budget_exhausted. Ruled out: the whole burst for each target, since TestBudgetOfTargets then fails (one target spends the retries of all). Change: retries after leaving and wrong_incarnation are free; such a runner is avoided from the first refusal on, so only requests already on their way repeat. Measured: before, the whole suite failed as above; after, TestAgentStop, TestKeyedCalls, TestRetriesStayWithinBudget and TestRollingRestart pass once together (93 s). The whole suite was not run again after this change.

--- a/pkg/entry/dispatcher.go
+++ b/pkg/entry/dispatcher.go
@@ -128,7 +128,7 @@
 	if decision.Action == retry.GiveUp {
 		return j.report(f)
 	}
-	if decision.Action == retry.Elsewhere {
+	if decision.Action == retry.Elsewhere && !planned[f.Code] {
 		if refused := d.spend(j, f); refused != nil {
 			return j.report(refused)
 		}
@@ -137,6 +137,13 @@
 	return d.pause(ctx, j, decision.Delay)
 }
 
+// planned lists the refusals by which a runner tells of a planned stop or a replacement. Their retries do not spend the
+// budget: the runner is avoided from the first one on, so that only requests already on their way to it are refused.
+var planned = map[failure.Code]bool{
+	failure.Leaving:          true,
+	failure.WrongIncarnation: true,
+}
+
 // report returns the failure with the outcome over all attempts.
 func (j *job) report(f *failure.Failure) *failure.Failure {
 	c := *f
