--- a/cmd/ferryctl/main.go
+++ b/cmd/ferryctl/main.go
@@ -12,9 +12,9 @@
 
 	"trefoilferry.example/ferry/pkg/clock"
 	"trefoilferry.example/ferry/pkg/ctl"
+	"trefoilferry.example/ferry/pkg/infra/httphosts"
+	"trefoilferry.example/ferry/pkg/infra/httplog"
 	"trefoilferry.example/ferry/pkg/oncehttp"
-	"trefoilferry.example/ferry/pkg/platform/httphosts"
-	"trefoilferry.example/ferry/pkg/platform/httplog"
 )
 
 func main() {
--- a/internal/capacity/population.go
+++ b/internal/capacity/population.go
@@ -8,7 +8,7 @@
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/configlog"
 	"trefoilferry.example/ferry/pkg/failure"
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 	"trefoilferry.example/ferry/pkg/stream"
 )
 
@@ -23,7 +23,7 @@
 // population writes the records of a system into a log.
 type population struct {
 	size    Size
-	log     platform.Log
+	log     infra.Log
 	address string
 	writer  *stream.Writer
 	// self is the number of the measured host within its role.
@@ -33,7 +33,7 @@
 	withoutEntries bool
 }
 
-func newPopulation(size Size, log platform.Log, address string) *population {
+func newPopulation(size Size, log infra.Log, address string) *population {
 	zero := func() uint64 { return 0 }
 	return &population{size: size, log: log, address: address, writer: stream.NewWriter(log, placementStream, "population", time.Now, zero)}
 }
@@ -145,21 +145,21 @@
 }
 
 // hosts returns the rows of the host list. Only the measured daemon has an address of its own.
-func (p *population) hosts() []platform.Host {
-	var out []platform.Host
+func (p *population) hosts() []infra.Host {
+	var out []infra.Host
 	for i := range p.size.Entries {
-		host := p.host(entryName(i), platform.RoleEntry, i)
+		host := p.host(entryName(i), infra.RoleEntry, i)
 		if p.withoutEntries && host.FailureDomain == domainName(0) {
 			host.FailureDomain = domainName(1)
 		}
 		out = append(out, host)
 	}
 	for i := range p.size.Runners {
-		out = append(out, p.host(runnerName(i), platform.RoleRunner, i))
+		out = append(out, p.host(runnerName(i), infra.RoleRunner, i))
 	}
 	return out
 }
 
-func (p *population) host(name string, role platform.Role, i int) platform.Host {
-	return platform.Host{Name: name, Role: role, Address: p.address, Region: p.size.region(i), FailureDomain: p.size.domain(i), State: platform.HostLive}
+func (p *population) host(name string, role infra.Role, i int) infra.Host {
+	return infra.Host{Name: name, Role: role, Address: p.address, Region: p.size.region(i), FailureDomain: p.size.domain(i), State: infra.HostLive}
 }
--- a/internal/capacity/run.go
+++ b/internal/capacity/run.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"trefoilferry.example/ferry/pkg/failure"
-	"trefoilferry.example/ferry/pkg/platform/httplog"
+	"trefoilferry.example/ferry/pkg/infra/httplog"
 
 	"net/http"
 )
--- a/internal/capacity/surroundings.go
+++ b/internal/capacity/surroundings.go
@@ -9,9 +9,9 @@
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/configlog"
 	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/infra"
+	"trefoilferry.example/ferry/pkg/infra/httplog"
 	"trefoilferry.example/ferry/pkg/placement"
-	"trefoilferry.example/ferry/pkg/platform"
-	"trefoilferry.example/ferry/pkg/platform/httplog"
 	"trefoilferry.example/ferry/pkg/standin/engine"
 	"trefoilferry.example/ferry/pkg/standin/hosts"
 	standinlog "trefoilferry.example/ferry/pkg/standin/log"
@@ -84,7 +84,7 @@
 		go follow(ctx, f)
 	}
 	relay.Watcher()
-	reader := relay.Reader(ownList{s.hosts}, time.Second, func([]platform.Host) {})
+	reader := relay.Reader(ownList{s.hosts}, time.Second, func([]infra.Host) {})
 	go repeat(ctx, reader.Poll)
 	mux := http.NewServeMux()
 	mux.Handle(ferrypb.AgentPathPrefix, ferrypb.NewAgentServer(p))
@@ -115,8 +115,8 @@
 // ownList reads the stand-in without the network, so that the reads of other hosts are not counted.
 type ownList struct{ server *hosts.Server }
 
-// Hosts implements platform.HostList.
-func (l ownList) Hosts(context.Context) ([]platform.Host, error) { return l.server.Visible(), nil }
+// Hosts implements infra.HostList.
+func (l ownList) Hosts(context.Context) ([]infra.Host, error) { return l.server.Visible(), nil }
 
 // close ends all servers.
 func (s *surroundings) close() {
--- a/internal/cluster/control.go
+++ b/internal/cluster/control.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"trefoilferry.example/ferry/pkg/failure"
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 )
 
 // pollPause is the pause between two looks at a condition.
@@ -47,7 +47,7 @@
 }
 
 // SetHost puts a row into the platform's host list.
-func (c *Cluster) SetHost(ctx context.Context, host platform.Host) error {
+func (c *Cluster) SetHost(ctx context.Context, host infra.Host) error {
 	return c.send(ctx, http.MethodPut, c.HostsURL+"/hosts/"+host.Name, host, nil)
 }
 
@@ -58,12 +58,12 @@
 
 // SetLeaving marks a runner as leaving in the platform's host list.
 func (c *Cluster) SetLeaving(ctx context.Context, r *Runner) error {
-	return c.SetHost(ctx, r.host(platform.HostLeaving))
+	return c.SetHost(ctx, r.host(infra.HostLeaving))
 }
 
 // SetLive marks a runner as live in the platform's host list.
 func (c *Cluster) SetLive(ctx context.Context, r *Runner) error {
-	return c.SetHost(ctx, r.host(platform.HostLive))
+	return c.SetHost(ctx, r.host(infra.HostLive))
 }
 
 // SetFaults sets the fault switches of a stand-in.
--- a/internal/cluster/entry.go
+++ b/internal/cluster/entry.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"trefoilferry.example/ferry/pkg/faultproxy"
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 )
 
 // Entry is a running entry host.
@@ -54,10 +54,10 @@
 	}
 }
 
-func (e *Entry) host(state platform.HostState) platform.Host {
-	return platform.Host{
+func (e *Entry) host(state infra.HostState) infra.Host {
+	return infra.Host{
 		Name:          e.Spec.Name,
-		Role:          platform.RoleEntry,
+		Role:          infra.RoleEntry,
 		Address:       e.Control,
 		Region:        e.Spec.Region,
 		FailureDomain: e.Spec.FailureDomain,
@@ -72,7 +72,7 @@
 		return nil, err
 	}
 	c.Entries = append(c.Entries, e)
-	if err := c.SetHost(ctx, e.host(platform.HostLive)); err != nil {
+	if err := c.SetHost(ctx, e.host(infra.HostLive)); err != nil {
 		return nil, err
 	}
 	return e, c.launch(ctx, e.Process, e.callers)
--- a/internal/cluster/runner.go
+++ b/internal/cluster/runner.go
@@ -5,7 +5,7 @@
 	"fmt"
 
 	"trefoilferry.example/ferry/pkg/faultproxy"
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 )
 
 // Runner is a running backend server with its agent.
@@ -86,10 +86,10 @@
 	})
 }
 
-func (r *Runner) host(state platform.HostState) platform.Host {
-	return platform.Host{
+func (r *Runner) host(state infra.HostState) infra.Host {
+	return infra.Host{
 		Name:          r.Spec.Name,
-		Role:          platform.RoleRunner,
+		Role:          infra.RoleRunner,
 		Address:       r.Control,
 		Region:        r.Spec.Region,
 		FailureDomain: r.Spec.FailureDomain,
@@ -107,7 +107,7 @@
 	if err := c.launch(ctx, r.Backend, r.backendAddress); err != nil {
 		return nil, err
 	}
-	if err := c.SetHost(ctx, r.host(platform.HostLive)); err != nil {
+	if err := c.SetHost(ctx, r.host(infra.HostLive)); err != nil {
 		return nil, err
 	}
 	return r, c.launch(ctx, r.Agent, r.control)
--- a/internal/cluster/successor.go
+++ b/internal/cluster/successor.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 )
 
 // StartSuccessor starts a second agent of a runner under other addresses while the first one may still run, as the
@@ -26,7 +26,7 @@
 	former := r.Agent
 	c.former = append(c.former, former)
 	r.Agent = NewProcess(r.Spec.Name+"-successor", c.spec.Mirror, c.binaries.Path("ferry-agent"), "--settings", path)
-	if err := c.SetHost(ctx, r.host(platform.HostLive)); err != nil {
+	if err := c.SetHost(ctx, r.host(infra.HostLive)); err != nil {
 		return former, err
 	}
 	return former, c.launch(ctx, r.Agent, r.control)
--- a/pkg/agent/core.go
+++ b/pkg/agent/core.go
@@ -6,9 +6,9 @@
 	"trefoilferry.example/ferry/pkg/engine"
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/infra"
 	"trefoilferry.example/ferry/pkg/object"
 	"trefoilferry.example/ferry/pkg/placement"
-	"trefoilferry.example/ferry/pkg/platform"
 	"trefoilferry.example/ferry/pkg/timeline"
 )
 
@@ -34,7 +34,7 @@
 	// turnSince tells since when the agent has seen each unfinished claim hold its turn to load.
 	turnSince map[uint64]time.Time
 
-	hosts   []platform.Host
+	hosts   []infra.Host
 	hostsAt time.Time
 
 	// fencing is the offset of the own AgentStart; 0 before it was read back.
--- a/pkg/agent/core_refusal.go
+++ b/pkg/agent/core_refusal.go
@@ -2,7 +2,7 @@
 
 import (
 	"trefoilferry.example/ferry/pkg/failure"
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 	"trefoilferry.example/ferry/pkg/timeline"
 )
 
@@ -47,7 +47,7 @@
 		return true
 	}
 	for _, h := range c.hosts {
-		if h.Name == c.id.Runner && h.State == platform.HostLeaving {
+		if h.Name == c.id.Runner && h.State == infra.HostLeaving {
 			return true
 		}
 	}
--- a/pkg/agent/core_watch_test.go
+++ b/pkg/agent/core_watch_test.go
@@ -7,7 +7,7 @@
 
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/failure"
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 )
 
 var errSilent = failure.New(failure.PeerUnavailable, failure.NotRun, "no answer")
@@ -25,7 +25,7 @@
 }
 
 // silence answers every ping with err for d.
-func (s *coreSim) silence(d time.Duration, err error, hosts ...platform.Host) {
+func (s *coreSim) silence(d time.Duration, err error, hosts ...infra.Host) {
 	for end := s.now.Add(d); s.now.Before(end); {
 		s.step(HostsRead{Hosts: hosts})
 		s.pass(time.Second)
@@ -40,19 +40,19 @@
 // Guards against the eviction of a runner that answers, is listed, is silent for too short a time or cannot be judged,
 // and against a lost runner that keeps its claims.
 func TestEvictNeedsSilenceAndAbsence(t *testing.T) {
-	self := platform.Host{Name: "r1", State: platform.HostLive}
-	other := platform.Host{Name: "r2", State: platform.HostLive}
+	self := infra.Host{Name: "r1", State: infra.HostLive}
+	other := infra.Host{Name: "r2", State: infra.HostLive}
 	cases := []struct {
 		name    string
 		silence time.Duration
 		err     error
-		hosts   []platform.Host
+		hosts   []infra.Host
 		want    bool
 	}{
-		{"silent and absent", 25 * time.Second, errSilent, []platform.Host{self}, true},
-		{"answers", 25 * time.Second, nil, []platform.Host{self}, false},
-		{"listed", 25 * time.Second, errSilent, []platform.Host{self, other}, false},
-		{"short", 10 * time.Second, errSilent, []platform.Host{self}, false},
+		{"silent and absent", 25 * time.Second, errSilent, []infra.Host{self}, true},
+		{"answers", 25 * time.Second, nil, []infra.Host{self}, false},
+		{"listed", 25 * time.Second, errSilent, []infra.Host{self, other}, false},
+		{"short", 10 * time.Second, errSilent, []infra.Host{self}, false},
 		{"no host list", 25 * time.Second, errSilent, nil, false},
 	}
 	for _, c := range cases {
@@ -72,9 +72,9 @@
 // Guards against a watcher that was paused and takes its own pause for the silence of others.
 func TestPausedWatcherDoesNotEvict(t *testing.T) {
 	s := watchSim(t)
-	s.silence(5*time.Second, nil, platform.Host{Name: "r1"})
+	s.silence(5*time.Second, nil, infra.Host{Name: "r1"})
 	s.now = s.now.Add(time.Minute)
-	s.step(HostsRead{Hosts: []platform.Host{{Name: "r1"}}})
+	s.step(HostsRead{Hosts: []infra.Host{{Name: "r1"}}})
 	s.step(Tick{})
 	if evicted(s) {
 		t.Fatal("evicted without unanswered pings")
--- a/pkg/agent/counted_log.go
+++ b/pkg/agent/counted_log.go
@@ -5,12 +5,12 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 )
 
 // countedLog counts the appends of one stream.
 type countedLog struct {
-	platform.Log
+	infra.Log
 	appends prometheus.Counter
 }
 
--- a/pkg/agent/daemon.go
+++ b/pkg/agent/daemon.go
@@ -11,7 +11,7 @@
 	"trefoilferry.example/ferry/pkg/engine"
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/failure"
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 	"trefoilferry.example/ferry/pkg/queue"
 	"trefoilferry.example/ferry/pkg/timeline"
 )
@@ -23,8 +23,8 @@
 	// Seed spreads the checkpoints of several agents.
 	Seed  uint64
 	Clock clock.Clock
-	Log   platform.Log
-	Hosts platform.HostList
+	Log   infra.Log
+	Hosts infra.HostList
 	// Engine is nil for a service runner.
 	Engine engine.Engine
 	// Service is nil for a model engine.
--- a/pkg/agent/event.go
+++ b/pkg/agent/event.go
@@ -2,9 +2,9 @@
 
 import (
 	"trefoilferry.example/ferry/pkg/engine"
+	"trefoilferry.example/ferry/pkg/infra"
 	"trefoilferry.example/ferry/pkg/object"
 	"trefoilferry.example/ferry/pkg/placement"
-	"trefoilferry.example/ferry/pkg/platform"
 )
 
 // Event is an input of the core.
@@ -35,7 +35,7 @@
 }
 
 // HostsRead carries the platform's host list.
-type HostsRead struct{ Hosts []platform.Host }
+type HostsRead struct{ Hosts []infra.Host }
 
 // AppendDone tells the result of an AppendRecord. On failure the record is certainly not in the log.
 type AppendDone struct {
--- a/pkg/agent/harness_test.go
+++ b/pkg/agent/harness_test.go
@@ -22,9 +22,9 @@
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/frame"
+	"trefoilferry.example/ferry/pkg/infra"
+	"trefoilferry.example/ferry/pkg/infra/memlog"
 	"trefoilferry.example/ferry/pkg/oncehttp"
-	"trefoilferry.example/ferry/pkg/platform"
-	"trefoilferry.example/ferry/pkg/platform/memlog"
 	"trefoilferry.example/ferry/pkg/service"
 	"trefoilferry.example/ferry/pkg/settings"
 	standinengine "trefoilferry.example/ferry/pkg/standin/engine"
@@ -33,10 +33,10 @@
 // staticHosts is a host list that tests change.
 type staticHosts struct {
 	mu    sync.Mutex
-	hosts []platform.Host
+	hosts []infra.Host
 }
 
-func (h *staticHosts) Hosts(context.Context) ([]platform.Host, error) {
+func (h *staticHosts) Hosts(context.Context) ([]infra.Host, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.hosts, nil
--- a/pkg/agent/module.go
+++ b/pkg/agent/module.go
@@ -15,9 +15,9 @@
 	"trefoilferry.example/ferry/pkg/engine"
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/infra/httphosts"
+	"trefoilferry.example/ferry/pkg/infra/httplog"
 	"trefoilferry.example/ferry/pkg/oncehttp"
-	"trefoilferry.example/ferry/pkg/platform/httphosts"
-	"trefoilferry.example/ferry/pkg/platform/httplog"
 	"trefoilferry.example/ferry/pkg/service"
 )
 
--- a/pkg/agent/streams.go
+++ b/pkg/agent/streams.go
@@ -5,8 +5,8 @@
 
 	"trefoilferry.example/ferry/pkg/configlog"
 	"trefoilferry.example/ferry/pkg/idempotency"
+	"trefoilferry.example/ferry/pkg/infra"
 	"trefoilferry.example/ferry/pkg/placement"
-	"trefoilferry.example/ferry/pkg/platform"
 	"trefoilferry.example/ferry/pkg/stream"
 )
 
@@ -54,7 +54,7 @@
 	s.relay.Add(configStream, s.config)
 	s.relay.Add(placementStream, s.placement)
 	s.relay.Watcher()
-	reader := s.relay.Reader(d.deps.Hosts, hostsInterval, func(hosts []platform.Host) { d.control.Send(HostsRead{Hosts: hosts}) })
+	reader := s.relay.Reader(d.deps.Hosts, hostsInterval, func(hosts []infra.Host) { d.control.Send(HostsRead{Hosts: hosts}) })
 	s.hostsPoller = newPoller(clk, interval, reader.Poll)
 	s.others = []*poller{s.hostsPoller}
 	for _, name := range []string{configStream, placementStream} {
@@ -127,7 +127,7 @@
 		Fold:         fold,
 		Log:          d.deps.Log,
 		Peers:        stream.TwirpPeers{Client: d.deps.Client},
-		Hosts:        func() []platform.Host { return d.streams.relay.Hosts.Hosts() },
+		Hosts:        func() []infra.Host { return d.streams.relay.Hosts.Hosts() },
 		Self:         s.Host.Name,
 		PollInterval: s.Platform.PollInterval,
 		Now:          d.deps.Clock.Now,
--- a/pkg/configlog/faults_test.go
+++ b/pkg/configlog/faults_test.go
@@ -8,8 +8,8 @@
 	"pgregory.net/rapid"
 
 	"trefoilferry.example/ferry/pkg/failure"
-	"trefoilferry.example/ferry/pkg/platform"
-	"trefoilferry.example/ferry/pkg/platform/memlog"
+	"trefoilferry.example/ferry/pkg/infra"
+	"trefoilferry.example/ferry/pkg/infra/memlog"
 )
 
 // fault is what happens to one call of the log.
@@ -46,9 +46,9 @@
 	return l.Log.Append(ctx, stream, data)
 }
 
-func (l *faultyLog) Read(ctx context.Context, stream string, from uint64, limit int) (platform.Batch, error) {
+func (l *faultyLog) Read(ctx context.Context, stream string, from uint64, limit int) (infra.Batch, error) {
 	if f := l.draw(); f != works && f != storedTwice {
-		return platform.Batch{}, failure.New(failure.LogUnavailable, failure.NotRun, "connection refused")
+		return infra.Batch{}, failure.New(failure.LogUnavailable, failure.NotRun, "connection refused")
 	}
 	return l.Log.Read(ctx, stream, from, min(limit, 2))
 }
--- a/pkg/configlog/follower_test.go
+++ b/pkg/configlog/follower_test.go
@@ -5,7 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"trefoilferry.example/ferry/pkg/platform/memlog"
+	"trefoilferry.example/ferry/pkg/infra/memlog"
 	"trefoilferry.example/ferry/pkg/stream"
 )
 
--- a/pkg/configlog/publisher.go
+++ b/pkg/configlog/publisher.go
@@ -10,7 +10,7 @@
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/clock"
 	"trefoilferry.example/ferry/pkg/failure"
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 )
 
 // maxAppends bounds the appends of one change set. Each copy costs every reader one record.
@@ -26,7 +26,7 @@
 }
 
 // NewPublisher returns a publisher that knows nothing of the stream yet.
-func NewPublisher(log platform.Log, clk clock.Clock) *Publisher {
+func NewPublisher(log infra.Log, clk clock.Clock) *Publisher {
 	return &Publisher{reader: reader{log: log, fold: NewFold()}, clock: clk}
 }
 
--- a/pkg/configlog/publisher_test.go
+++ b/pkg/configlog/publisher_test.go
@@ -9,7 +9,7 @@
 
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/failure"
-	"trefoilferry.example/ferry/pkg/platform/memlog"
+	"trefoilferry.example/ferry/pkg/infra/memlog"
 )
 
 // testClock calls a hook instead of waiting.
--- a/pkg/configlog/reader.go
+++ b/pkg/configlog/reader.go
@@ -7,7 +7,7 @@
 
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/failure"
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 )
 
 // readLimit is the number of records of one read.
@@ -18,7 +18,7 @@
 
 // reader brings a fold up to the end of the stream.
 type reader struct {
-	log  platform.Log
+	log  infra.Log
 	fold *Fold
 	// lamport is the largest Lamport time of the records read.
 	lamport uint64
@@ -47,14 +47,14 @@
 	}
 }
 
-func (r *reader) apply(records []platform.Record) {
+func (r *reader) apply(records []infra.Record) {
 	for _, record := range records {
 		r.fold.Apply(record.Offset, r.decode(record))
 	}
 }
 
 // decode returns nil for a record that is no envelope; it then moves the offset alone.
-func (r *reader) decode(record platform.Record) *ferrypb.Envelope {
+func (r *reader) decode(record infra.Record) *ferrypb.Envelope {
 	e := &ferrypb.Envelope{}
 	if err := proto.Unmarshal(record.Data, e); err != nil {
 		return nil
--- a/pkg/ctl/client.go
+++ b/pkg/ctl/client.go
@@ -7,13 +7,13 @@
 
 	"trefoilferry.example/ferry/pkg/clock"
 	"trefoilferry.example/ferry/pkg/configlog"
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 )
 
 // Client carries out commands. Fields that a command does not need may be nil.
 type Client struct {
-	Log   platform.Log
-	Hosts platform.HostList
+	Log   infra.Log
+	Hosts infra.HostList
 	// Daemons are addresses for Peer calls; empty means all hosts of the platform's list.
 	Daemons []string
 	// HTTP makes the Peer calls.
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -15,8 +15,8 @@
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/clock"
 	"trefoilferry.example/ferry/pkg/configlog"
-	"trefoilferry.example/ferry/pkg/platform"
-	"trefoilferry.example/ferry/pkg/platform/memlog"
+	"trefoilferry.example/ferry/pkg/infra"
+	"trefoilferry.example/ferry/pkg/infra/memlog"
 	"trefoilferry.example/ferry/pkg/stream"
 )
 
@@ -24,11 +24,11 @@
 type bench struct {
 	t     *testing.T
 	log   *memlog.Log
-	hosts []platform.Host
+	hosts []infra.Host
 	ids   int
 }
 
-func (b *bench) Hosts(context.Context) ([]platform.Host, error) { return b.hosts, nil }
+func (b *bench) Hosts(context.Context) ([]infra.Host, error) { return b.hosts, nil }
 
 func (b *bench) run(args ...string) (int, string, string) {
 	b.t.Helper()
@@ -164,7 +164,7 @@
 func (b *bench) daemon(name string, d *daemon) {
 	server := httptest.NewServer(ferrypb.NewPeerServer(d))
 	b.t.Cleanup(server.Close)
-	b.hosts = append(b.hosts, platform.Host{Name: name, Address: strings.TrimPrefix(server.URL, "http://"), Region: "ege"})
+	b.hosts = append(b.hosts, infra.Host{Name: name, Address: strings.TrimPrefix(server.URL, "http://"), Region: "ege"})
 }
 
 // Guards against a status that hides processes which are behind or do not answer, and that needs the log.
@@ -174,7 +174,7 @@
 	b.want(ExitDone, "accepted at offset 2", "drain", "r1")
 	b.daemon("e1", &daemon{status: &ferrypb.StatusResponse{Process: "e1", ConfigOffset: 2, Ready: true}})
 	b.daemon("e2", &daemon{status: &ferrypb.StatusResponse{Process: "e2", ConfigOffset: 1, Ready: true}})
-	b.hosts = append(b.hosts, platform.Host{Name: "gone", Address: "127.0.0.1:1"})
+	b.hosts = append(b.hosts, infra.Host{Name: "gone", Address: "127.0.0.1:1"})
 	b.want(ExitDone, "offset 2 from log: 1 of 3 in force, 1 behind, 1 unreachable", "status")
 	b.log.SetDown(true)
 	b.want(ExitDone, "offset 2 from processes; log unavailable", "status")
--- a/pkg/ctl/peers.go
+++ b/pkg/ctl/peers.go
@@ -6,18 +6,18 @@
 
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/failure"
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 )
 
 // maxPeerCalls bounds the concurrent calls to daemons.
 const maxPeerCalls = 32
 
 // targets returns the daemons to ask. Failures have code HostsUnavailable, or BadRequest without any source.
-func (c *Client) targets(ctx context.Context) ([]platform.Host, error) {
+func (c *Client) targets(ctx context.Context) ([]infra.Host, error) {
 	if len(c.Daemons) > 0 {
-		var out []platform.Host
+		var out []infra.Host
 		for _, address := range c.Daemons {
-			out = append(out, platform.Host{Name: address, Address: address})
+			out = append(out, infra.Host{Name: address, Address: address})
 		}
 		return out, nil
 	}
@@ -28,7 +28,7 @@
 }
 
 // ask calls every host and returns answers and errors in the order of hosts.
-func ask[T any](ctx context.Context, c *Client, hosts []platform.Host, call func(context.Context, ferrypb.Peer) (T, error)) ([]T, []error) {
+func ask[T any](ctx context.Context, c *Client, hosts []infra.Host, call func(context.Context, ferrypb.Peer) (T, error)) ([]T, []error) {
 	answers := make([]T, len(hosts))
 	errs := make([]error, len(hosts))
 	slots := make(chan struct{}, maxPeerCalls)
@@ -44,7 +44,7 @@
 	return answers, errs
 }
 
-func askOne[T any](ctx context.Context, c *Client, host platform.Host, call func(context.Context, ferrypb.Peer) (T, error)) (T, error) {
+func askOne[T any](ctx context.Context, c *Client, host infra.Host, call func(context.Context, ferrypb.Peer) (T, error)) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.PeerTimeout)
 	defer cancel()
 	answer, err := call(ctx, ferrypb.NewPeerProtobufClient("http://"+host.Address, c.HTTP))
--- a/pkg/ctl/placements.go
+++ b/pkg/ctl/placements.go
@@ -9,7 +9,7 @@
 	"text/tabwriter"
 
 	"trefoilferry.example/ferry/api/ferrypb"
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 )
 
 // stateReady is the state of a copy that serves requests.
@@ -94,7 +94,7 @@
 	return c.collect(ctx, hosts, answers, errs), nil
 }
 
-func (c *Client) collect(ctx context.Context, hosts []platform.Host, answers []*ferrypb.StatusResponse, errs []error) *PlacementsResult {
+func (c *Client) collect(ctx context.Context, hosts []infra.Host, answers []*ferrypb.StatusResponse, errs []error) *PlacementsResult {
 	result := &PlacementsResult{Models: []ModelView{}, Runners: []RunnerView{}, Unreachable: []string{}}
 	copies := c.publishedModels(ctx)
 	for i, host := range hosts {
@@ -128,7 +128,7 @@
 	return copies
 }
 
-func (r *PlacementsResult) addRunner(host platform.Host, s *ferrypb.StatusResponse, copies map[string][]CopyView) {
+func (r *PlacementsResult) addRunner(host infra.Host, s *ferrypb.StatusResponse, copies map[string][]CopyView) {
 	if s.GetMemoryBytes() == 0 {
 		return
 	}
--- a/pkg/ctl/placements_test.go
+++ b/pkg/ctl/placements_test.go
@@ -4,7 +4,7 @@
 	"testing"
 
 	"trefoilferry.example/ferry/api/ferrypb"
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 )
 
 // Guards against a list of placements that hides a published model without a copy, counts a loading copy as ready,
@@ -16,7 +16,7 @@
 		{Model: "a", Version: "1", State: "ready"},
 		{Model: "b", Version: "1", State: "loading"},
 	}}})
-	b.hosts = append(b.hosts, platform.Host{Name: "gone", Address: "127.0.0.1:1"})
+	b.hosts = append(b.hosts, infra.Host{Name: "gone", Address: "127.0.0.1:1"})
 	b.want(ExitDone, "1 of 2 models have a ready copy, 1 hosts unreachable", "placements")
 	b.log.SetDown(true)
 	b.want(ExitDone, `"state": "loading"`, "placements", "--json")
--- a/pkg/ctl/state.go
+++ b/pkg/ctl/state.go
@@ -5,7 +5,7 @@
 
 	"trefoilferry.example/ferry/pkg/configlog"
 	"trefoilferry.example/ferry/pkg/failure"
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 	"trefoilferry.example/ferry/pkg/stream"
 )
 
@@ -37,7 +37,7 @@
 		Fold:        fold,
 		Log:         c.Log,
 		Peers:       stream.TwirpPeers{Client: c.HTTP},
-		Hosts:       func() []platform.Host { return hosts },
+		Hosts:       func() []infra.Host { return hosts },
 		PeerTimeout: c.PeerTimeout,
 		Now:         c.Clock.Now,
 	})
--- a/pkg/ctl/status.go
+++ b/pkg/ctl/status.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"trefoilferry.example/ferry/api/ferrypb"
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 )
 
 // StatusResult tells where the configuration is in force.
@@ -112,7 +112,7 @@
 	return p.Fold().LastChange(), true
 }
 
-func processView(host platform.Host, s *ferrypb.StatusResponse, err error) ProcessView {
+func processView(host infra.Host, s *ferrypb.StatusResponse, err error) ProcessView {
 	view := ProcessView{
 		Process:       host.Name,
 		Role:          string(host.Role),
--- a/pkg/entry/control_event.go
+++ b/pkg/entry/control_event.go
@@ -1,6 +1,6 @@
 package entry
 
-import "trefoilferry.example/ferry/pkg/platform"
+import "trefoilferry.example/ferry/pkg/infra"
 
 // ControlEvent is an input of the control state.
 type ControlEvent interface{ controlEvent() }
@@ -21,7 +21,7 @@
 }
 
 // HostsRead brings a new host list.
-type HostsRead struct{ Hosts []platform.Host }
+type HostsRead struct{ Hosts []infra.Host }
 
 // RunnerFailed tells that a runner did not answer.
 type RunnerFailed struct{ Runner string }
--- a/pkg/entry/control_state.go
+++ b/pkg/entry/control_state.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 	"trefoilferry.example/ferry/pkg/routing"
 )
 
@@ -100,7 +100,7 @@
 func (s *ControlState) hostsRead(e HostsRead) Effects {
 	leaving := map[string]bool{}
 	for _, h := range e.Hosts {
-		if h.Role == platform.RoleRunner && h.State == platform.HostLeaving {
+		if h.Role == infra.RoleRunner && h.State == infra.HostLeaving {
 			leaving[h.Name] = true
 		}
 	}
--- a/pkg/entry/control_test.go
+++ b/pkg/entry/control_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 )
 
 // Guards against a configuration that reverts and against readiness before both streams are read.
@@ -21,7 +21,7 @@
 	if got := s.Snapshot(); got.ConfigOffset != 9 || !got.Ready() {
 		t.Fatalf("reverted to %d", got.ConfigOffset)
 	}
-	s.Step(HostsRead{Hosts: []platform.Host{{Name: "r1", Role: platform.RoleRunner, State: platform.HostLeaving}}}, now)
+	s.Step(HostsRead{Hosts: []infra.Host{{Name: "r1", Role: infra.RoleRunner, State: infra.HostLeaving}}}, now)
 	if !s.Snapshot().Leaving["r1"] {
 		t.Fatal("leaving runner is not marked")
 	}
--- a/pkg/entry/daemon_test.go
+++ b/pkg/entry/daemon_test.go
@@ -16,15 +16,15 @@
 	"trefoilferry.example/ferry/pkg/clock"
 	"trefoilferry.example/ferry/pkg/configlog"
 	"trefoilferry.example/ferry/pkg/frame"
-	"trefoilferry.example/ferry/pkg/platform"
-	"trefoilferry.example/ferry/pkg/platform/memlog"
+	"trefoilferry.example/ferry/pkg/infra"
+	"trefoilferry.example/ferry/pkg/infra/memlog"
 	"trefoilferry.example/ferry/pkg/settings"
 	"trefoilferry.example/ferry/pkg/stream"
 )
 
 type fakeHosts struct{}
 
-func (fakeHosts) Hosts(context.Context) ([]platform.Host, error) { return nil, nil }
+func (fakeHosts) Hosts(context.Context) ([]infra.Host, error) { return nil, nil }
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
@@ -36,7 +36,7 @@
 	return l.Addr().String()
 }
 
-func publishModel(t *testing.T, log platform.Log, name string) uint64 {
+func publishModel(t *testing.T, log infra.Log, name string) uint64 {
 	t.Helper()
 	p := configlog.NewPublisher(log, clock.System{})
 	if err := p.Sync(t.Context()); err != nil {
@@ -50,7 +50,7 @@
 	return entry.GetOffset()
 }
 
-func place(t *testing.T, log platform.Log, a *fakeAgent) {
+func place(t *testing.T, log infra.Log, a *fakeAgent) {
 	t.Helper()
 	w := stream.NewWriter(log, "placement", "test", time.Now, func() uint64 { return 1 })
 	put := func(r *ferrypb.PlacementRecord) uint64 {
@@ -67,7 +67,7 @@
 	put(&ferrypb.PlacementRecord{Record: &ferrypb.PlacementRecord_Ready{Ready: &ferrypb.Ready{Claim: claim, Runner: a.name, Fencing: fencing}}})
 }
 
-func startDaemon(t *testing.T, log platform.Log) (*fx.App, *Settings) {
+func startDaemon(t *testing.T, log infra.Log) (*fx.App, *Settings) {
 	t.Helper()
 	s := &Settings{}
 	text := hostSettings + fmt.Sprintf("[listen]\ncallers=%s\ncontrol=%s\nadmin=%s\n[drain]\ngrace=400ms\ntimeout=5s\n", freeAddress(t), freeAddress(t), freeAddress(t))
@@ -75,8 +75,8 @@
 		t.Fatal(err)
 	}
 	app := NewApp(s, io.Discard,
-		fx.Decorate(func(platform.Log) platform.Log { return log }),
-		fx.Decorate(func(platform.HostList) platform.HostList { return fakeHosts{} }))
+		fx.Decorate(func(infra.Log) infra.Log { return log }),
+		fx.Decorate(func(infra.HostList) infra.HostList { return fakeHosts{} }))
 	if err := app.Start(t.Context()); err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/entry/module.go
+++ b/pkg/entry/module.go
@@ -16,9 +16,9 @@
 	"trefoilferry.example/ferry/pkg/clock"
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/failure"
-	"trefoilferry.example/ferry/pkg/platform"
-	"trefoilferry.example/ferry/pkg/platform/httphosts"
-	"trefoilferry.example/ferry/pkg/platform/httplog"
+	"trefoilferry.example/ferry/pkg/infra"
+	"trefoilferry.example/ferry/pkg/infra/httphosts"
+	"trefoilferry.example/ferry/pkg/infra/httplog"
 	"trefoilferry.example/ferry/pkg/routing"
 	"trefoilferry.example/ferry/pkg/timeline"
 )
@@ -55,8 +55,8 @@
 		NewSnapshots,
 		NewControlLoop,
 		newControlClient,
-		func(s *Settings) platform.Log { return httplog.New(s.Platform.LogURL, nil) },
-		func(s *Settings) platform.HostList { return httphosts.New(s.Platform.HostsURL, nil) },
+		func(s *Settings) infra.Log { return httplog.New(s.Platform.LogURL, nil) },
+		func(s *Settings) infra.HostList { return httphosts.New(s.Platform.HostsURL, nil) },
 		newSources,
 		newParts,
 		NewDispatcher,
@@ -97,8 +97,8 @@
 	Incarnation Incarnation
 	Snapshots   *Snapshots
 	Loop        *ControlLoop
-	Log         platform.Log
-	Hosts       platform.HostList
+	Log         infra.Log
+	Hosts       infra.HostList
 	Client      controlClient
 	Clock       clock.Clock
 	Ring        *timeline.Ring
--- a/pkg/entry/snapshot.go
+++ b/pkg/entry/snapshot.go
@@ -4,7 +4,7 @@
 	"sync/atomic"
 	"time"
 
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 	"trefoilferry.example/ferry/pkg/routing"
 )
 
@@ -18,7 +18,7 @@
 	PlacementOffset uint64
 	// Suspects names the runners to avoid and until when.
 	Suspects map[string]time.Time
-	Hosts    []platform.Host
+	Hosts    []infra.Host
 	// Leaving names the runners that the host list reports as leaving.
 	Leaving map[string]bool
 	// CaughtUp is set once configuration and routes have been read up to the end.
--- a/pkg/entry/sources.go
+++ b/pkg/entry/sources.go
@@ -7,9 +7,9 @@
 	"trefoilferry.example/ferry/pkg/clock"
 	"trefoilferry.example/ferry/pkg/configlog"
 	"trefoilferry.example/ferry/pkg/eventlog"
+	"trefoilferry.example/ferry/pkg/infra"
 	"trefoilferry.example/ferry/pkg/object"
 	"trefoilferry.example/ferry/pkg/placement"
-	"trefoilferry.example/ferry/pkg/platform"
 	"trefoilferry.example/ferry/pkg/stream"
 	"trefoilferry.example/ferry/pkg/timeline"
 )
@@ -26,8 +26,8 @@
 	Incarnation string
 	Snapshots   *Snapshots
 	Loop        *ControlLoop
-	Log         platform.Log
-	Hosts       platform.HostList
+	Log         infra.Log
+	Hosts       infra.HostList
 	Control     *http.Client
 	Clock       clock.Clock
 	Ring        *timeline.Ring
@@ -101,7 +101,7 @@
 }
 
 func (s *Sources) addHosts(p SourceParts) {
-	publish := func(hosts []platform.Host) { p.Loop.Send(context.Background(), HostsRead{Hosts: hosts}) }
+	publish := func(hosts []infra.Host) { p.Loop.Send(context.Background(), HostsRead{Hosts: hosts}) }
 	reader := s.relay.Reader(p.Hosts, p.Settings.Platform.HostsInterval, publish)
 	s.poll(p, reader.Poll)
 }
--- a/pkg/idempotency/claims_test.go
+++ b/pkg/idempotency/claims_test.go
@@ -11,8 +11,8 @@
 
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/failure"
-	"trefoilferry.example/ferry/pkg/platform"
-	"trefoilferry.example/ferry/pkg/platform/memlog"
+	"trefoilferry.example/ferry/pkg/infra"
+	"trefoilferry.example/ferry/pkg/infra/memlog"
 	"trefoilferry.example/ferry/pkg/stream"
 )
 
@@ -46,9 +46,9 @@
 	return l.w.log.Append(ctx, name, data)
 }
 
-func (l faultLog) Read(ctx context.Context, name string, from uint64, limit int) (platform.Batch, error) {
+func (l faultLog) Read(ctx context.Context, name string, from uint64, limit int) (infra.Batch, error) {
 	if rapid.IntRange(0, 5).Draw(l.w.t, "read") == 0 {
-		return platform.Batch{}, failure.New(failure.LogUnavailable, failure.NotRun, "no answer")
+		return infra.Batch{}, failure.New(failure.LogUnavailable, failure.NotRun, "no answer")
 	}
 	return l.w.log.Read(ctx, name, from, limit)
 }
--- a/pkg/idempotency/keeper_test.go
+++ b/pkg/idempotency/keeper_test.go
@@ -12,7 +12,7 @@
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/clock"
 	"trefoilferry.example/ferry/pkg/failure"
-	"trefoilferry.example/ferry/pkg/platform/memlog"
+	"trefoilferry.example/ferry/pkg/infra/memlog"
 	"trefoilferry.example/ferry/pkg/stream"
 )
 
--- a/pkg/platform/hostlist.go
+++ b/pkg/infra/hostlist.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import "context"
 
--- a/pkg/platform/httphosts/etag_test.go
+++ b/pkg/infra/httphosts/etag_test.go
@@ -6,8 +6,8 @@
 	"net/http/httptest"
 	"testing"
 
-	"trefoilferry.example/ferry/pkg/platform"
-	"trefoilferry.example/ferry/pkg/platform/httphosts"
+	"trefoilferry.example/ferry/pkg/infra"
+	"trefoilferry.example/ferry/pkg/infra/httphosts"
 	"trefoilferry.example/ferry/pkg/standin/hosts"
 )
 
@@ -27,8 +27,8 @@
 	}))
 	defer server.Close()
 	client := httphosts.New(server.URL, nil)
-	for _, state := range []platform.HostState{platform.HostLive, platform.HostLeaving} {
-		row := platform.Host{Name: "r1", State: state}
+	for _, state := range []infra.HostState{infra.HostLive, infra.HostLeaving} {
+		row := infra.Host{Name: "r1", State: state}
 		standin.Put(row)
 		for range 3 {
 			list, err := client.Hosts(context.Background())
--- a/pkg/platform/httphosts/hosts.go
+++ b/pkg/infra/httphosts/hosts.go
@@ -11,14 +11,14 @@
 	"sync"
 
 	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/infra"
 	"trefoilferry.example/ferry/pkg/oncehttp"
-	"trefoilferry.example/ferry/pkg/platform"
 )
 
 // maxAnswerBytes bounds one answer; a list of 10,000 hosts stays below 4 MiB.
 const maxAnswerBytes = 16 << 20
 
-// List implements platform.HostList over HTTP. It is safe for concurrent use.
+// List implements infra.HostList over HTTP. It is safe for concurrent use.
 type List struct {
 	base string
 	send *oncehttp.Sender
@@ -30,10 +30,10 @@
 // answer is the last complete answer.
 type answer struct {
 	etag  string
-	hosts []platform.Host
+	hosts []infra.Host
 }
 
-var _ platform.HostList = (*List)(nil)
+var _ infra.HostList = (*List)(nil)
 
 // New returns a client of the host list service at baseURL. A nil client means oncehttp.NewClient().
 func New(baseURL string, client *http.Client) *List {
@@ -42,7 +42,7 @@
 
 // Hosts returns the current list, which callers must not change: it is the same slice while the platform answers that
 // nothing has changed. Failures have code HostsUnavailable; a list that is cut short is a failure, too.
-func (l *List) Hosts(ctx context.Context) ([]platform.Host, error) {
+func (l *List) Hosts(ctx context.Context) ([]infra.Host, error) {
 	l.mu.Lock()
 	known := l.known
 	l.mu.Unlock()
@@ -74,7 +74,7 @@
 	return hosts, nil
 }
 
-func decode(resp *http.Response) ([]platform.Host, error) {
+func decode(resp *http.Response) ([]infra.Host, error) {
 	var body io.Reader = resp.Body
 	if resp.Header.Get("Content-Encoding") == "gzip" {
 		plain, err := gzip.NewReader(body)
@@ -83,7 +83,7 @@
 		}
 		body = plain
 	}
-	var hosts []platform.Host
+	var hosts []infra.Host
 	err := json.NewDecoder(io.LimitReader(body, maxAnswerBytes)).Decode(&hosts)
 	if err != nil {
 		return nil, err
--- a/pkg/platform/httphosts/hosts_test.go
+++ b/pkg/infra/httphosts/hosts_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"trefoilferry.example/ferry/pkg/failure"
-	"trefoilferry.example/ferry/pkg/platform"
-	"trefoilferry.example/ferry/pkg/platform/httphosts"
+	"trefoilferry.example/ferry/pkg/infra"
+	"trefoilferry.example/ferry/pkg/infra/httphosts"
 	"trefoilferry.example/ferry/pkg/standin/faults"
 	"trefoilferry.example/ferry/pkg/standin/hosts"
 )
@@ -22,18 +22,18 @@
 	server := httptest.NewServer(standin)
 	defer server.Close()
 	client := httphosts.New(server.URL, nil)
-	row := platform.Host{Name: "r1", Role: platform.RoleRunner, Address: "127.0.0.1:1", Region: "ege", FailureDomain: "ege-1"}
+	row := infra.Host{Name: "r1", Role: infra.RoleRunner, Address: "127.0.0.1:1", Region: "ege", FailureDomain: "ege-1"}
 	leaving := row
-	leaving.State = platform.HostLeaving
-	row.State = platform.HostLive
+	leaving.State = infra.HostLeaving
+	row.State = infra.HostLive
 	steps := []struct {
 		change func()
-		before []platform.Host
-		after  []platform.Host
+		before []infra.Host
+		after  []infra.Host
 	}{
-		{func() { standin.Put(row) }, nil, []platform.Host{row}},
-		{func() { standin.Put(leaving) }, []platform.Host{row}, []platform.Host{leaving}},
-		{func() { standin.Remove("r1") }, []platform.Host{leaving}, nil},
+		{func() { standin.Put(row) }, nil, []infra.Host{row}},
+		{func() { standin.Put(leaving) }, []infra.Host{row}, []infra.Host{leaving}},
+		{func() { standin.Remove("r1") }, []infra.Host{leaving}, nil},
 	}
 	for i, step := range steps {
 		step.change()
@@ -43,7 +43,7 @@
 	}
 }
 
-func expect(t *testing.T, step int, client platform.HostList, want []platform.Host) {
+func expect(t *testing.T, step int, client infra.HostList, want []infra.Host) {
 	t.Helper()
 	got, err := client.Hosts(context.Background())
 	if err != nil || len(got) != len(want) || len(want) == 1 && got[0] != want[0] {
--- a/pkg/platform/httplog/answers.go
+++ b/pkg/infra/httplog/answers.go
@@ -2,7 +2,7 @@
 
 import (
 	"trefoilferry.example/ferry/pkg/failure"
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 )
 
 // AppendAnswer is the answer to an append.
@@ -34,13 +34,13 @@
 }
 
 // batch checks that the records start at from and have no gaps, because a fold must see every record once.
-func (a ReadAnswer) batch(from uint64) (platform.Batch, error) {
-	batch := platform.Batch{Next: a.Next, Oldest: a.Oldest}
+func (a ReadAnswer) batch(from uint64) (infra.Batch, error) {
+	batch := infra.Batch{Next: a.Next, Oldest: a.Oldest}
 	for i, r := range a.Records {
 		if r.Offset != from+uint64(i) || r.Offset >= a.Next {
-			return platform.Batch{}, failure.New(failure.LogUnavailable, failure.Unknown, "answer of the log service has a gap")
+			return infra.Batch{}, failure.New(failure.LogUnavailable, failure.Unknown, "answer of the log service has a gap")
 		}
-		batch.Records = append(batch.Records, platform.Record{Offset: r.Offset, Data: r.Data})
+		batch.Records = append(batch.Records, infra.Record{Offset: r.Offset, Data: r.Data})
 	}
 	return batch, nil
 }
--- a/pkg/platform/httplog/log.go
+++ b/pkg/infra/httplog/log.go
@@ -11,20 +11,20 @@
 	"strings"
 
 	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/infra"
 	"trefoilferry.example/ferry/pkg/oncehttp"
-	"trefoilferry.example/ferry/pkg/platform"
 )
 
 // maxAnswerBytes bounds one answer of the log service.
 const maxAnswerBytes = 256 << 20
 
-// Log implements platform.Log over HTTP. It is safe for concurrent use.
+// Log implements infra.Log over HTTP. It is safe for concurrent use.
 type Log struct {
 	base string
 	send *oncehttp.Sender
 }
 
-var _ platform.Log = (*Log)(nil)
+var _ infra.Log = (*Log)(nil)
 
 // New returns a client of the log service at baseURL. A nil client means oncehttp.NewClient().
 func New(baseURL string, client *http.Client) *Log {
@@ -55,25 +55,25 @@
 
 // Read returns up to limit records from offset from on. A from that is no longer retained fails with code
 // OffsetExpired, and the batch carries Next and Oldest; other failures have code LogUnavailable.
-func (l *Log) Read(ctx context.Context, stream string, from uint64, limit int) (platform.Batch, error) {
+func (l *Log) Read(ctx context.Context, stream string, from uint64, limit int) (infra.Batch, error) {
 	query := url.Values{"from": {strconv.FormatUint(from, 10)}, "limit": {strconv.Itoa(limit)}}
 	resp, err := l.send.Send(ctx, oncehttp.Request{Method: http.MethodGet, URL: l.url(stream) + "?" + query.Encode()})
 	if err != nil {
-		return platform.Batch{}, unavailable(err)
+		return infra.Batch{}, unavailable(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusGone {
-		return platform.Batch{}, refused(resp)
+		return infra.Batch{}, refused(resp)
 	}
 	var answer ReadAnswer
 	if err := decode(resp.Body, &answer); err != nil {
-		return platform.Batch{}, err
+		return infra.Batch{}, err
 	}
 	if err := answer.check(); err != nil {
-		return platform.Batch{}, err
+		return infra.Batch{}, err
 	}
 	if resp.StatusCode == http.StatusGone {
-		batch := platform.Batch{Next: answer.Next, Oldest: answer.Oldest}
+		batch := infra.Batch{Next: answer.Next, Oldest: answer.Oldest}
 		return batch, failure.New(failure.OffsetExpired, failure.NotRun, "records are no longer retained")
 	}
 	return answer.batch(from)
--- a/pkg/platform/httplog/log_test.go
+++ b/pkg/infra/httplog/log_test.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"trefoilferry.example/ferry/pkg/failure"
-	"trefoilferry.example/ferry/pkg/platform"
-	"trefoilferry.example/ferry/pkg/platform/httplog"
-	"trefoilferry.example/ferry/pkg/platform/memlog"
+	"trefoilferry.example/ferry/pkg/infra"
+	"trefoilferry.example/ferry/pkg/infra/httplog"
+	"trefoilferry.example/ferry/pkg/infra/memlog"
 	"trefoilferry.example/ferry/pkg/standin/faults"
 	"trefoilferry.example/ferry/pkg/standin/log"
 )
@@ -21,7 +21,7 @@
 func TestContract(t *testing.T) {
 	server := httptest.NewServer(log.New(log.Config{}))
 	defer server.Close()
-	logs := map[string]platform.Log{"memory": memlog.New(), "http": httplog.New(server.URL+"/", nil)}
+	logs := map[string]infra.Log{"memory": memlog.New(), "http": httplog.New(server.URL+"/", nil)}
 	for name, l := range logs {
 		t.Run(name, func(t *testing.T) {
 			for i, data := range []string{"a", "", "c"} {
--- a/pkg/platform/log.go
+++ b/pkg/infra/log.go
@@ -1,5 +1,5 @@
-// Package platform holds the interfaces of the platform's services that the system uses.
-package platform
+// Package infra holds the interfaces of the platform's services that the system uses.
+package infra
 
 import "context"
 
--- a/pkg/platform/memlog/memlog.go
+++ b/pkg/infra/memlog/memlog.go
@@ -6,7 +6,7 @@
 	"sync"
 
 	"trefoilferry.example/ferry/pkg/failure"
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 )
 
 // Log keeps streams in memory. It is safe for concurrent use.
@@ -79,19 +79,19 @@
 }
 
 // Read returns records from offset from on.
-func (l *Log) Read(_ context.Context, name string, from uint64, limit int) (platform.Batch, error) {
+func (l *Log) Read(_ context.Context, name string, from uint64, limit int) (infra.Batch, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return platform.Batch{}, failure.New(failure.LogUnavailable, failure.NotRun, "log is down")
+		return infra.Batch{}, failure.New(failure.LogUnavailable, failure.NotRun, "log is down")
 	}
 	s := l.stream(name)
-	batch := platform.Batch{Next: s.next(), Oldest: s.first}
+	batch := infra.Batch{Next: s.next(), Oldest: s.first}
 	if from < s.first {
 		return batch, failure.New(failure.OffsetExpired, failure.NotRun, "records are no longer retained")
 	}
 	for offset := from; offset < s.next() && len(batch.Records) < limit; offset++ {
-		batch.Records = append(batch.Records, platform.Record{Offset: offset, Data: s.data[offset-s.first]})
+		batch.Records = append(batch.Records, infra.Record{Offset: offset, Data: s.data[offset-s.first]})
 	}
 	return batch, nil
 }
--- a/pkg/placement/fleet.go
+++ b/pkg/placement/fleet.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
+	"trefoilferry.example/ferry/pkg/infra"
 	"trefoilferry.example/ferry/pkg/object"
-	"trefoilferry.example/ferry/pkg/platform"
 )
 
 // maxOpenClaims bounds the claims of one runner whose load is not finished. An engine loads one model at a
@@ -67,7 +67,7 @@
 		counts: make(map[string]*modelCount, len(in.Config.Models())), released: map[uint64]bool{}, regions: map[string][]string{},
 		epoch: in.Now.UnixNano() / int64(rankEpoch)}
 	for _, h := range in.Hosts {
-		if h.State == platform.HostLeaving {
+		if h.State == infra.HostLeaving {
 			f.leaving[h.Name] = true
 		}
 	}
@@ -86,7 +86,7 @@
 	}
 	live := make(map[string]bool, len(f.in.Hosts))
 	for _, h := range f.in.Hosts {
-		live[h.Name] = h.State == platform.HostLive
+		live[h.Name] = h.State == infra.HostLive
 	}
 	hanging := f.hanging()
 	f.able = make(map[string]bool, len(live))
--- a/pkg/placement/plan_test.go
+++ b/pkg/placement/plan_test.go
@@ -8,8 +8,8 @@
 	"pgregory.net/rapid"
 
 	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/infra"
 	"trefoilferry.example/ferry/pkg/object"
-	"trefoilferry.example/ferry/pkg/platform"
 )
 
 // testConfig is a configuration for tests.
@@ -42,7 +42,7 @@
 	fencing map[string]uint64
 	memory  uint64
 	config  testConfig
-	hosts   []platform.Host
+	hosts   []infra.Host
 	now     time.Time
 	refused int
 	demands map[string][]Demand
@@ -56,7 +56,7 @@
 		name, domain := fmt.Sprintf("r%02d", i), fmt.Sprintf("d%d", i%domains)
 		c.names = append(c.names, name)
 		c.fencing[name] = c.start(name, domain, memory)
-		c.hosts = append(c.hosts, platform.Host{Name: name, State: platform.HostLive, FailureDomain: domain})
+		c.hosts = append(c.hosts, infra.Host{Name: name, State: infra.HostLive, FailureDomain: domain})
 	}
 	return c
 }
@@ -233,7 +233,7 @@
 		c.claim(name, "m"+name, "1", c.fencing[name], floorKind, 1)
 		c.config.models = append(c.config.models, model("m"+name, "1", 10, 1))
 	}
-	c.hosts[0].State = platform.HostLeaving
+	c.hosts[0].State = infra.HostLeaving
 	loading := 0
 	for _, name := range c.names {
 		if Plan(c.input(name, c.Snapshot())).Load != 0 {
--- a/pkg/placement/plan_types.go
+++ b/pkg/placement/plan_types.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"trefoilferry.example/ferry/pkg/infra"
 	"trefoilferry.example/ferry/pkg/object"
-	"trefoilferry.example/ferry/pkg/platform"
 )
 
 // Config is the part of the configuration that the planner reads; *object.Set implements it.
@@ -43,7 +43,7 @@
 	Snapshot *Snapshot
 	Config   Config
 	// Hosts is the last host list; empty means that none is known and every runner counts as live.
-	Hosts []platform.Host
+	Hosts []infra.Host
 	// Demands are the hints that this agent received.
 	Demands []Demand
 	// Usage describes the own ready copies.
--- a/pkg/standin/hosts/server.go
+++ b/pkg/standin/hosts/server.go
@@ -14,7 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 	"trefoilferry.example/ferry/pkg/standin/faults"
 )
 
@@ -57,7 +57,7 @@
 }
 
 // Visible returns the list as readers see it.
-func (s *Server) Visible() []platform.Host {
+func (s *Server) Visible() []infra.Host {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.list.visible(time.Now())
@@ -93,16 +93,16 @@
 }
 
 func (s *Server) put(w http.ResponseWriter, r *http.Request) {
-	var host platform.Host
+	var host infra.Host
 	if err := json.NewDecoder(r.Body).Decode(&host); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	host.Name = mux.Vars(r)["name"]
 	if host.State == "" {
-		host.State = platform.HostLive
+		host.State = infra.HostLive
 	}
-	if host.State != platform.HostLive && host.State != platform.HostLeaving {
+	if host.State != infra.HostLive && host.State != infra.HostLeaving {
 		http.Error(w, "state must be live or leaving", http.StatusBadRequest)
 		return
 	}
@@ -116,7 +116,7 @@
 }
 
 // Put adds a host or replaces its row.
-func (s *Server) Put(host platform.Host) {
+func (s *Server) Put(host infra.Host) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.list.put(time.Now(), host)
--- a/pkg/standin/log/server.go
+++ b/pkg/standin/log/server.go
@@ -11,7 +11,7 @@
 	"github.com/gorilla/mux"
 	"golang.org/x/time/rate"
 
-	"trefoilferry.example/ferry/pkg/platform/httplog"
+	"trefoilferry.example/ferry/pkg/infra/httplog"
 	"trefoilferry.example/ferry/pkg/standin/faults"
 	"trefoilferry.example/ferry/pkg/standin/serve"
 )
--- a/pkg/stream/apply.go
+++ b/pkg/stream/apply.go
@@ -7,11 +7,11 @@
 
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/eventlog"
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 )
 
 // applyRaw decodes and applies records read from the log.
-func (f *Follower) applyRaw(records []platform.Record) {
+func (f *Follower) applyRaw(records []infra.Record) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, r := range records {
--- a/pkg/stream/config.go
+++ b/pkg/stream/config.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"trefoilferry.example/ferry/pkg/eventlog"
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 )
 
 const (
@@ -25,11 +25,11 @@
 type FollowerConfig struct {
 	Stream string
 	Fold   Fold
-	Log    platform.Log
+	Log    infra.Log
 	// Peers reads from other processes; nil reads the log only.
 	Peers PeerReader
 	// Hosts returns the last known host list; nil means none.
-	Hosts func() []platform.Host
+	Hosts func() []infra.Host
 	// Self is the name of the own host, which is never asked.
 	Self string
 	// Root reports whether the own host reads the log itself; others leave it to a Watcher while that keeps the state
@@ -64,7 +64,7 @@
 		c.Now = time.Now
 	}
 	if c.Hosts == nil {
-		c.Hosts = func() []platform.Host { return nil }
+		c.Hosts = func() []infra.Host { return nil }
 	}
 	if c.ConfigOffset == nil {
 		c.ConfigOffset = zero
--- a/pkg/stream/fold_test.go
+++ b/pkg/stream/fold_test.go
@@ -7,7 +7,7 @@
 
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/failure"
-	"trefoilferry.example/ferry/pkg/platform/memlog"
+	"trefoilferry.example/ferry/pkg/infra/memlog"
 )
 
 const testStream = "config"
--- a/pkg/stream/follower_test.go
+++ b/pkg/stream/follower_test.go
@@ -9,8 +9,8 @@
 
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/failure"
-	"trefoilferry.example/ferry/pkg/platform"
-	"trefoilferry.example/ferry/pkg/platform/memlog"
+	"trefoilferry.example/ferry/pkg/infra"
+	"trefoilferry.example/ferry/pkg/infra/memlog"
 )
 
 func testNow() time.Time { return time.Unix(1000, 0) }
@@ -42,20 +42,20 @@
 func (c testClock) Now() time.Time                         { return c() }
 func (c testClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
 
-func testWatcher(self string, list []platform.Host, peers memPeers, f *Follower, now func() time.Time) *Watcher {
+func testWatcher(self string, list []infra.Host, peers memPeers, f *Follower, now func() time.Time) *Watcher {
 	cache := &HostCache{}
 	cache.Store(list, now())
 	return NewWatcher(WatcherConfig{Self: self, FailureDomain: "d", Peers: peers, Followers: map[string]*Follower{testStream: f},
 		Hosts: cache, Renewals: &Signal{}, Clock: testClock(now), ConfigOffset: zeroLamport, Lamport: zeroLamport, Updated: func() {}})
 }
 
-func hosts(n int) func() []platform.Host {
-	var list []platform.Host
+func hosts(n int) func() []infra.Host {
+	var list []infra.Host
 	for i := range n {
 		name := fmt.Sprintf("h%d", i)
-		list = append(list, platform.Host{Name: name, Address: name, FailureDomain: "d", State: platform.HostLive})
+		list = append(list, infra.Host{Name: name, Address: name, FailureDomain: "d", State: infra.HostLive})
 	}
-	return func() []platform.Host { return list }
+	return func() []infra.Host { return list }
 }
 
 func fill(t *testing.T, log *memlog.Log, from, to int) []string {
@@ -190,11 +190,11 @@
 }
 
 type countingLog struct {
-	platform.Log
+	infra.Log
 	reads int
 }
 
-func (c *countingLog) Read(ctx context.Context, stream string, from uint64, limit int) (platform.Batch, error) {
+func (c *countingLog) Read(ctx context.Context, stream string, from uint64, limit int) (infra.Batch, error) {
 	c.reads++
 	return c.Log.Read(ctx, stream, from, limit)
 }
--- a/pkg/stream/host_cache.go
+++ b/pkg/stream/host_cache.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"trefoilferry.example/ferry/api/ferrypb"
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 )
 
 // HostCache holds the last known host list. It is safe for concurrent use.
@@ -18,7 +18,7 @@
 	Changes *Signal
 
 	mu    sync.Mutex
-	hosts []platform.Host
+	hosts []infra.Host
 	hash  uint64
 	// freshAt is the time up to which the list is known to equal the platform's; zero if never.
 	freshAt time.Time
@@ -27,7 +27,7 @@
 }
 
 // Hosts returns the last list, which callers must not change.
-func (c *HostCache) Hosts() []platform.Host {
+func (c *HostCache) Hosts() []infra.Host {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.hosts
@@ -51,7 +51,7 @@
 }
 
 // Store takes over a list, ordered by name, that equalled the platform's at a time. A list older than the present one is dropped.
-func (c *HostCache) Store(hosts []platform.Host, at time.Time) {
+func (c *HostCache) Store(hosts []infra.Host, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if at.Before(c.freshAt) {
@@ -66,7 +66,7 @@
 }
 
 // replace puts a different list in force.
-func (c *HostCache) replace(hosts []platform.Host) {
+func (c *HostCache) replace(hosts []infra.Host) {
 	if c.hash != 0 {
 		c.deltas = append(c.deltas, newHostDelta(c.hash, c.hosts, hosts))
 		c.deltas = c.deltas[max(0, len(c.deltas)-maxDeltas):]
@@ -132,7 +132,7 @@
 		return
 	}
 	words := interner{}
-	rows := make([]platform.Host, 0, len(u.Rows))
+	rows := make([]infra.Host, 0, len(u.Rows))
 	for _, r := range u.Rows {
 		rows = append(rows, words.host(r))
 	}
@@ -160,13 +160,13 @@
 	c.replace(hosts)
 }
 
-func hostRow(h platform.Host) *ferrypb.HostRow {
+func hostRow(h infra.Host) *ferrypb.HostRow {
 	return &ferrypb.HostRow{Name: h.Name, Role: string(h.Role), Address: h.Address, Region: h.Region,
 		FailureDomain: h.FailureDomain, State: string(h.State)}
 }
 
-func byName(hosts []platform.Host) []platform.Host {
-	compare := func(a, b platform.Host) int { return cmp.Compare(a.Name, b.Name) }
+func byName(hosts []infra.Host) []infra.Host {
+	compare := func(a, b infra.Host) int { return cmp.Compare(a.Name, b.Name) }
 	if slices.IsSortedFunc(hosts, compare) {
 		return hosts
 	}
@@ -186,13 +186,13 @@
 	return s
 }
 
-func (i interner) host(r *ferrypb.HostRow) platform.Host {
-	return platform.Host{Name: r.Name, Role: platform.Role(i.share(r.Role)), Address: r.Address, Region: i.share(r.Region),
-		FailureDomain: i.share(r.FailureDomain), State: platform.HostState(i.share(r.State))}
+func (i interner) host(r *ferrypb.HostRow) infra.Host {
+	return infra.Host{Name: r.Name, Role: infra.Role(i.share(r.Role)), Address: r.Address, Region: i.share(r.Region),
+		FailureDomain: i.share(r.FailureDomain), State: infra.HostState(i.share(r.State))}
 }
 
 // hashHosts identifies a list by its rows in order; it is never 0.
-func hashHosts(hosts []platform.Host) uint64 {
+func hashHosts(hosts []infra.Host) uint64 {
 	d := xxhash.New()
 	for _, h := range hosts {
 		for _, field := range []string{h.Name, string(h.Role), h.Address, h.Region, h.FailureDomain, string(h.State)} {
--- a/pkg/stream/host_cache_test.go
+++ b/pkg/stream/host_cache_test.go
@@ -7,27 +7,27 @@
 
 	"pgregory.net/rapid"
 
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 )
 
 // Guards against a reader whose list differs from its parent's after changes, however far behind it is.
 func TestHostCacheFollowsItsParent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		parent, child := &HostCache{}, &HostCache{}
-		rows := map[string]platform.Host{}
+		rows := map[string]infra.Host{}
 		now := testNow()
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Second)
 			name := fmt.Sprintf("h%d", rapid.IntRange(0, 9).Draw(t, "host"))
 			switch rapid.IntRange(0, 3).Draw(t, "step") {
 			case 0:
-				rows[name] = platform.Host{Name: name, State: platform.HostLive}
+				rows[name] = infra.Host{Name: name, State: infra.HostLive}
 			case 1:
-				rows[name] = platform.Host{Name: name, State: platform.HostLeaving}
+				rows[name] = infra.Host{Name: name, State: infra.HostLeaving}
 			case 2:
 				delete(rows, name)
 			}
-			var list []platform.Host
+			var list []infra.Host
 			for _, h := range rows {
 				list = append(list, h)
 			}
--- a/pkg/stream/host_delta.go
+++ b/pkg/stream/host_delta.go
@@ -4,7 +4,7 @@
 	"maps"
 	"slices"
 
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 )
 
 // maxDeltas is the number of earlier lists from which a reader can continue. A reader in the tree is at most a few
@@ -16,12 +16,12 @@
 	// base is the hash of the earlier list.
 	base uint64
 	// rows are new or changed, in name order.
-	rows []platform.Host
+	rows []infra.Host
 	// removed are the names of rows that are gone, in order.
 	removed []string
 }
 
-func newHostDelta(base uint64, from, to []platform.Host) hostDelta {
+func newHostDelta(base uint64, from, to []infra.Host) hostDelta {
 	gone := indexHosts(from)
 	d := hostDelta{base: base}
 	for _, h := range to {
@@ -35,7 +35,7 @@
 }
 
 // apply returns the later list.
-func (d hostDelta) apply(from []platform.Host) []platform.Host {
+func (d hostDelta) apply(from []infra.Host) []infra.Host {
 	rows := indexHosts(from)
 	for _, name := range d.removed {
 		delete(rows, name)
@@ -48,7 +48,7 @@
 
 // mergeDeltas joins successive deltas.
 func mergeDeltas(deltas []hostDelta) hostDelta {
-	rows, removed := map[string]platform.Host{}, map[string]bool{}
+	rows, removed := map[string]infra.Host{}, map[string]bool{}
 	for _, d := range deltas {
 		for _, name := range d.removed {
 			delete(rows, name)
@@ -62,8 +62,8 @@
 	return hostDelta{base: deltas[0].base, rows: byName(slices.Collect(maps.Values(rows))), removed: slices.Sorted(maps.Keys(removed))}
 }
 
-func indexHosts(hosts []platform.Host) map[string]platform.Host {
-	out := make(map[string]platform.Host, len(hosts))
+func indexHosts(hosts []infra.Host) map[string]infra.Host {
+	out := make(map[string]infra.Host, len(hosts))
 	for _, h := range hosts {
 		out[h.Name] = h
 	}
--- a/pkg/stream/host_reader.go
+++ b/pkg/stream/host_reader.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 )
 
 const (
@@ -20,7 +20,7 @@
 
 // HostReader keeps a HostCache up to date and publishes its list. One goroutine calls Poll.
 type HostReader struct {
-	List  platform.HostList
+	List  infra.HostList
 	Cache *HostCache
 	// Root reports whether this process reads the list for others.
 	Root func() bool
@@ -28,7 +28,7 @@
 	Interval time.Duration
 	Now      func() time.Time
 	// Publish receives a changed list at once and a current one every few seconds.
-	Publish func([]platform.Host)
+	Publish func([]infra.Host)
 
 	tried       time.Time
 	published   uint64
--- a/pkg/stream/log_reader.go
+++ b/pkg/stream/log_reader.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"trefoilferry.example/ferry/pkg/failure"
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 )
 
 // logReadLimit bounds one read of the log. A log slower than this counts as out.
@@ -15,7 +15,7 @@
 // peers, and its answer is used by a later round: lost packets must not keep the follower from its peers, and a slow log
 // must still be read to its end.
 type logReader struct {
-	log      platform.Log
+	log      infra.Log
 	stream   string
 	patience time.Duration
 	now      func() time.Time
@@ -26,13 +26,13 @@
 type logRead struct {
 	started time.Time
 	done    chan struct{}
-	batch   platform.Batch
+	batch   infra.Batch
 	err     error
 }
 
 // read returns the records from an offset on and the time when their read started. After the patience it fails with
 // LogUnavailable. The records may start before from when they belong to a read of an earlier round.
-func (r *logReader) read(ctx context.Context, from uint64) (platform.Batch, time.Time, error) {
+func (r *logReader) read(ctx context.Context, from uint64) (infra.Batch, time.Time, error) {
 	if r.pending == nil {
 		r.pending = r.start(ctx, from)
 	}
@@ -46,7 +46,7 @@
 	case <-ctx.Done():
 	case <-patience.C:
 	}
-	return platform.Batch{}, current.started, failure.New(failure.LogUnavailable, failure.Unknown, "log service has not answered yet")
+	return infra.Batch{}, current.started, failure.New(failure.LogUnavailable, failure.Unknown, "log service has not answered yet")
 }
 
 func (r *logReader) start(ctx context.Context, from uint64) *logRead {
--- a/pkg/stream/log_reader_test.go
+++ b/pkg/stream/log_reader_test.go
@@ -5,22 +5,22 @@
 	"testing"
 	"time"
 
-	"trefoilferry.example/ferry/pkg/platform"
-	"trefoilferry.example/ferry/pkg/platform/memlog"
+	"trefoilferry.example/ferry/pkg/infra"
+	"trefoilferry.example/ferry/pkg/infra/memlog"
 )
 
 // heldLog answers no read until it is released.
 type heldLog struct {
-	platform.Log
+	infra.Log
 	release chan struct{}
 }
 
-func (l *heldLog) Read(ctx context.Context, stream string, from uint64, limit int) (platform.Batch, error) {
+func (l *heldLog) Read(ctx context.Context, stream string, from uint64, limit int) (infra.Batch, error) {
 	select {
 	case <-l.release:
 		return l.Log.Read(ctx, stream, from, limit)
 	case <-ctx.Done():
-		return platform.Batch{}, ctx.Err()
+		return infra.Batch{}, ctx.Err()
 	}
 }
 
--- a/pkg/stream/place.go
+++ b/pkg/stream/place.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 )
 
 const (
@@ -22,20 +22,20 @@
 	// Root is true for the hosts that read the log themselves.
 	Root bool
 	// Parents are the hosts to read from, preferred first; empty for a root.
-	Parents []platform.Host
+	Parents []infra.Host
 }
 
 // PlaceOf ranks the live hosts of the failure domain: entry hosts before backend server hosts, which spend more on other
 // control, and within a role by the rendezvous hash of domain and name. The first two are roots; the others form levels below them. Both parents have a lower rank, so that processes with the same host list form no
 // loop. The choice is a hint: with different lists a loop is possible, and the age of the data ends it.
-func PlaceOf(self, domain string, hosts []platform.Host) Place {
+func PlaceOf(self, domain string, hosts []infra.Host) Place {
 	live := ranked(self, domain, hosts)
 	rank := slices.IndexFunc(live, func(h rankedHost) bool { return h.Name == self })
 	if rank < roots {
 		return Place{Root: true}
 	}
 	first := (rank - roots) / fanOut
-	return Place{Parents: []platform.Host{live[first].Host, live[alternative(rank, first)].Host}}
+	return Place{Parents: []infra.Host{live[first].Host, live[alternative(rank, first)].Host}}
 }
 
 // alternative returns the second parent. The children of one parent are spread over the others of its level, so that a
@@ -50,22 +50,22 @@
 }
 
 type rankedHost struct {
-	platform.Host
+	infra.Host
 	score uint64
 	// runner is true for backend server hosts.
 	runner bool
 }
 
 // ranked returns the live hosts of the domain, best first. The own host takes part even if the list lacks it.
-func ranked(self, domain string, hosts []platform.Host) []rankedHost {
-	own := platform.Host{Name: self, Role: platform.RoleRunner}
+func ranked(self, domain string, hosts []infra.Host) []rankedHost {
+	own := infra.Host{Name: self, Role: infra.RoleRunner}
 	live := make([]rankedHost, 0, len(hosts)/roots)
 	for _, h := range hosts {
 		if h.Name == self {
 			own = h
 			continue
 		}
-		if h.State == platform.HostLive && h.FailureDomain == domain {
+		if h.State == infra.HostLive && h.FailureDomain == domain {
 			live = append(live, newRankedHost(domain, h))
 		}
 	}
@@ -74,8 +74,8 @@
 	return live
 }
 
-func newRankedHost(domain string, h platform.Host) rankedHost {
-	return rankedHost{Host: h, score: placeScore(domain, h.Name), runner: h.Role == platform.RoleRunner}
+func newRankedHost(domain string, h infra.Host) rankedHost {
+	return rankedHost{Host: h, score: placeScore(domain, h.Name), runner: h.Role == infra.RoleRunner}
 }
 
 func (h rankedHost) compare(other rankedHost) int {
--- a/pkg/stream/relay.go
+++ b/pkg/stream/relay.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"trefoilferry.example/ferry/pkg/clock"
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 )
 
 // RelayConfig describes a process that takes part in the relay tree of its failure domain.
@@ -62,6 +62,6 @@
 func (r *Relay) Root() bool { return r.watcher.Root() }
 
 // Reader returns the reader of the host list, which polls the platform every interval while the own host is a root.
-func (r *Relay) Reader(list platform.HostList, interval time.Duration, publish func([]platform.Host)) *HostReader {
+func (r *Relay) Reader(list infra.HostList, interval time.Duration, publish func([]infra.Host)) *HostReader {
 	return &HostReader{List: list, Cache: r.Hosts, Root: r.Root, Interval: interval, Now: r.cfg.Clock.Now, Publish: publish}
 }
--- a/pkg/stream/replay_test.go
+++ b/pkg/stream/replay_test.go
@@ -11,7 +11,7 @@
 
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/failure"
-	"trefoilferry.example/ferry/pkg/platform/memlog"
+	"trefoilferry.example/ferry/pkg/infra/memlog"
 )
 
 // replayWorld is a log with followers that start, stop, lag and read from each other.
--- a/pkg/stream/source_log.go
+++ b/pkg/stream/source_log.go
@@ -7,7 +7,7 @@
 
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/failure"
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 )
 
 const (
@@ -48,7 +48,7 @@
 
 // skipGap restores the newest checkpoint of the retained records. A checkpoint is usable only if every
 // record after the offset that it covers is retained.
-func (f *Follower) skipGap(ctx context.Context, gap platform.Batch) error {
+func (f *Follower) skipGap(ctx context.Context, gap infra.Batch) error {
 	var best *ferrypb.Checkpoint
 	from := gap.Oldest
 	for from < gap.Next {
@@ -68,7 +68,7 @@
 	return nil
 }
 
-func newerCheckpoint(best *ferrypb.Checkpoint, records []platform.Record, oldest uint64) *ferrypb.Checkpoint {
+func newerCheckpoint(best *ferrypb.Checkpoint, records []infra.Record, oldest uint64) *ferrypb.Checkpoint {
 	for _, r := range records {
 		var e ferrypb.Envelope
 		if proto.Unmarshal(r.Data, &e) != nil || e.Format != Format {
--- a/pkg/stream/source_peer.go
+++ b/pkg/stream/source_peer.go
@@ -9,7 +9,7 @@
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/failure"
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 )
 
 const (
@@ -170,7 +170,7 @@
 }
 
 type peerEnd struct {
-	host platform.Host
+	host infra.Host
 	next uint64
 }
 
@@ -194,7 +194,7 @@
 	return ends
 }
 
-func (f *Follower) largest(ends []peerEnd) (platform.Host, uint64) {
+func (f *Follower) largest(ends []peerEnd) (infra.Host, uint64) {
 	var best peerEnd
 	for _, e := range ends {
 		if e.next > best.next {
@@ -204,8 +204,8 @@
 	return best.host, best.next
 }
 
-func (f *Follower) peers() []platform.Host {
-	var out []platform.Host
+func (f *Follower) peers() []infra.Host {
+	var out []infra.Host
 	for _, h := range f.cfg.Hosts() {
 		if h.Name != f.cfg.Self && h.Address != "" {
 			out = append(out, h)
--- a/pkg/stream/writer.go
+++ b/pkg/stream/writer.go
@@ -9,7 +9,7 @@
 
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/failure"
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 )
 
 const (
@@ -26,7 +26,7 @@
 // Followers drop every record whose sequence number is not above the highest applied one of the
 // writer. The writer therefore sends no new intent while an earlier one is unresolved.
 type Writer struct {
-	log     platform.Log
+	log     infra.Log
 	stream  string
 	id      string
 	now     func() time.Time
@@ -51,7 +51,7 @@
 }
 
 // NewWriter returns a writer. The writer id must be unique per process incarnation and stream.
-func NewWriter(log platform.Log, stream, writerID string, now func() time.Time, lamport func() uint64) *Writer {
+func NewWriter(log infra.Log, stream, writerID string, now func() time.Time, lamport func() uint64) *Writer {
 	return &Writer{log: log, stream: stream, id: writerID, now: now, lamport: lamport, delay: appendDelay}
 }
 
--- a/pkg/stream/writer_test.go
+++ b/pkg/stream/writer_test.go
@@ -9,8 +9,8 @@
 
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/failure"
-	"trefoilferry.example/ferry/pkg/platform"
-	"trefoilferry.example/ferry/pkg/platform/memlog"
+	"trefoilferry.example/ferry/pkg/infra"
+	"trefoilferry.example/ferry/pkg/infra/memlog"
 )
 
 // Guards against a second copy of a record whose answer was lost.
@@ -113,7 +113,7 @@
 	return l.Log.Append(ctx, stream, data)
 }
 
-var _ platform.Log = (*lateLog)(nil)
+var _ infra.Log = (*lateLog)(nil)
 
 // Guards against two followers that disagree on when a silent writer is forgotten, with a checkpoint in between.
 func TestWriterSeqsAreTheSameAfterRestore(t *testing.T) {
--- a/test/integration/config_test.go
+++ b/test/integration/config_test.go
@@ -8,7 +8,7 @@
 
 	"trefoilferry.example/ferry/internal/cluster"
 	"trefoilferry.example/ferry/pkg/faultproxy"
-	"trefoilferry.example/ferry/pkg/platform"
+	"trefoilferry.example/ferry/pkg/infra"
 	"trefoilferry.example/ferry/pkg/standin/faults"
 	"trefoilferry.example/ferry/pkg/stream"
 )
@@ -45,19 +45,19 @@
 // domainDaemons returns the processes of the first failure domain that relay the config stream, or the others.
 func domainDaemons(c *cluster.Cluster, relays bool) []*cluster.Process {
 	domain := regions[0]
-	var hosts []platform.Host
+	var hosts []infra.Host
 	processes := map[string]*cluster.Process{}
-	add := func(name string, role platform.Role, failureDomain string, p *cluster.Process) {
+	add := func(name string, role infra.Role, failureDomain string, p *cluster.Process) {
 		if failureDomain == domain {
-			hosts = append(hosts, platform.Host{Name: name, Role: role, FailureDomain: domain, State: platform.HostLive})
+			hosts = append(hosts, infra.Host{Name: name, Role: role, FailureDomain: domain, State: infra.HostLive})
 			processes[name] = p
 		}
 	}
 	for _, r := range c.Runners {
-		add(r.Spec.Name, platform.RoleRunner, r.Spec.FailureDomain, r.Agent)
+		add(r.Spec.Name, infra.RoleRunner, r.Spec.FailureDomain, r.Agent)
 	}
 	for _, e := range c.Entries {
-		add(e.Spec.Name, platform.RoleEntry, e.Spec.FailureDomain, e.Process)
+		add(e.Spec.Name, infra.RoleEntry, e.Spec.FailureDomain, e.Process)
 	}
 	var out []*cluster.Process
 	for _, h := range hosts {
