gateway, coordinator, lease, exchange, platform: serve the users' platform

Cause: the daemons spoke only the product's own interface, so no request of the platform's callers was served. Change: ferry-gateway on the entry hosts forwards requests to runners directly; one of them, found by a lease with conditional writes in the platform's store, orders models and adapters. platform/ translates names and formats. Ruled out: agents beside the runners, because each process there is billed and requests must not depend on it.

--- a/api/ferrypb/generate.sh
+++ b/api/ferrypb/generate.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")"
 protoc --go_out=. --go_opt=paths=source_relative \
   --twirp_out=. --twirp_opt=paths=source_relative \
-  record.proto exec.proto control.proto
+  record.proto exec.proto control.proto coordinator.proto
--- /dev/null
+++ b/pkg/coordinator/lease_view.go
@@ -0,0 +1,11 @@
+package coordinator
+
+// LeaseView tells whether this daemon may give orders.
+type LeaseView interface {
+	// Held reports whether this daemon holds the lease.
+	Held() bool
+	// Token returns the fencing number if orders may be given now.
+	Token() (int64, bool)
+	// Refused records that a runner has seen a higher token.
+	Refused(token int64)
+}
--- /dev/null
+++ b/pkg/coordinator/load_rate.go
@@ -0,0 +1,32 @@
+package coordinator
+
+import (
+	"slices"
+	"time"
+)
+
+// LoadLimits bound loads from the weight store over all runners.
+type LoadLimits struct {
+	Window time.Duration
+	// Factor times the store's rate is the number of loads that may begin in a window.
+	Factor float64
+}
+
+// loadRate counts the loads from the store that began within the window. Orders that were carried out late count from
+// when they were seen, so the allowance keeps a reserve.
+type loadRate struct {
+	limits LoadLimits
+	starts []time.Time
+}
+
+// loadReserve is the share of the allowance that is kept for loads that begin later than their order.
+const loadReserve = 0.25
+
+// allowed returns how many loads may begin now.
+func (l *loadRate) allowed(perSecond float64, now time.Time) int {
+	l.starts = slices.DeleteFunc(l.starts, func(t time.Time) bool { return now.Sub(t) > l.limits.Window })
+	limit := int(perSecond * l.limits.Window.Seconds() * l.limits.Factor * (1 - loadReserve))
+	return max(limit, 1) - len(l.starts)
+}
+
+func (l *loadRate) began(now time.Time) { l.starts = append(l.starts, now) }
--- /dev/null
+++ b/pkg/coordinator/plan_models.go
@@ -0,0 +1,65 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"trefoilferry.example/ferry/pkg/eventlog"
+	"trefoilferry.example/ferry/pkg/fleet"
+)
+
+// planModels starts the changes that the demand asks for.
+func (c *Coordinator) planModels(ctx context.Context, service *fleet.Service, token int64, now time.Time) {
+	runners := c.runnersOf(service.Name)
+	rate, ok := c.rates[service.Name]
+	if !ok {
+		rate = &loadRate{limits: c.config.Loads}
+		c.rates[service.Name] = rate
+	}
+	loads := min(rate.allowed(service.Engine.LoadsPerSecond, now), concurrentLoads-c.storeLoads(runners))
+	plan := Plan(PlanInput{Engine: service.Engine, Runners: runners, Demand: c.modelDemand(service.Name, now), StoreLoads: loads, Now: now})
+	for _, a := range plan {
+		if a.FromStore {
+			rate.began(now)
+		}
+		first := Order{Operation: Load, Model: a.Load}
+		if a.Unload != "" {
+			first = Order{Operation: Unload, Model: a.Unload}
+		}
+		a.Runner.Pending = &PendingOrder{Order: first, Since: now}
+		c.log.Log(eventlog.ModelOrdered, "server", a.Runner.Server.ID, "load", a.Load, "unload", a.Unload, "pressure", a.Pressure,
+			"copies", a.Copies, "from_store", a.FromStore, "token", token, "report_age", now.Sub(a.Runner.Checked))
+		c.bump()
+		c.orders.Go(func() { c.execute(ctx, a, service.Engine) })
+	}
+}
+
+// concurrentLoads is the number of loads that the weight store serves at full speed in the smallest deployment.
+const concurrentLoads = 3
+
+// storeLoads counts the loads in progress that come from the store.
+func (c *Coordinator) storeLoads(runners []*Runner) int {
+	n := 0
+	for _, r := range runners {
+		if m := r.loading(); m != "" && !r.keeps(m) {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *Coordinator) modelDemand(service string, now time.Time) map[string]ModelDemand {
+	out := map[string]ModelDemand{}
+	for key, d := range c.demand {
+		if key.service != service {
+			continue
+		}
+		if d.over(now) {
+			delete(c.demand, key)
+			continue
+		}
+		d.decay(now)
+		out[key.model] = ModelDemand{Model: key.model, Rate: d.rate, Waiting: d.waitingTotal(), Idle: now.Sub(d.last)}
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/coordinator/reporter.go
@@ -0,0 +1,183 @@
+package coordinator
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/eventlog"
+	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/gateway"
+	"trefoilferry.example/ferry/pkg/lease"
+)
+
+const (
+	// reportPeriod is the period of reports; the work that they carry changes within some hundred milliseconds.
+	reportPeriod = 250 * time.Millisecond
+	// reportSpacing is the shortest time between two reports of a daemon with waiting requests.
+	reportSpacing = 25 * time.Millisecond
+	// reportCall bounds one report, including the time that the holder holds it.
+	reportCall = 800 * time.Millisecond
+)
+
+// Lease is the part of the lease that a reporter uses.
+type Lease interface {
+	Held() bool
+	Holder() lease.Record
+	// Followed and Lost tell the lease whether the holder answers.
+	Followed()
+	Lost()
+}
+
+// Reporter tells the holder of the lease about demand and work, and hands its view to the gateway.
+type Reporter struct {
+	name    string
+	lease   Lease
+	local   *Coordinator
+	demand  *gateway.Demand
+	tracker *gateway.Tracker
+	control *gateway.Control
+	log     *eventlog.Logger
+	client  *http.Client
+
+	mu       sync.Mutex
+	clients  map[string]ferrypb.Coordinator
+	holdings map[string]gateway.Holding
+	version  uint64
+	source   string
+	lost     bool
+}
+
+// NewReporter returns a reporter of the named daemon.
+func NewReporter(name string, l Lease, local *Coordinator, control *gateway.Control, demand *gateway.Demand, tracker *gateway.Tracker, log *eventlog.Logger) *Reporter {
+	return &Reporter{name: name, lease: l, local: local, demand: demand, tracker: tracker, control: control, log: log,
+		client:  &http.Client{Timeout: reportCall, Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true, IdleConnTimeout: 5 * time.Second}},
+		clients: map[string]ferrypb.Coordinator{}}
+}
+
+// Run reports until ctx ends.
+func (r *Reporter) Run(ctx context.Context) {
+	ticker := time.NewTicker(reportPeriod)
+	defer ticker.Stop()
+	waiting := false
+	for {
+		waiting = r.report(ctx)
+		if waiting {
+			if !sleep(ctx, reportSpacing) {
+				return
+			}
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-r.demand.Poke():
+		}
+	}
+}
+
+// report makes one report and returns whether requests wait and the holder answered.
+func (r *Reporter) report(ctx context.Context) bool {
+	target, source := r.target()
+	if target == nil {
+		return false
+	}
+	if source != r.source {
+		r.source, r.version, r.holdings = source, 0, nil
+	}
+	message, waiting := r.message()
+	ctx, cancel := context.WithTimeout(ctx, reportCall)
+	defer cancel()
+	view, err := target.Report(ctx, message)
+	if err == nil && !view.Holder {
+		err = failure.New(failure.PeerUnavailable, failure.NotRun, "the daemon does not hold the lease")
+	}
+	r.note(err, source)
+	if err != nil {
+		return false
+	}
+	r.apply(ctx, view)
+	return waiting
+}
+
+// target returns the holder; nil when none is known.
+func (r *Reporter) target() (ferrypb.Coordinator, string) {
+	if r.lease.Held() {
+		return r.local, "local"
+	}
+	address := r.lease.Holder().Address
+	if address == "" {
+		return nil, ""
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	client, ok := r.clients[address]
+	if !ok {
+		client = ferrypb.NewCoordinatorProtobufClient("http://"+address, r.client)
+		r.clients = map[string]ferrypb.Coordinator{address: client}
+	}
+	return client, address
+}
+
+func (r *Reporter) note(err error, source string) {
+	if err == nil {
+		r.lease.Followed()
+	} else {
+		r.lease.Lost()
+	}
+	switch {
+	case err != nil && !r.lost:
+		r.lost = true
+		r.log.Log(eventlog.CoordinatorLost, "holder", source, "reason", err)
+	case err == nil && r.lost:
+		r.lost = false
+		r.log.Log(eventlog.CoordinatorFound, "holder", source)
+	}
+}
+
+func (r *Reporter) message() (*ferrypb.LoadReport, bool) {
+	m := &ferrypb.LoadReport{Daemon: r.name, ViewVersion: r.version}
+	waiting := false
+	for key, count := range r.demand.Take() {
+		waiting = waiting || count.Waiting > 0
+		m.Demand = append(m.Demand, &ferrypb.Demand{
+			Service: key.Service, Model: key.Model, Adapter: key.Adapter, Requests: uint32(count.Requests),
+			WorkMillis: uint32(count.Work.Milliseconds()), Waiting: uint32(count.Waiting),
+		})
+	}
+	r.tracker.Each(func(server string, requests, tokens int) {
+		m.Work = append(m.Work, &ferrypb.RunnerWork{Runner: server, Requests: uint32(requests), PromptTokens: uint32(max(tokens, 0))})
+	})
+	return m, waiting
+}
+
+func (r *Reporter) apply(ctx context.Context, view *ferrypb.FleetView) {
+	if view.Version != r.version {
+		r.holdings = make(map[string]gateway.Holding, len(view.Holdings))
+		for _, h := range view.Holdings {
+			r.holdings[h.Runner] = holdingOf(h)
+		}
+		r.version = view.Version
+	}
+	p := &gateway.Placement{Version: view.Version, Holdings: r.holdings, Daemons: int(view.Daemons),
+		PeerTokens: map[string]int{}, PeerRequests: map[string]int{}}
+	for _, w := range view.Work {
+		p.PeerTokens[w.Runner], p.PeerRequests[w.Runner] = int(w.PromptTokens), int(w.Requests)
+	}
+	r.control.SetPlacement(ctx, p)
+}
+
+func holdingOf(h *ferrypb.Holding) gateway.Holding {
+	return gateway.Holding{BornMillis: h.BornMillis, Models: set(h.Models), Adapters: set(h.Adapters), Leaving: set(h.Leaving), Loading: h.Loading}
+}
+
+func set(names []string) map[string]bool {
+	out := make(map[string]bool, len(names))
+	for _, name := range names {
+		out[name] = true
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/coordinator/runner.go
@@ -0,0 +1,91 @@
+package coordinator
+
+import (
+	"slices"
+	"time"
+
+	"trefoilferry.example/ferry/pkg/fleet"
+)
+
+// Runner is what the coordinator believes about one model runner.
+type Runner struct {
+	// id never changes, so it may be read without the coordinator's lock.
+	id     string
+	Server fleet.Server
+	Region string
+	// Known is set once the runner's own report was read by this coordinator.
+	Known  bool
+	Orders int64
+	Models []fleet.HeldModel
+	OnDisk []string
+	InMem  []string
+	// Pending is the order whose effect has not been seen; nil for none.
+	Pending *PendingOrder
+	// NextTry delays orders after an unclear answer.
+	NextTry time.Time
+	// Checked is when the runner's report was last read.
+	Checked time.Time
+	// LastUse is when an adapter was last asked for, by MODEL/ADAPTER.
+	LastUse map[string]time.Time
+}
+
+// PendingOrder is an order in progress.
+type PendingOrder struct {
+	Order Order
+	Since time.Time
+	// Answered is set once the runner has accepted the order.
+	Answered bool
+}
+
+// Holds reports whether the model is resident.
+func (r *Runner) Holds(model string) bool { return r.held(model) != nil }
+
+func (r *Runner) held(model string) *fleet.HeldModel {
+	for i := range r.Models {
+		if r.Models[i].Name == model {
+			return &r.Models[i]
+		}
+	}
+	return nil
+}
+
+// HoldsAdapter reports whether the adapter is resident.
+func (r *Runner) HoldsAdapter(model, adapter string) bool {
+	h := r.held(model)
+	return h != nil && slices.Contains(h.Adapters, adapter)
+}
+
+// adapterCount returns the number of resident adapters.
+func (r *Runner) adapterCount() int {
+	n := 0
+	for i := range r.Models {
+		n += len(r.Models[i].Adapters)
+	}
+	return n
+}
+
+// loading returns the model that is being loaded; empty for none.
+func (r *Runner) loading() string {
+	if r.Pending != nil && r.Pending.Order.Operation == Load && r.Pending.Order.Adapter == "" {
+		return r.Pending.Order.Model
+	}
+	return ""
+}
+
+// unloading returns the model that is being unloaded; empty for none.
+func (r *Runner) unloading() string {
+	if r.Pending != nil && r.Pending.Order.Operation == Unload && r.Pending.Order.Adapter == "" {
+		return r.Pending.Order.Model
+	}
+	return ""
+}
+
+// usable reports whether orders may be planned for the runner.
+func (r *Runner) usable(now time.Time) bool {
+	return r.Known && !r.Server.Draining && r.Pending == nil && !now.Before(r.NextTry)
+}
+
+// keeps reports whether the weights are at hand without the store.
+func (r *Runner) keeps(model string) bool {
+	return slices.Contains(r.OnDisk, model) || slices.Contains(r.InMem, model)
+}
--- /dev/null
+++ b/pkg/exchange/request.go
@@ -0,0 +1,40 @@
+package exchange
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+)
+
+// Request is one request to a backend server.
+type Request struct {
+	Method string
+	// Target is the request target as it stands in the request line.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Owns reports whether an answer with this header belongs to the request; nil accepts every answer.
+	Owns func(http.Header) bool
+	// Fresh asks for a new connection unless an idle one was used within freshIdle: a server may drop an idle
+	// connection without notice, and then nobody knows whether the request ran.
+	Fresh bool
+}
+
+// encode returns the bytes of the request.
+func (r *Request) encode() []byte {
+	var b bytes.Buffer
+	b.Grow(len(r.Body) + headEstimate)
+	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	// Writing to a bytes.Buffer cannot fail.
+	_ = r.Header.Write(&b)
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(r.Body)
+	return b.Bytes()
+}
+
+// headEstimate is the usual size of a request head in bytes; it only saves reallocations.
+const headEstimate = 768
--- /dev/null
+++ b/pkg/fleet/kind.go
@@ -0,0 +1,13 @@
+package fleet
+
+// Kind tells how often a request of a route may run.
+type Kind string
+
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Kind = "idempotent"
+	// NonIdempotent requests run at most once.
+	NonIdempotent Kind = "non_idempotent"
+	// Streaming requests are answered by an event stream; they run at most once unless the route is resumable.
+	Streaming Kind = "streaming"
+)
--- /dev/null
+++ b/pkg/fleet/server.go
@@ -0,0 +1,33 @@
+package fleet
+
+// Server is one incarnation of a backend server as it describes itself.
+type Server struct {
+	ID      string
+	Service string
+	// Address is the IP address and port.
+	Address string
+	// FailureDomain is the failure domain that the server reports.
+	FailureDomain string
+	// BornMillis is the Unix time of the start of this incarnation in milliseconds.
+	BornMillis int64
+	// Sequence grows with each report of one incarnation.
+	Sequence int64
+	Slots    int
+	// Draining servers finish their work and take no more.
+	Draining bool
+	// Models are the resident models with their resident adapters.
+	Models []HeldModel
+	// OnDisk and InMemory name the models of which the server keeps copies outside the accelerator.
+	OnDisk   []string
+	InMemory []string
+}
+
+// Holds reports whether the model is resident.
+func (s *Server) Holds(model string) bool {
+	for i := range s.Models {
+		if s.Models[i].Name == model {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/fleet/target.go
@@ -0,0 +1,7 @@
+package fleet
+
+// Target is one service of a route and its share of the requests.
+type Target struct {
+	Service string
+	Weight  int
+}
--- /dev/null
+++ b/pkg/gateway/chooser.go
@@ -0,0 +1,128 @@
+package gateway
+
+import (
+	"time"
+
+	"trefoilferry.example/ferry/pkg/fleet"
+	"trefoilferry.example/ferry/pkg/routing"
+)
+
+const (
+	// regionCost is the round trip to another region; traffic between regions is billed as well.
+	regionCost = 45 * time.Millisecond
+	// loadFreshness is the age up to which a server's own load counts.
+	loadFreshness = 400 * time.Millisecond
+	// plainWork is the usual time of a request at a plain service.
+	plainWork = 60 * time.Millisecond
+)
+
+// chooser picks the server of an attempt. It is pure: all inputs are in the view, the tracker and the arguments.
+type chooser struct {
+	region   string
+	regionOf map[string]string
+	policy   *routing.Policy
+}
+
+func newChooser(region string, regionOf map[string]string) *chooser {
+	return &chooser{region: region, regionOf: regionOf, policy: &routing.Policy{
+		Filters: []routing.Filter{routing.LeavingFilter{}, routing.TriedFilter{}, routing.SuspectFilter{}},
+		Scorers: []routing.Scorer{routing.RegionCostScorer{Cost: regionCost}, routing.FirstTokenScorer{}},
+		Picker:  routing.LowestPicker{},
+	}}
+}
+
+// choose returns the best server; false when none can run the request now.
+func (c *chooser) choose(j *job, view *View, work *Tracker, now time.Time) (choice, bool) {
+	query := &routing.Query{
+		Target: j.meta.Model, Adapter: j.meta.Adapter, Region: c.region,
+		Tried: j.tried, Suspects: work.Suspects(), Now: now,
+	}
+	candidates := c.policy.Filter(query, c.candidates(j, view, now))
+	if len(candidates) == 0 {
+		return choice{}, false
+	}
+	owner := c.cacheOwner(j, candidates)
+	scored := make([]routing.Scored, 0, len(candidates))
+	prefill := make(map[string]int, len(candidates))
+	for i := range candidates {
+		cand := candidates[i]
+		var first time.Duration
+		if j.needsModel() {
+			prefill[cand.Runner] = c.uncached(j, cand.Runner, work, i == owner)
+			first = c.predictModel(view, work, cand.Runner, prefill[cand.Runner], now)
+		} else {
+			first = c.predictPlain(view, work, cand.Runner, now)
+		}
+		cand.Prediction = &routing.Prediction{Accepts: true, FirstToken: first, AdapterResident: true}
+		scored = append(scored, routing.Scored{Candidate: cand, Score: c.policy.Score(query, cand)})
+	}
+	best := c.policy.Picker.Pick(query, scored)
+	return choice{
+		server: view.Servers[best.Runner], candidates: len(candidates), predicted: best.Prediction.FirstToken,
+		prefill: prefill[best.Runner], reportAge: now.Sub(view.ServersAt),
+	}, true
+}
+
+// candidates returns the servers that can run the request by what is known of them.
+func (c *chooser) candidates(j *job, view *View, now time.Time) []routing.Candidate {
+	var out []routing.Candidate
+	for _, id := range view.ByService[j.service.Name] {
+		s := view.Servers[id]
+		if j.needsModel() && !view.holding(&s, now).Serves(j.meta.Model, j.meta.Adapter) {
+			continue
+		}
+		out = append(out, routing.Candidate{
+			Runner: id, Address: s.Address, Region: c.regionOf[s.FailureDomain],
+			FailureDomain: s.FailureDomain, Leaving: s.Draining,
+		})
+	}
+	return out
+}
+
+// cacheOwner returns the index of the runner that all daemons prefer for the shared prompt parts; -1 without such parts.
+func (c *chooser) cacheOwner(j *job, candidates []routing.Candidate) int {
+	if len(j.chain) == 0 {
+		return -1
+	}
+	return routing.Rendezvous(prefixKey(j.chain), candidates)
+}
+
+// uncached returns the prompt tokens that the runner has to process. The owner of the shared parts is expected to
+// keep them, because the other daemons send requests with the same parts there as well.
+func (c *chooser) uncached(j *job, runner string, work *Tracker, owner bool) int {
+	cached := work.CachedTokens(runner, j.chain)
+	if owner {
+		cached = 0
+		for _, link := range j.chain {
+			cached += link.tokens
+		}
+	}
+	return max(j.meta.PromptTokens-cached, 0)
+}
+
+func (c *chooser) predictModel(view *View, work *Tracker, runner string, prefill int, now time.Time) time.Duration {
+	own := work.Work(runner)
+	queued, running := own.promptTokens, own.requests
+	if view.Placement != nil && now.Sub(view.PlacementAt) < placementFreshness {
+		queued += view.Placement.PeerTokens[runner]
+		running += view.Placement.PeerRequests[runner]
+	}
+	if own.load.Known && now.Sub(own.loadAt) < loadFreshness {
+		running = max(running, own.load.Running+own.load.Waiting)
+	}
+	return predictFirstToken(queued, prefill, running)
+}
+
+// predictPlain returns the expected wait and work at a plain server.
+func (c *chooser) predictPlain(view *View, work *Tracker, server string, now time.Time) time.Duration {
+	own := work.Work(server)
+	slots := max(view.Servers[server].Slots, 1)
+	busy := own.requests
+	if own.load.Known && now.Sub(own.loadAt) < loadFreshness {
+		busy = max(busy, own.load.Running+own.load.Waiting)
+	}
+	return plainWork * time.Duration(slots+busy) / time.Duration(slots)
+}
+
+// regionOfServer returns the region of a server.
+func (c *chooser) regionOfServer(s *fleet.Server) string { return c.regionOf[s.FailureDomain] }
--- /dev/null
+++ b/pkg/gateway/forwarder.go
@@ -0,0 +1,139 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"trefoilferry.example/ferry/pkg/eventlog"
+	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/fleet"
+)
+
+// answerMargin is the time that an answer takes to reach the caller.
+const answerMargin = 15 * time.Millisecond
+
+// Forwarder serves callers' requests.
+type Forwarder struct {
+	control *Control
+	backend *backend
+	chooser *chooser
+	budgets *budgets
+	demand  *Demand
+	codec   Codec
+	log     *eventlog.Logger
+	metrics *Metrics
+	// draining is set once the daemon is stopping; answers then close their connections.
+	draining *atomic.Bool
+}
+
+// ServeHTTP serves one request.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	if f.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	j, fail := f.accept(w, r, arrived)
+	if fail != nil {
+		f.refuse(w, j, fail)
+		return
+	}
+	f.budgets.request(j.service.Name, arrived)
+	f.metrics.arrived(j)
+	if j.needsModel() {
+		f.demand.arrived(demandKey(j), estimateWork(&j.meta))
+	}
+	f.serve(r.Context(), w, j)
+}
+
+// accept checks a request and resolves its route. The returned job is never nil.
+func (f *Forwarder) accept(w http.ResponseWriter, r *http.Request, arrived time.Time) (*job, *failure.Failure) {
+	j := &job{method: r.Method, target: r.RequestURI, host: r.Host, header: r.Header, arrived: arrived, tried: map[string]bool{}}
+	view := f.control.View()
+	if view.Config == nil {
+		return j, failure.New(failure.NotReady, failure.NotRun, "no configuration has been read yet").WithRetryAfter(notReadyRetry)
+	}
+	meta, err := f.codec.Meta(r.Header)
+	j.meta = meta
+	if err != nil {
+		return j, failure.From(err)
+	}
+	route := view.Config.Match(hostName(r.Host), pathOf(r.RequestURI))
+	if route == nil {
+		return j, failure.New(failure.NotFound, failure.NotRun, "no route matches")
+	}
+	j.route, j.version = route, view.Config.Version
+	j.service = view.Config.Services[route.Service(j.spread())]
+	j.chain = prefixChain(&j.meta)
+	j.setDeadline()
+	body, fail := readBody(w, r, view.Config.Limits)
+	j.body = body
+	return j, fail
+}
+
+func (j *job) setDeadline() {
+	if j.meta.Patience > 0 {
+		j.callerDeadline = j.arrived.Add(j.meta.Patience)
+		j.deadline = j.callerDeadline.Add(-answerMargin)
+	}
+	if t := j.route.Timeout; t > 0 {
+		if end := j.arrived.Add(t); j.deadline.IsZero() || end.Before(j.deadline) {
+			j.deadline = end
+		}
+	}
+}
+
+// readBody reads the whole body, so that it can be sent again.
+func readBody(w http.ResponseWriter, r *http.Request, limits fleet.Limits) ([]byte, *failure.Failure) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	limit := limits.BodyBytes
+	if limit <= 0 {
+		limit = maxWholeAnswer
+	}
+	if r.ContentLength > limit {
+		return nil, failure.New(failure.BodyTooLarge, failure.NotRun, "the request body is too long")
+	}
+	in := http.MaxBytesReader(w, r.Body, limit)
+	var body []byte
+	var err error
+	if r.ContentLength > 0 {
+		body = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(in, body)
+	} else {
+		body, err = io.ReadAll(in)
+	}
+	if err == nil {
+		return body, nil
+	}
+	if _, ok := err.(*http.MaxBytesError); ok {
+		return nil, failure.New(failure.BodyTooLarge, failure.NotRun, "the request body is too long")
+	}
+	return nil, failure.Wrap(failure.ClientCancelled, failure.NotRun, "the request body broke off", err)
+}
+
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
+// pathOf returns the path of a request target as the caller wrote it.
+func pathOf(target string) string {
+	if rest, ok := strings.CutPrefix(target, "http://"); ok {
+		if i := strings.IndexByte(rest, '/'); i >= 0 {
+			target = rest[i:]
+		}
+	}
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
+
+func demandKey(j *job) DemandKey {
+	return DemandKey{Service: j.service.Name, Model: j.meta.Model, Adapter: j.meta.Adapter}
+}
--- /dev/null
+++ b/pkg/gateway/forwarder_parts.go
@@ -0,0 +1,38 @@
+package gateway
+
+import (
+	"sync/atomic"
+
+	"trefoilferry.example/ferry/pkg/eventlog"
+	"trefoilferry.example/ferry/pkg/exchange"
+)
+
+// ForwarderParts are what a Forwarder is made of.
+type ForwarderParts struct {
+	Control *Control
+	Pool    *exchange.Pool
+	Tracker *Tracker
+	Demand  *Demand
+	Codec   Codec
+	Log     *eventlog.Logger
+	Metrics *Metrics
+	// Region of this daemon; RegionOf maps failure domains to regions.
+	Region   string
+	RegionOf map[string]string
+	Budget   BudgetLimits
+}
+
+// NewForwarder returns a forwarder.
+func NewForwarder(p ForwarderParts) *Forwarder {
+	return &Forwarder{
+		control: p.Control,
+		backend: &backend{pool: p.Pool, codec: p.Codec, tracker: p.Tracker},
+		chooser: newChooser(p.Region, p.RegionOf),
+		budgets: newBudgets(p.Budget),
+		demand:  p.Demand, codec: p.Codec, log: p.Log, metrics: p.Metrics,
+		draining: &atomic.Bool{},
+	}
+}
+
+// Drain makes answers close their connections from now on.
+func (f *Forwarder) Drain() { f.draining.Store(true) }
--- /dev/null
+++ b/pkg/gateway/holding.go
@@ -0,0 +1,34 @@
+package gateway
+
+import "trefoilferry.example/ferry/pkg/fleet"
+
+// Holding is what a model runner holds.
+type Holding struct {
+	BornMillis int64
+	Models     map[string]bool
+	// Adapters are named MODEL/ADAPTER.
+	Adapters map[string]bool
+	// Leaving are models that are being unloaded; they get no new requests.
+	Leaving map[string]bool
+	// Loading is the model that is being loaded; empty for none.
+	Loading string
+}
+
+// Serves reports whether the runner can run a request for the model and adapter now.
+func (h Holding) Serves(model, adapter string) bool {
+	if !h.Models[model] || h.Leaving[model] {
+		return false
+	}
+	return adapter == "" || h.Adapters[model+"/"+adapter]
+}
+
+func reportedHolding(s *fleet.Server) Holding {
+	h := Holding{BornMillis: s.BornMillis, Models: map[string]bool{}, Adapters: map[string]bool{}}
+	for _, m := range s.Models {
+		h.Models[m.Name] = true
+		for _, a := range m.Adapters {
+			h.Adapters[m.Name+"/"+a] = true
+		}
+	}
+	return h
+}
--- /dev/null
+++ b/pkg/gateway/metrics.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"trefoilferry.example/ferry/pkg/failure"
+)
+
+// Metrics are the counters and latency histograms of the daemon.
+type Metrics struct {
+	requests  *prometheus.CounterVec
+	results   *prometheus.CounterVec
+	attempts  *prometheus.CounterVec
+	durations *prometheus.HistogramVec
+}
+
+// latencyBuckets cover plain answers of some milliseconds up to long streams, in seconds.
+var latencyBuckets = []float64{0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8}
+
+// NewMetrics registers the metrics.
+func NewMetrics(registry *prometheus.Registry) *Metrics {
+	m := &Metrics{
+		requests:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_requests_total", Help: "Accepted requests."}, []string{"kind"}),
+		results:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_results_total", Help: "Ended requests by result code."}, []string{"kind", "code"}),
+		attempts:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_failed_attempts_total", Help: "Failed attempts by code and outcome."}, []string{"code", "outcome"}),
+		durations: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "ferry_gateway_request_seconds", Help: "Time of served requests.", Buckets: latencyBuckets}, []string{"kind"}),
+	}
+	registry.MustRegister(m.requests, m.results, m.attempts, m.durations)
+	return m
+}
+
+func (m *Metrics) arrived(j *job) { m.requests.WithLabelValues(string(j.route.Kind)).Inc() }
+
+func (m *Metrics) served(j *job, took time.Duration) {
+	m.results.WithLabelValues(string(j.route.Kind), "served").Inc()
+	m.durations.WithLabelValues(string(j.route.Kind)).Observe(took.Seconds())
+}
+
+func (m *Metrics) failed(j *job, fail *failure.Failure) {
+	m.results.WithLabelValues(string(j.route.Kind), string(fail.Code)).Inc()
+}
+
+func (m *Metrics) refused(fail *failure.Failure) {
+	m.results.WithLabelValues("none", string(fail.Code)).Inc()
+}
+
+func (m *Metrics) attemptFailed(fail *failure.Failure) {
+	m.attempts.WithLabelValues(string(fail.Code), string(fail.Outcome)).Inc()
+}
--- /dev/null
+++ b/pkg/gateway/tracker.go
@@ -0,0 +1,154 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"trefoilferry.example/ferry/pkg/routing"
+)
+
+// Tracker counts this daemon's own work at each backend server. It is safe for concurrent use.
+type Tracker struct {
+	mu       sync.Mutex
+	servers  map[string]*serverWork
+	suspects *routing.Suspects
+	caches   map[string]*prefixCache
+}
+
+// serverWork is this daemon's work at one server.
+type serverWork struct {
+	requests int
+	// promptTokens of requests without a first token.
+	promptTokens int
+	load         Load
+	loadAt       time.Time
+}
+
+// NewTracker returns a tracker without work.
+func NewTracker() *Tracker {
+	return &Tracker{servers: map[string]*serverWork{}, suspects: routing.NewSuspects(), caches: map[string]*prefixCache{}}
+}
+
+func (t *Tracker) work(server string) *serverWork {
+	w, ok := t.servers[server]
+	if !ok {
+		w = &serverWork{}
+		t.servers[server] = w
+	}
+	return w
+}
+
+// Begin accounts an attempt with the prompt tokens that the server has to process.
+func (t *Tracker) Begin(server string, tokens int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := t.work(server)
+	w.requests++
+	w.promptTokens += tokens
+}
+
+// FirstToken accounts that the prompt of an attempt is processed.
+func (t *Tracker) FirstToken(server string, tokens int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.work(server).promptTokens -= tokens
+}
+
+// End accounts the end of an attempt; tokens is what FirstToken was not told.
+func (t *Tracker) End(server string, tokens int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := t.work(server)
+	w.requests--
+	w.promptTokens -= tokens
+}
+
+// Reported keeps the load that a server stated.
+func (t *Tracker) Reported(server string, load Load, now time.Time) {
+	if !load.Known {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := t.work(server)
+	w.load, w.loadAt = load, now
+}
+
+// Failed records that a server did not answer; it reports whether the server was trusted before.
+func (t *Tracker) Failed(server string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.suspects.Fail(server, now)
+}
+
+// Answered records that a server answered.
+func (t *Tracker) Answered(server string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.suspects.Answered(server)
+}
+
+// Suspects returns the servers to avoid and until when.
+func (t *Tracker) Suspects() map[string]time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.suspects.Until()
+}
+
+// Work returns a copy of the work at a server.
+func (t *Tracker) Work(server string) serverWork {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return *t.work(server)
+}
+
+// CachedTokens returns how many leading prompt tokens the server probably keeps.
+func (t *Tracker) CachedTokens(server string, chain []prefixLink) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	cache, ok := t.caches[server]
+	if !ok {
+		return 0
+	}
+	return cache.match(chain)
+}
+
+// Remember records that the server processes the prompt.
+func (t *Tracker) Remember(server string, chain []prefixLink, capacity int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	cache, ok := t.caches[server]
+	if !ok {
+		cache = newPrefixCache(capacity)
+		t.caches[server] = cache
+	}
+	cache.add(chain)
+}
+
+// Retain forgets servers for which known is false.
+func (t *Tracker) Retain(known func(server string) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.suspects.Retain(known)
+	for id, w := range t.servers {
+		if !known(id) && w.requests == 0 {
+			delete(t.servers, id)
+		}
+	}
+	for id := range t.caches {
+		if !known(id) {
+			delete(t.caches, id)
+		}
+	}
+}
+
+// Each calls f for every server with work in progress.
+func (t *Tracker) Each(f func(server string, requests, promptTokens int)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, w := range t.servers {
+		if w.requests > 0 {
+			f(id, w.requests, w.promptTokens)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/gateway/view.go
@@ -0,0 +1,40 @@
+package gateway
+
+import (
+	"time"
+
+	"trefoilferry.example/ferry/pkg/fleet"
+)
+
+// View is an immutable snapshot of what the daemon believes. Traffic reads it and never waits for control.
+type View struct {
+	// Config is nil until the first configuration was read.
+	Config  *fleet.Config
+	Servers map[string]fleet.Server
+	// ByService lists the servers of each service in the order of their ids.
+	ByService map[string][]string
+	// Listed is set once the list of servers was read completely.
+	Listed bool
+	// ServersAt and PlacementAt are when the parts were last confirmed.
+	ServersAt   time.Time
+	Placement   *Placement
+	PlacementAt time.Time
+	// Changed is closed when a newer view replaces this one.
+	Changed chan struct{}
+}
+
+// placementFreshness is the age up to which the coordinator's view goes before the servers' own reports.
+const placementFreshness = 1500 * time.Millisecond
+
+// Ready reports whether the daemon can serve requests.
+func (v *View) Ready() bool { return v.Config != nil && v.Listed }
+
+// holding returns what a server holds: by the coordinator's view while that is fresh, by its own report otherwise.
+func (v *View) holding(s *fleet.Server, now time.Time) Holding {
+	if v.Placement != nil && now.Sub(v.PlacementAt) < placementFreshness {
+		if h, ok := v.Placement.Holdings[s.ID]; ok && h.BornMillis == s.BornMillis {
+			return h
+		}
+	}
+	return reportedHolding(s)
+}
--- /dev/null
+++ b/pkg/gateway/work_estimate.go
@@ -0,0 +1,32 @@
+package gateway
+
+import "time"
+
+const (
+	// decodeTimePerToken is the accelerator time of one output token within a usual batch.
+	decodeTimePerToken = 350 * time.Microsecond
+	// sharedPrefillShare is the share of shared prompt tokens that is usually processed again.
+	sharedPrefillShare = 0.3
+	// defaultOutputTokens is assumed for requests without an estimate.
+	defaultOutputTokens = 100
+)
+
+// estimateWork returns the expected accelerator time of a request.
+func estimateWork(m *Meta) time.Duration {
+	own := m.PromptTokens
+	if n := len(m.Prompt); n > 1 {
+		shared := 0
+		for _, part := range m.Prompt[:n-1] {
+			shared += part.Tokens
+		}
+		own = max(m.PromptTokens-shared, 0) + int(float64(shared)*sharedPrefillShare)
+	}
+	output := m.ExpectedOutputTokens
+	if output <= 0 {
+		output = defaultOutputTokens
+	}
+	if m.MaxOutputTokens > 0 {
+		output = min(output, m.MaxOutputTokens)
+	}
+	return prefillTime(own) + time.Duration(output)*decodeTimePerToken
+}
--- /dev/null
+++ b/pkg/gatewaydaemon/module.go
@@ -0,0 +1,63 @@
+package gatewaydaemon
+
+import (
+	"io"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/fx"
+
+	"trefoilferry.example/ferry/pkg/coordinator"
+	"trefoilferry.example/ferry/pkg/eventlog"
+	"trefoilferry.example/ferry/pkg/gateway"
+	"trefoilferry.example/ferry/pkg/lease"
+)
+
+// NewApp returns the daemon as an fx application that logs to w. Check its Err before it runs.
+func NewApp(settings *Settings, ports *Ports, w io.Writer) *fx.App {
+	return fx.New(
+		fx.NopLogger,
+		fx.Supply(settings, ports),
+		fx.StopTimeout(settings.StopGrace),
+		fx.Provide(
+			func() *eventlog.Logger {
+				return eventlog.NewLogger(w, eventlog.FormatText, log.InfoLevel, settings.Host)
+			},
+			prometheus.NewRegistry,
+			newMetrics,
+			gateway.NewControl,
+			gateway.NewTracker,
+			gateway.NewDemand,
+			newKeeper,
+			newCoordinator,
+			newReporter,
+			newForwarder,
+			newDaemon,
+		),
+		fx.Invoke(func(lifecycle fx.Lifecycle, d *Daemon) {
+			lifecycle.Append(fx.Hook{OnStart: d.Start, OnStop: d.Stop})
+		}),
+	)
+}
+
+func newMetrics(r *prometheus.Registry) *gateway.Metrics { return gateway.NewMetrics(r) }
+
+func newKeeper(s *Settings, p *Ports, l *eventlog.Logger) *lease.Keeper {
+	return lease.NewKeeper(p.Lease, l, s.Host, s.Peers, lease.NewTiming(s.HolderGap))
+}
+
+func newCoordinator(s *Settings, p *Ports, control *gateway.Control, keeper *lease.Keeper, l *eventlog.Logger) *coordinator.Coordinator {
+	config := coordinator.Config{Holder: s.Host, RegionOf: s.RegionOf, Loads: s.Loads}
+	return coordinator.New(config, control, keeper, p.Runners, l)
+}
+
+func newReporter(s *Settings, keeper *lease.Keeper, c *coordinator.Coordinator, control *gateway.Control, d *gateway.Demand, t *gateway.Tracker, l *eventlog.Logger) *coordinator.Reporter {
+	return coordinator.NewReporter(s.Host, keeper, c, control, d, t, l)
+}
+
+func newForwarder(s *Settings, p *Ports, control *gateway.Control, d *gateway.Demand, t *gateway.Tracker, m *gateway.Metrics, l *eventlog.Logger) *gateway.Forwarder {
+	return gateway.NewForwarder(gateway.ForwarderParts{
+		Control: control, Pool: p.Pool, Tracker: t, Demand: d, Codec: p.Codec, Log: l, Metrics: m,
+		Region: s.Region, RegionOf: s.RegionOf, Budget: s.Budget,
+	})
+}
--- /dev/null
+++ b/pkg/lease/uptime.go
@@ -0,0 +1,15 @@
+package lease
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Uptime returns the time since the boot of the host, including time in which it was suspended.
+func Uptime() time.Duration {
+	var ts unix.Timespec
+	// CLOCK_BOOTTIME exists on every supported kernel, so the call cannot fail.
+	_ = unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts)
+	return time.Duration(ts.Nano())
+}
