--- a/pkg/coordinator/carry_test.go
+++ b/pkg/coordinator/carry_test.go
@@ -15,13 +15,13 @@
 	rate := &loadRate{limits: config.Loads}
 	first.rates["s"] = rate
 	now := time.Now()
-	total := rate.allowed(2.1, now)
+	total := rate.allowed(2.1, true, now)
 	for range 5 {
 		rate.began(now)
 	}
 	second := New(config, fixedFleet{}, fixedLease{}, nil, eventlog.Discard())
 	second.Inherit(first.Carry())
-	if got := second.rates["s"].allowed(2.1, time.Now()); got != total-5 {
+	if got := second.rates["s"].allowed(2.1, true, time.Now()); got != total-5 {
 		t.Errorf("the successor may begin %d loads, want %d", got, total-5)
 	}
 	second.Inherit("{")
--- a/pkg/coordinator/lease_view.go
+++ b/pkg/coordinator/lease_view.go
@@ -6,6 +6,8 @@
 	Held() bool
 	// Token returns the fencing number if orders may be given now.
 	Token() (int64, bool)
+	// Settled reports whether no other daemon can be giving orders.
+	Settled() bool
 	// Refused records that a runner has seen a higher token.
 	Refused(token int64)
 }
--- a/pkg/coordinator/load_rate.go
+++ b/pkg/coordinator/load_rate.go
@@ -19,12 +19,20 @@
 	starts []time.Time
 }
 
-// loadReserve is the share of the allowance that is kept for loads that begin later than their order.
-const loadReserve = 0.25
+const (
+	// loadReserve is the share of the allowance that is kept for loads that begin later than their order.
+	loadReserve = 0.25
+	// overlapShare is the share of the allowance that each of two holders uses while they may act beside each other.
+	overlapShare = 0.5
+)
 
-// allowed returns how many loads may begin now.
-func (l *loadRate) allowed(perSecond float64, now time.Time) int {
-	limit := int(perSecond * l.limits.Window.Seconds() * l.limits.Factor * (1 - loadReserve))
+// allowed returns how many loads may begin now. settled is set when no other holder can be acting.
+func (l *loadRate) allowed(perSecond float64, settled bool, now time.Time) int {
+	share := 1 - loadReserve
+	if !settled {
+		share *= overlapShare
+	}
+	limit := int(perSecond * l.limits.Window.Seconds() * l.limits.Factor * share)
 	return max(limit, 1) - len(l.recent(now))
 }
 
--- a/pkg/coordinator/plan_models.go
+++ b/pkg/coordinator/plan_models.go
@@ -16,7 +16,7 @@
 		rate = &loadRate{limits: c.config.Loads}
 		c.rates[service.Name] = rate
 	}
-	loads := min(rate.allowed(service.Engine.LoadsPerSecond, now), concurrentLoads-c.storeLoads(runners))
+	loads := min(rate.allowed(service.Engine.LoadsPerSecond, c.lease.Settled(), now), concurrentLoads-c.storeLoads(runners))
 	plan := Plan(PlanInput{Engine: service.Engine, Runners: runners, Demand: c.modelDemand(service.Name, now), StoreLoads: loads, Now: now})
 	for _, a := range plan {
 		if a.FromStore {
--- a/pkg/lease/keeper.go
+++ b/pkg/lease/keeper.go
@@ -172,6 +172,13 @@
 	return k.machine.Token(k.now())
 }
 
+// Settled reports whether no other daemon can be acting as holder.
+func (k *Keeper) Settled() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.machine.Settled(k.now())
+}
+
 // Held reports whether this daemon holds the lease.
 func (k *Keeper) Held() bool {
 	k.mu.Lock()
--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -15,7 +15,12 @@
 	held       bool
 	validUntil time.Duration
 	activeFrom time.Duration
-	renewedAt  time.Duration
+	heldFrom   time.Duration
+	// confirmedAt is when the newest write that took effect was sent.
+	confirmedAt time.Duration
+	// alone is set when the previous holder has certainly ended its tenure.
+	alone     bool
+	renewedAt time.Duration
 	// unclearFrom is when the first write was sent whose effect is not known; 0 for none.
 	unclearFrom time.Duration
 	stale       bool
@@ -100,8 +105,10 @@
 // Written applies a successful write that was sent at the given time.
 func (m *Machine) Written(rec Record, position int64, sent time.Duration) {
 	if !m.held {
-		m.activeFrom = m.firstOrder(sent)
+		m.activeFrom, m.heldFrom = m.firstOrder(sent), sent
+		m.alone = m.record.Token == 0 || m.record.Holder == "" || m.record.Holder == m.self.Holder
 	}
+	m.confirmedAt = sent
 	m.held, m.record, m.position = true, rec, position
 	m.renewedAt, m.validUntil, m.unclearFrom = sent, sent+m.timing.Validity, 0
 }
@@ -160,5 +167,14 @@
 	return m.held && m.record.Token > m.fencedOff && (m.timing.Fenced || now < m.validUntil)
 }
 
+// overlapTime is how long a silent previous holder is assumed to go on. It covers the longest usual partition.
+const overlapTime = 12 * time.Second
+
+// Settled reports whether no other daemon can be acting as holder: neither a previous one that cannot reach the store,
+// nor a next one while this daemon cannot.
+func (m *Machine) Settled(now time.Duration) bool {
+	return m.Held(now) && now-m.confirmedAt < m.timing.TakeOver && (m.alone || now-m.heldFrom > overlapTime)
+}
+
 // Holder returns the last known record of the lease.
 func (m *Machine) Holder() Record { return m.record }
--- a/pkg/lease/machine_test.go
+++ b/pkg/lease/machine_test.go
@@ -105,3 +105,30 @@
 		t.Errorf("token %d, may act %v", token, ok)
 	}
 }
+
+// Guards against two holders that each use the whole rate of the weight store: one cut off from the store goes on
+// while the next one already acts (found on trouble-1 of apdd-orders, seed 839978741192).
+func TestOverlappingHoldersAreUnsettled(t *testing.T) {
+	a := taken(t, NewFencedTiming())
+	if !a.Settled(second) {
+		t.Fatal("the first holder is not settled")
+	}
+	a.WriteFailed(second)
+	if a.Settled(3 * second) {
+		t.Error("a holder without the store trusts to be alone")
+	}
+	b := NewMachine("b", "b:1", NewFencedTiming())
+	b.Observed(a.Holder(), 1, second)
+	b.Written(b.Proposal(), 2, 3*second)
+	if b.Settled(3 * second) {
+		t.Error("a holder trusts that its silent predecessor has stopped")
+	}
+	if b.Written(b.Proposal(), 3, 16*second); !b.Settled(16 * second) {
+		t.Error("the holder never settles")
+	}
+	c := NewMachine("c", "c:1", NewFencedTiming())
+	c.Observed(Record{Token: 2}, 4, 0)
+	if c.Written(c.Proposal(), 5, 0); !c.Settled(0) {
+		t.Error("a released lease leaves its next holder unsettled")
+	}
+}
