--- a/pkg/coordinator/execute.go
+++ b/pkg/coordinator/execute.go
@@ -98,7 +98,7 @@
 func (c *Coordinator) setPending(r *Runner, o Order) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r.Pending = &PendingOrder{Order: o, Since: time.Now()}
+	r.Pending = &PendingOrder{Order: o, Load: o.Model, Since: time.Now()}
 	c.bump(r)
 }
 
--- a/pkg/coordinator/lease_view.go
+++ b/pkg/coordinator/lease_view.go
@@ -8,6 +8,8 @@
 	Token() (int64, bool)
 	// Settled reports whether no other daemon can be giving orders.
 	Settled() bool
+	// Position is the position of the newest renewal in the store.
+	Position() int64
 	// Refused records that a runner has seen a higher token.
 	Refused(token int64)
 }
--- a/pkg/coordinator/report.go
+++ b/pkg/coordinator/report.go
@@ -89,7 +89,7 @@
 func (c *Coordinator) view(report *ferrypb.LoadReport) *ferrypb.FleetView {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := &ferrypb.FleetView{Holder: true, Version: c.version, Daemons: uint32(len(c.daemons))}
+	out := &ferrypb.FleetView{Holder: true, Version: c.version, Daemons: uint32(len(c.daemons)), LeasePosition: c.lease.Position()}
 	c.addHoldings(out, report.ViewVersion)
 	out.Work = c.peerWork(report.Daemon)
 	addStore(out, c.fleet.View(), report, time.Now())
--- a/pkg/coordinator/reporter.go
+++ b/pkg/coordinator/reporter.go
@@ -30,7 +30,7 @@
 	Held() bool
 	Holder() lease.Record
 	// Followed and Lost tell the lease whether the holder answers.
-	Followed()
+	Followed(position int64)
 	Lost()
 }
 
@@ -101,7 +101,7 @@
 	if err == nil && !r.control.Relayable(time.Duration(view.ServersAgeMillis)*time.Millisecond) && source != localHolder {
 		err = failure.New(failure.LogUnavailable, failure.NotRun, "the holder does not reach the store")
 	}
-	r.note(err, source)
+	r.note(err, source, view.GetLeasePosition())
 	if err != nil {
 		return false
 	}
@@ -128,9 +128,9 @@
 	return client, address
 }
 
-func (r *Reporter) note(err error, source string) {
+func (r *Reporter) note(err error, source string, position int64) {
 	if err == nil {
-		r.lease.Followed()
+		r.lease.Followed(position)
 	} else {
 		r.lease.Lost()
 		r.control.SetFollowing(false)
--- a/pkg/coordinator/runner.go
+++ b/pkg/coordinator/runner.go
@@ -36,9 +36,9 @@
 // PendingOrder is an order in progress.
 type PendingOrder struct {
 	Order Order
+	// Load is the model that the whole change makes resident, also while another one is still being unloaded.
+	Load  string
 	Since time.Time
-	// Answered is set once the runner has accepted the order.
-	Answered bool
 }
 
 // Holds reports whether the model is resident.
@@ -68,10 +68,10 @@
 	return n
 }
 
-// loading returns the model that is being loaded; empty for none.
+// loading returns the model that a change in progress makes resident; empty for none.
 func (r *Runner) loading() string {
-	if r.Pending != nil && r.Pending.Order.Operation == Load && r.Pending.Order.Adapter == "" {
-		return r.Pending.Order.Model
+	if r.Pending != nil {
+		return r.Pending.Load
 	}
 	return ""
 }
--- a/pkg/coordinator/takeover_test.go
+++ b/pkg/coordinator/takeover_test.go
@@ -25,6 +25,7 @@
 func (fixedLease) Held() bool           { return true }
 func (fixedLease) Token() (int64, bool) { return 7, true }
 func (fixedLease) Settled() bool        { return true }
+func (fixedLease) Position() int64      { return 1 }
 func (fixedLease) Refused(int64)        {}
 
 // scriptedControl answers with a state that the test sets, and records orders.
--- a/pkg/gatewaydaemon/daemon.go
+++ b/pkg/gatewaydaemon/daemon.go
@@ -33,9 +33,9 @@
 	// rotationTime is how long the platform's balancer may still send new connections after readiness ended.
 	rotationTime = 2500 * time.Millisecond
 	// stopMargin is left of the stop time when open requests are cut.
-	stopMargin = 400 * time.Millisecond
+	stopMargin = 900 * time.Millisecond
 	// releaseTimeout bounds the release of the lease.
-	releaseTimeout = 700 * time.Millisecond
+	releaseTimeout = 400 * time.Millisecond
 )
 
 // Daemon runs the listeners and goroutines of a gateway.
@@ -166,15 +166,16 @@
 	d.draining.Store(true)
 	d.forwarder.Drain()
 	d.log.Log(eventlog.ProcessDraining, "grace", d.settings.StopGrace)
-	releasing, cancel := context.WithTimeout(ctx, releaseTimeout)
-	d.keeper.Release(releasing)
-	cancel()
 	time.Sleep(rotationTime)
 	finishing, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	if err := d.callers.Shutdown(finishing); err != nil {
 		d.log.Log(eventlog.DrainTimedOut, "reason", err)
 	}
+	// The lease is kept until now, so that models are placed also while the store is down.
+	releasing, cancelRelease := context.WithTimeout(ctx, releaseTimeout)
+	defer cancelRelease()
+	d.keeper.Release(releasing)
 	d.cancel()
 	for _, s := range d.others {
 		// Open calls of peers are repeated elsewhere.
--- a/pkg/lease/keeper.go
+++ b/pkg/lease/keeper.go
@@ -140,11 +140,19 @@
 	k.log.Log(eventlog.LeaseReleased, "token", rec.Token)
 }
 
-// Followed records an answer of the holder.
-func (k *Keeper) Followed() {
+// Followed records an answer of the holder with the position of its newest renewal.
+func (k *Keeper) Followed(position int64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.followed, k.contact = k.now(), true
+	k.machine.Followed(position, k.followed)
+}
+
+// Position returns the position of the newest record of the lease that is known.
+func (k *Keeper) Position() int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.machine.Position()
 }
 
 // Lost records that the presumed holder did not answer or denied holding the lease.
--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -103,6 +103,14 @@
 	m.known, m.record, m.position = true, rec, position
 }
 
+// Followed applies an answer of the holder, which names the position of its newest renewal. Whoever loses contact later
+// then knows how old the stored record is.
+func (m *Machine) Followed(position int64, now time.Duration) {
+	if !m.held && position > m.position {
+		m.position, m.observedAt = position, now
+	}
+}
+
 // Written applies a successful write that was sent at the given time.
 func (m *Machine) Written(rec Record, position int64, sent time.Duration) {
 	if !m.held {
--- a/pkg/lease/machine_test.go
+++ b/pkg/lease/machine_test.go
@@ -142,3 +142,14 @@
 		t.Errorf("a followed holder leads to %s", step)
 	}
 }
+
+// Guards against a slow takeover: the record of a dead holder counted as new when it was first read.
+func TestRecordIsAsOldAsTheLastContact(t *testing.T) {
+	m := NewMachine("b", "b:1", NewFencedTiming())
+	m.Observed(Record{Holder: "a", Token: 1}, 1, 0)
+	m.Followed(9, 20*second)
+	m.Observed(Record{Holder: "a", Token: 1}, 9, 23*second)
+	if step := m.Next(23*second, false); step != Write {
+		t.Errorf("a holder that was last heard of 3 s ago leads to %s", step)
+	}
+}
