gateway, fleet: no server comes back by replayed or late reports

Change: direct reads begin with a complete list, and a dropped server returns only by a newer report.

--- /dev/null
+++ b/pkg/fleet/config_test.go
@@ -0,0 +1,66 @@
+package fleet
+
+import "testing"
+
+// Guards against requests that reach the service of another route.
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	c := &Config{Routes: []Route{
+		{Name: "short", VirtualHost: "a.example", PathPrefix: "/x/"},
+		{Name: "long", VirtualHost: "a.example", PathPrefix: "/x/y/"},
+		{Name: "other", VirtualHost: "b.example", PathPrefix: "/x/y/z/"},
+	}}
+	cases := []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"}, {"a.example", "/x/y/1", "long"}, {"A.Example", "/x/y/z/", "long"},
+		{"b.example", "/x/y/", ""}, {"b.example", "/x/y/z/1", "other"}, {"a.example", "/x", ""}, {"c.example", "/x/", ""},
+	}
+	for _, tc := range cases {
+		got := ""
+		if r := c.Match(tc.host, tc.path); r != nil {
+			got = r.Name
+		}
+		if got != tc.want {
+			t.Errorf("%s%s: route %q, want %q", tc.host, tc.path, got, tc.want)
+		}
+	}
+}
+
+// Guards against weights that send requests to a service without any, or to none.
+func TestWeightedTargets(t *testing.T) {
+	r := Route{Targets: []Target{{"a", 1}, {"b", 0}, {"c", 3}}}
+	count := map[string]int{}
+	for hash := range uint64(400) {
+		count[r.Service(hash)]++
+	}
+	if count["a"] != 100 || count["b"] != 0 || count["c"] != 300 {
+		t.Errorf("shares %v", count)
+	}
+	if s := (&Route{}).Service(1); s != "" {
+		t.Errorf("a route without targets leads to %q", s)
+	}
+}
+
+// Guards against repeated runs: only these kinds may run again after an unclear attempt.
+func TestRepeatableKinds(t *testing.T) {
+	cases := []struct {
+		route Route
+		want  bool
+	}{
+		{Route{Kind: Idempotent}, true}, {Route{Kind: NonIdempotent}, false}, {Route{Kind: NonIdempotent, Resumable: true}, false},
+		{Route{Kind: Streaming}, false}, {Route{Kind: Streaming, Resumable: true}, true}, {Route{}, false},
+	}
+	for _, c := range cases {
+		if got := c.route.Repeatable(); got != c.want {
+			t.Errorf("%+v: %v", c.route, got)
+		}
+	}
+}
+
+// Guards against a configuration that is put in force although parts of it refer to nothing.
+func TestProblemsOfAConfiguration(t *testing.T) {
+	c := &Config{Services: map[string]Service{"s": {}}, Routes: []Route{
+		{Name: "good", Targets: []Target{{"s", 1}}}, {Name: "empty"}, {Name: "dangling", Targets: []Target{{"t", 1}}},
+	}}
+	if p := c.Problems(); len(p) != 2 {
+		t.Errorf("problems %q", p)
+	}
+}
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -18,6 +18,8 @@
 	// changed and gone hold the version at which a server changed or was dropped.
 	changed map[string]uint64
 	gone    map[string]uint64
+	// last holds the newest report of each dropped server.
+	last map[string]Server
 }
 
 // goneLimit bounds the dropped servers that are remembered.
@@ -26,13 +28,16 @@
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
 	return &Registry{servers: map[string]Server{}, lapsing: map[string]time.Time{},
-		changed: map[string]uint64{}, gone: map[string]uint64{}}
+		changed: map[string]uint64{}, gone: map[string]uint64{}, last: map[string]Server{}}
 }
 
 // Report applies a report. Reports of an older incarnation, and older reports of the same one, change nothing.
 func (r *Registry) Report(s Server) {
 	known, ok := r.servers[s.ID]
-	if ok && (s.BornMillis < known.BornMillis || (s.BornMillis == known.BornMillis && s.Sequence < known.Sequence)) {
+	if ok && s.before(&known) {
+		return
+	}
+	if last, dropped := r.last[s.ID]; dropped && (s.before(&last) || (s.BornMillis == last.BornMillis && s.Sequence == last.Sequence)) {
 		return
 	}
 	if ok && known.Draining && known.BornMillis == s.BornMillis {
@@ -46,6 +51,7 @@
 	r.version++
 	r.changed[s.ID] = r.version
 	delete(r.gone, s.ID)
+	delete(r.last, s.ID)
 }
 
 // Remove drops a server. After an outage of the store the drop is delayed, because the entry may come back.
@@ -89,13 +95,15 @@
 }
 
 func (r *Registry) drop(id string) {
+	if len(r.gone) >= goneLimit {
+		clear(r.gone)
+		clear(r.last)
+	}
+	r.last[id] = r.servers[id]
 	delete(r.servers, id)
 	delete(r.lapsing, id)
 	delete(r.changed, id)
 	r.version++
-	if len(r.gone) >= goneLimit {
-		clear(r.gone)
-	}
 	r.gone[id] = r.version
 }
 
--- a/pkg/fleet/server.go
+++ b/pkg/fleet/server.go
@@ -34,6 +34,11 @@
 	return false
 }
 
+// before reports whether the report is older than another one of the same id.
+func (s *Server) before(o *Server) bool {
+	return s.BornMillis < o.BornMillis || (s.BornMillis == o.BornMillis && s.Sequence < o.Sequence)
+}
+
 // sameAs reports whether two reports differ in nothing but their sequence and the copies of weights that are kept.
 func (s *Server) sameAs(o *Server) bool {
 	return s.Service == o.Service && s.Address == o.Address && s.FailureDomain == o.FailureDomain &&
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -47,6 +47,7 @@
 	failed := false
 	for ctx.Err() == nil {
 		if c.relayed(c.View().ServersAt) {
+			source.Restart()
 			pause(ctx, relayCheck)
 			continue
 		}
@@ -60,7 +61,10 @@
 		}
 		c.send(ctx, controlEvent{servers: &serverEvent{changes: changes, afterOutage: failed, sentAt: sent}})
 		failed = false
-		pause(ctx, c.pace.ServerPeriod)
+		if !changes.Full {
+			// A list may be older than the changes that follow it, so these are read at once.
+			pause(ctx, c.pace.ServerPeriod)
+		}
 	}
 }
 
--- a/pkg/gateway/sources.go
+++ b/pkg/gateway/sources.go
@@ -18,4 +18,7 @@
 type ServerSource interface {
 	// Next returns what has changed since the last call. Errors are failures of package failure.
 	Next(ctx context.Context) (ServerChanges, error)
+	// Restart makes the next call return a complete list. It is called when changes were learned elsewhere meanwhile:
+	// replaying them would bring back servers that are gone.
+	Restart()
 }
