gateway, lease: back off while the store fails; log first event and longest pause

Change: pauses after failed calls double up to 1.5 s. The served line and a histogram now show the first event and the longest pause, which explain late streams.

--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -26,9 +26,10 @@
 	if a.whole != nil {
 		f.deliver(w, a.whole)
 	}
-	f.metrics.served(j, time.Since(j.arrived))
+	f.metrics.served(j, time.Since(j.arrived), p.relay.firstEvent(j.arrived))
 	f.log.Log(eventlog.RequestServed, "request", j.meta.RequestID, "route", j.route.Name, "version", j.version,
 		"server", c.server.ID, "candidates", c.candidates, "predicted", c.predicted, "took", time.Since(j.arrived),
+		"first_event", p.relay.firstEvent(j.arrived), "longest_pause", p.relay.longest, "prefill", c.prefill,
 		"sent", p.sent+1, "refused", p.refused)
 }
 
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -10,8 +10,10 @@
 const (
 	// relayCheck is how often the age is checked.
 	relayCheck = 100 * time.Millisecond
-	// failurePause is the pause after a failed read.
+	// failurePause is the first pause after a failed read; it doubles up to failureLimit, because calls are billed also
+	// while the store refuses them. After an outage the bounds for changes begin only seconds later.
 	failurePause = 250 * time.Millisecond
+	failureLimit = 1500 * time.Millisecond
 	// startPause is the pause while there is no configuration yet.
 	startPause = 200 * time.Millisecond
 )
@@ -29,7 +31,7 @@
 		dependency.note(err)
 		switch {
 		case err != nil:
-			pause(ctx, failurePause)
+			pause(ctx, dependency.backoff())
 		case config != nil:
 			c.send(ctx, controlEvent{config: config, confirmed: sent})
 		case c.View().Config == nil:
@@ -56,7 +58,7 @@
 		dependency.note(err)
 		if err != nil {
 			failed = true
-			pause(ctx, failurePause)
+			pause(ctx, dependency.backoff())
 			continue
 		}
 		c.send(ctx, controlEvent{servers: &serverEvent{changes: changes, afterOutage: failed, sentAt: sent}})
@@ -82,9 +84,24 @@
 	name  string
 	lost  bool
 	since time.Time
+	// failures is the number of failures in a row.
+	failures int
 }
 
+// backoff returns the pause after the newest failure.
+func (d *dependencyLog) backoff() time.Duration {
+	return min(failurePause<<min(d.failures-1, maxDoublings), failureLimit)
+}
+
+// maxDoublings keeps the shift of the pause in range; the limit is reached long before.
+const maxDoublings = 8
+
 func (d *dependencyLog) note(err error) {
+	if err == nil {
+		d.failures = 0
+	} else {
+		d.failures++
+	}
 	switch {
 	case err != nil && !d.lost:
 		d.lost, d.since = true, time.Now()
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -14,6 +14,7 @@
 	results   *prometheus.CounterVec
 	attempts  *prometheus.CounterVec
 	durations *prometheus.HistogramVec
+	first     prometheus.Histogram
 }
 
 // latencyBuckets cover plain answers of some milliseconds up to long streams, in seconds.
@@ -27,15 +28,19 @@
 		attempts:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_failed_attempts_total", Help: "Failed attempts by code and outcome."}, []string{"code", "outcome"}),
 		durations: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "ferry_gateway_request_seconds", Help: "Time of served requests.", Buckets: latencyBuckets}, []string{"kind"}),
 	}
-	registry.MustRegister(m.requests, m.results, m.attempts, m.durations)
+	m.first = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "ferry_gateway_first_event_seconds", Help: "Time to the first event of served streams.", Buckets: latencyBuckets})
+	registry.MustRegister(m.requests, m.results, m.attempts, m.durations, m.first)
 	return m
 }
 
 func (m *Metrics) arrived(j *job) { m.requests.WithLabelValues(string(j.route.Kind)).Inc() }
 
-func (m *Metrics) served(j *job, took time.Duration) {
+func (m *Metrics) served(j *job, took, first time.Duration) {
 	m.results.WithLabelValues(string(j.route.Kind), "served").Inc()
 	m.durations.WithLabelValues(string(j.route.Kind)).Observe(took.Seconds())
+	if first > 0 {
+		m.first.Observe(first.Seconds())
+	}
 }
 
 func (m *Metrics) failed(j *job, fail *failure.Failure) {
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -25,6 +25,28 @@
 	// lastEvent is the id of the last event that was delivered.
 	lastEvent string
 	started   bool
+	// firstAt and lastAt are when the first and the newest events arrived, longest is the longest pause between events.
+	firstAt time.Time
+	lastAt  time.Time
+	longest time.Duration
+}
+
+// arrived notes the arrival of events.
+func (r *relay) arrived(now time.Time) {
+	if r.firstAt.IsZero() {
+		r.firstAt = now
+	} else {
+		r.longest = max(r.longest, now.Sub(r.lastAt))
+	}
+	r.lastAt = now
+}
+
+// firstEvent returns the time from the arrival of the request to the first event; 0 without one.
+func (r *relay) firstEvent(since time.Time) time.Duration {
+	if r.firstAt.IsZero() {
+		return 0
+	}
+	return r.firstAt.Sub(since)
 }
 
 // start sends the head of the response once.
@@ -58,6 +80,7 @@
 		if err != nil {
 			return r.broken(ctx, err)
 		}
+		r.arrived(time.Now())
 		if watchdog != nil {
 			watchdog.Reset(stall)
 		}
--- a/pkg/lease/keeper.go
+++ b/pkg/lease/keeper.go
@@ -32,6 +32,28 @@
 	released bool
 	wake     chan struct{}
 	heir     Heir
+	// failures counts failed calls to the store in a row; retryAt is when the next one may be made.
+	failures int
+	retryAt  time.Duration
+}
+
+const (
+	// failurePause is the first pause after a failed call; it doubles up to failureLimit, because calls are billed also
+	// while the store refuses them.
+	failurePause = 300 * time.Millisecond
+	failureLimit = 1500 * time.Millisecond
+	// maxDoublings keeps the shift of the pause in range.
+	maxDoublings = 8
+)
+
+// called notes the result of a call to the store.
+func (k *Keeper) called(ok bool) {
+	if ok {
+		k.failures, k.retryAt = 0, 0
+		return
+	}
+	k.retryAt = k.now() + min(failurePause<<min(k.failures, maxDoublings), failureLimit)
+	k.failures++
 }
 
 // NewKeeper returns a keeper that is not running yet.
@@ -59,7 +81,7 @@
 	now := k.now()
 	followed := k.contact && now-k.followed < followedFor
 	next := k.machine.Next(now, followed)
-	if k.released {
+	if k.released || now < k.retryAt {
 		next = Wait
 	}
 	k.mu.Unlock()
@@ -79,10 +101,13 @@
 	rec, position, err := k.store.Load(ctx)
 	if err != nil {
 		k.log.Log(eventlog.LeaseUnreadable, "reason", err)
-		return
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.called(err == nil)
+	if err != nil {
+		return
+	}
 	before := k.machine.Held(sent)
 	k.machine.Observed(rec, position, sent)
 	if before && !k.machine.Held(sent) {
@@ -110,11 +135,13 @@
 	defer k.mu.Unlock()
 	if err != nil {
 		k.machine.WriteFailed(sent)
+		k.called(failure.HasCode(err, failure.PublishConflict))
 		if !failure.HasCode(err, failure.PublishConflict) {
 			k.log.Log(eventlog.LeaseUnwritten, "token", rec.Token, "reason", err)
 		}
 		return
 	}
+	k.called(true)
 	k.machine.Written(rec, position, sent)
 	if !before {
 		k.log.Log(eventlog.LeaseTaken, "token", rec.Token, "first_order_in", k.machine.activeFrom-sent)
