--- a/cmd/ferry-gateway/main.go
+++ b/cmd/ferry-gateway/main.go
@@ -54,7 +54,7 @@
 		return nil
 	}
 	debug.SetGCPercent(gcPercent)
-	settings := file.Daemon(int(command.Int("metrics-port")))
+	settings := file.Daemon(command.Int("metrics-port"))
 	out := eventlog.NewAsyncWriter(os.Stdout, eventlog.DefaultLinesPerSecond)
 	defer out.Close(logFlush)
 	app := gatewaydaemon.NewApp(settings, file.Ports(), out)
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -120,7 +120,7 @@
 		service := config.Services[name]
 		if service.Engine != nil {
 			c.planModels(ctx, &service, token, now)
-			c.planAdapters(ctx, &service, token, now)
+			c.planAdapters(ctx, &service, now)
 		}
 	}
 }
--- a/pkg/coordinator/plan_adapters.go
+++ b/pkg/coordinator/plan_adapters.go
@@ -8,7 +8,7 @@
 )
 
 // planAdapters loads the adapters for which requests wait.
-func (c *Coordinator) planAdapters(ctx context.Context, service *fleet.Service, token int64, now time.Time) {
+func (c *Coordinator) planAdapters(ctx context.Context, service *fleet.Service, now time.Time) {
 	runners := c.runnersOf(service.Name)
 	for key, waiting := range c.wanted {
 		if key.service != service.Name {
--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -44,21 +44,21 @@
 }
 
 // roundTrip sends the request and reads the head of its answer. The deadline of ctx bounds both.
-func (c *conn) roundTrip(ctx context.Context, req *Request) (*http.Response, error) {
+func (c *conn) roundTrip(ctx context.Context, req *Request) (*answer, error) {
 	c.send(req.encode())
 	for range strayAnswers + 1 {
-		resp, err := c.readHead(req.Method)
+		a, err := c.readHead(req.Method)
 		if err != nil {
 			return nil, c.classify(ctx, err)
 		}
-		if req.Owns == nil || req.Owns(resp.Header) {
-			c.noteKeepAlive(resp)
-			return resp, nil
+		if req.Owns == nil || req.Owns(a.header) {
+			c.noteKeepAlive(a.header)
+			return a, nil
 		}
-		if resp.ContentLength < 0 && resp.Close {
+		if a.length < 0 && a.last {
 			break
 		}
-		if err := discard(resp.Body); err != nil {
+		if err := discard(a.body); err != nil {
 			return nil, c.classify(ctx, err)
 		}
 	}
@@ -66,14 +66,14 @@
 }
 
 // readHead reads an answer head and skips informational ones.
-func (c *conn) readHead(method string) (*http.Response, error) {
+func (c *conn) readHead(method string) (*answer, error) {
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
+			return newAnswer(resp), nil
 		}
 	}
 }
@@ -111,8 +111,8 @@
 }
 
 // noteKeepAlive keeps the idle time that the server states.
-func (c *conn) noteKeepAlive(resp *http.Response) {
-	for part := range strings.SplitSeq(resp.Header.Get("Keep-Alive"), ",") {
+func (c *conn) noteKeepAlive(header http.Header) {
+	for part := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
 		value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
 		if !ok {
 			continue
--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,16 +47,15 @@
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	resp, err := c.roundTrip(ctx, req)
+	a, err := c.roundTrip(ctx, req)
 	if err != nil {
 		stop()
 		p.closed()
 		return nil, err
 	}
 	return &Response{
-		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		ctx: ctx, pool: p, conn: c, body: resp.Body, stop: stop,
-		reusable: !resp.Close && resp.ProtoAtLeast(1, 1) && resp.StatusCode != http.StatusSwitchingProtocols,
+		Status: a.status, Header: a.header, Length: a.length,
+		ctx: ctx, pool: p, conn: c, body: a.body, stop: stop, reusable: !a.last,
 	}, nil
 }
 
--- a/pkg/exchange/response.go
+++ b/pkg/exchange/response.go
@@ -20,7 +20,7 @@
 	ctx      context.Context
 	pool     *Pool
 	conn     *conn
-	body     io.ReadCloser
+	body     io.Reader
 	stop     func() bool
 	reusable bool
 	complete bool
--- a/pkg/gateway/chooser.go
+++ b/pkg/gateway/chooser.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"trefoilferry.example/ferry/pkg/fleet"
 	"trefoilferry.example/ferry/pkg/routing"
 )
 
@@ -123,6 +122,3 @@
 	}
 	return plainWork * time.Duration(slots+busy) / time.Duration(slots)
 }
-
-// regionOfServer returns the region of a server.
-func (c *chooser) regionOfServer(s *fleet.Server) string { return c.regionOf[s.FailureDomain] }
