--- a/pkg/coordinator/reporter.go
+++ b/pkg/coordinator/reporter.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// reportPeriod is the period of reports; the work that they carry changes within some hundred milliseconds.
-	reportPeriod = 250 * time.Millisecond
+	// reportPeriod is the period of reports; at twice the period daemons more often sent long prompts to one runner at the
+	// same time, which paused its streams.
+	reportPeriod = 125 * time.Millisecond
 	// reportSpacing is the shortest time between two reports of a daemon with waiting requests.
 	reportSpacing = 25 * time.Millisecond
 	// reportCall bounds one report, including the time that the holder holds it.
--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -68,6 +68,7 @@
 // readHead reads an answer head and skips informational ones.
 func (c *conn) readHead(method string) (*answer, error) {
 	for {
+		//nolint:bodyclose // The body reads from the connection, whose owner closes or reuses it.
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
