--- a/pkg/coordinator/plan_test.go
+++ b/pkg/coordinator/plan_test.go
@@ -1,9 +1,12 @@
 package coordinator
 
 import (
+	"slices"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"trefoilferry.example/ferry/pkg/fleet"
 )
 
@@ -32,3 +35,147 @@
 		t.Errorf("planned %+v, want one load of m3", plan)
 	}
 }
+
+func demandOf(list ...ModelDemand) map[string]ModelDemand {
+	out := map[string]ModelDemand{}
+	for _, d := range list {
+		out[d.Model] = d
+	}
+	return out
+}
+
+// Load patterns of placement: who gets a copy, and whose copy goes.
+func TestPlanFollowsDemand(t *testing.T) {
+	draining := planRunner("z", "m0")
+	draining.Server.Draining = true
+	kept := planRunner("b", "m1", "m2")
+	kept.OnDisk = []string{"m3"}
+	cases := []struct {
+		name    string
+		runners []*Runner
+		demand  map[string]ModelDemand
+		loads   int
+		load    string
+		unload  string
+		runner  string
+	}{
+		{"rare model is asked for: the copy of an idle model goes", []*Runner{planRunner("a", "m0", "m1")},
+			demandOf(ModelDemand{Model: "m0", Rate: 0.3}, ModelDemand{Model: "m3", Rate: 0.1, Waiting: 1}), 3, "m3", "m1", "a"},
+		{"last copies of models that are asked for stay", []*Runner{planRunner("a", "m0", "m1")},
+			demandOf(ModelDemand{Model: "m0", Rate: 0.3}, ModelDemand{Model: "m1", Rate: 0.1}, ModelDemand{Model: "m3", Rate: 0.1, Waiting: 1}), 3, "", "", ""},
+		{"second copy goes before the last one of another model", []*Runner{planRunner("a", "m0", "m1"), planRunner("b", "m0", "m2")},
+			demandOf(ModelDemand{Model: "m0", Rate: 0.3}, ModelDemand{Model: "m1", Rate: 0.1}, ModelDemand{Model: "m2", Rate: 0.1}, ModelDemand{Model: "m3", Waiting: 2}), 3, "m3", "m0", "a"},
+		{"crowded model gets a free place", []*Runner{planRunner("a", "m0", "m1"), planRunner("b", "m2")},
+			demandOf(ModelDemand{Model: "m0", Rate: 0.9}), 3, "m0", "", "b"},
+		{"balanced copies stay", []*Runner{planRunner("a", "m0", "m1"), planRunner("b", "m0", "m1")},
+			demandOf(ModelDemand{Model: "m0", Rate: 1.0}, ModelDemand{Model: "m1", Rate: 0.9}), 3, "", "", ""},
+		{"weights at hand go before a load from the store", []*Runner{planRunner("a", "m1", "m2"), kept},
+			demandOf(ModelDemand{Model: "m3", Waiting: 1}), 3, "m3", "m1", "b"},
+		{"store rate used up: only weights at hand", []*Runner{planRunner("a", "m1", "m2"), kept},
+			demandOf(ModelDemand{Model: "m3", Waiting: 1}), 0, "m3", "m1", "b"},
+		{"store rate used up and nothing at hand", []*Runner{planRunner("a", "m1", "m2")},
+			demandOf(ModelDemand{Model: "m3", Waiting: 1}), 0, "", "", ""},
+		{"copy at a draining runner does not count", []*Runner{draining, planRunner("a", "m1")},
+			demandOf(ModelDemand{Model: "m0", Rate: 0.1}), 3, "m0", "", "a"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			plan := Plan(PlanInput{Engine: testEngine(), Runners: c.runners, Demand: c.demand, StoreLoads: c.loads, Now: time.Unix(100, 0)})
+			if c.load == "" {
+				if len(plan) != 0 {
+					t.Errorf("planned %+v", plan)
+				}
+				return
+			}
+			if len(plan) == 0 || plan[0].Load != c.load || plan[0].Unload != c.unload || plan[0].Runner.id != c.runner {
+				t.Errorf("planned %+v", plan)
+			}
+		})
+	}
+}
+
+// Guards against memory that is overdrawn by any sequence of plans, and against a model that loses its last copy while
+// it is asked for.
+func TestPlansNeverOverdrawMemory(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		engine := testEngine()
+		names := []string{"m0", "m1", "m2", "m3"}
+		runners := []*Runner{planRunner("a", "m0", "m1"), planRunner("b", "m2"), planRunner("c")}
+		for range 20 {
+			demand := map[string]ModelDemand{}
+			for _, n := range names {
+				demand[n] = ModelDemand{Model: n, Rate: rapid.Float64Range(0, 2).Draw(rt, "rate"), Waiting: rapid.IntRange(0, 2).Draw(rt, "waiting")}
+			}
+			for _, a := range Plan(PlanInput{Engine: engine, Runners: runners, Demand: demand, StoreLoads: 3, Now: time.Unix(100, 0)}) {
+				if a.Unload != "" {
+					a.Runner.Models = slices.DeleteFunc(a.Runner.Models, func(h fleet.HeldModel) bool { return h.Name == a.Unload })
+				}
+				a.Runner.Models = append(a.Runner.Models, fleet.HeldModel{Name: a.Load})
+			}
+			for _, r := range runners {
+				used := adapterRoom(engine)
+				for _, h := range r.Models {
+					used += engine.Models[h.Name].WeightsMB
+				}
+				if used > engine.MemoryMB {
+					rt.Fatalf("runner %s holds %v with %v MB of %v", r.id, r.Models, used, engine.MemoryMB)
+				}
+			}
+		}
+	})
+}
+
+// Guards against more adapters than a runner has places for, and against an adapter in use that makes room.
+func TestAdapterPlan(t *testing.T) {
+	at := time.Unix(100, 0)
+	withAdapters := func(id string, adapters ...string) *Runner {
+		r := planRunner(id, "m0")
+		r.Models[0].Adapters = adapters
+		return r
+	}
+	free, full := withAdapters("a", "a1"), withAdapters("b", "a1", "a2")
+	full.LastUse = map[string]time.Time{"m0/a1": at.Add(-time.Minute), "m0/a2": at.Add(-time.Hour)}
+	if a, ok := PlanAdapter(testEngine(), []*Runner{full, free}, AdapterDemand{"m0", "a3"}, at); !ok || a.Runner != free || a.UnloadAdapter != "" {
+		t.Errorf("free place not used: %+v", a)
+	}
+	if a, ok := PlanAdapter(testEngine(), []*Runner{full}, AdapterDemand{"m0", "a3"}, at); !ok || a.UnloadAdapter != "a2" {
+		t.Errorf("the adapter that was unused longest does not go: %+v", a)
+	}
+	full.LastUse = map[string]time.Time{"m0/a1": at, "m0/a2": at}
+	if a, ok := PlanAdapter(testEngine(), []*Runner{full}, AdapterDemand{"m0", "a3"}, at); ok {
+		t.Errorf("an adapter in use goes: %+v", a)
+	}
+	if _, ok := PlanAdapter(testEngine(), []*Runner{free}, AdapterDemand{"m2", "a1"}, at); ok {
+		t.Error("an adapter of a model that is not resident is loaded")
+	}
+}
+
+// Guards against more loads from the weight store in a sliding window than it allows, also from two holders at once.
+func TestLoadRateInEveryWindow(t *testing.T) {
+	limits := LoadLimits{Window: 5 * time.Second, Factor: 1.1}
+	rate := 2.1
+	bound := int(rate*5*1.1 + 3)
+	for name, holders := range map[string]int{"one holder": 1, "two holders": 2} {
+		var starts []time.Duration
+		for range holders {
+			l := &loadRate{limits: limits}
+			for step := time.Duration(0); step < 30*time.Second; step += 100 * time.Millisecond {
+				if l.allowed(rate, holders == 1, time.Unix(0, 0).Add(step)) > 0 {
+					l.began(time.Unix(0, 0).Add(step))
+					starts = append(starts, step)
+				}
+			}
+		}
+		for _, from := range starts {
+			n := 0
+			for _, s := range starts {
+				if s >= from && s < from+limits.Window {
+					n++
+				}
+			}
+			if n > bound {
+				t.Errorf("%s: %d loads in the window from %v, allowed %d", name, n, from, bound)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/pkg/gateway/budgets_test.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+)
+
+// Load pattern: a service fails everything while callers go on. Guards against more repeated arrivals in any window
+// than all daemons together may send.
+func TestRepeatsOfAllDaemonsStayInTheWindow(t *testing.T) {
+	limits := BudgetLimits{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}
+	const daemons, perSecond = 5, 20
+	var taken []time.Time
+	for range daemons {
+		b := newBudgets(limits)
+		for step := range 30 * perSecond {
+			at := now.Add(time.Duration(step) * time.Second / perSecond)
+			b.request("s", at)
+			for b.take("s", at) {
+				taken = append(taken, at)
+			}
+		}
+	}
+	for start := time.Duration(0); start < 20*time.Second; start += 500 * time.Millisecond {
+		n := 0
+		for _, at := range taken {
+			if d := at.Sub(now) - start; d >= 0 && d < limits.Window {
+				n++
+			}
+		}
+		bound := limits.Ratio*perSecond*daemons*limits.Window.Seconds() + limits.Slack
+		if float64(n) > bound {
+			t.Errorf("%d repeats in the window from %v, allowed %v", n, start, bound)
+		}
+	}
+	if len(taken) == 0 {
+		t.Error("no repeat was allowed at all")
+	}
+}
+
+// Guards against services that share one budget.
+func TestBudgetsAreApart(t *testing.T) {
+	b := newBudgets(BudgetLimits{Ratio: 0.2, Slack: 58, Window: 10 * time.Second})
+	for b.take("a", now) {
+		continue
+	}
+	if !b.take("b", now) {
+		t.Error("repeats at one service used up the budget of another")
+	}
+}
--- /dev/null
+++ b/pkg/gateway/prefix_test.go
@@ -0,0 +1,43 @@
+package gateway
+
+import "testing"
+
+// Guards against parts that count as kept although a part before them differs, or the model or adapter does.
+func TestPrefixMatchesLeadingPartsOnly(t *testing.T) {
+	meta := func(model, adapter string, ids ...string) *Meta {
+		m := &Meta{Model: model, Adapter: adapter}
+		for _, id := range ids {
+			m.Prompt = append(m.Prompt, PromptPart{ID: id, Tokens: 100})
+		}
+		return m
+	}
+	c := newPrefixCache(10000)
+	c.add(prefixChain(meta("m", "", "a", "b", "own")))
+	cases := []struct {
+		name string
+		meta *Meta
+		want int
+	}{
+		{"same", meta("m", "", "a", "b", "other"), 200}, {"first part only", meta("m", "", "a", "x", "other"), 100},
+		{"second part alone", meta("m", "", "b", "own"), 0}, {"other model", meta("n", "", "a", "b", "own"), 0},
+		{"adapter", meta("m", "a1", "a", "b", "own"), 0}, {"no shared part", meta("m", "", "own"), 0},
+	}
+	for _, tc := range cases {
+		if got := c.match(prefixChain(tc.meta)); got != tc.want {
+			t.Errorf("%s: %d tokens, want %d", tc.name, got, tc.want)
+		}
+	}
+}
+
+// Load pattern: more shared parts than a runner keeps. Guards against an estimate that grows without bound.
+func TestLeastRecentlyUsedPartsAreDropped(t *testing.T) {
+	c := newPrefixCache(600)
+	for _, id := range []string{"a", "b", "c", "a", "d"} {
+		c.add([]prefixLink{{hash: uint64(id[0]), tokens: 100}})
+	}
+	for id, want := range map[string]int{"a": 100, "b": 0, "c": 100, "d": 100} {
+		if got := c.match([]prefixLink{{hash: uint64(id[0]), tokens: 100}}); got != want {
+			t.Errorf("part %s: %d tokens, want %d", id, got, want)
+		}
+	}
+}
