--- a/pkg/gateway/chooser.go
+++ b/pkg/gateway/chooser.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"trefoilferry.example/ferry/pkg/routing"
@@ -40,14 +41,14 @@
 	if len(candidates) == 0 {
 		return choice{}, false
 	}
-	owner := c.cacheOwner(j, candidates)
+	owner, second := c.cacheOwners(j, candidates)
 	scored := make([]routing.Scored, 0, len(candidates))
 	prefill := make(map[string]int, len(candidates))
 	for i := range candidates {
 		cand := candidates[i]
 		var first time.Duration
 		if j.needsModel() {
-			prefill[cand.Runner] = c.uncached(j, cand.Runner, work, i == owner)
+			prefill[cand.Runner] = c.uncached(j, cand.Runner, work, expectedShare(i, owner, second))
 			first = c.predictModel(view, work, cand.Runner, prefill[cand.Runner], now)
 		} else {
 			first = c.predictPlain(view, work, cand.Runner, now)
@@ -78,24 +79,48 @@
 	return out
 }
 
-// cacheOwner returns the index of the runner that all daemons prefer for the shared prompt parts; -1 without such parts.
-func (c *chooser) cacheOwner(j *job, candidates []routing.Candidate) int {
+// cacheOwners returns the indexes of the two runners that all daemons prefer for the shared prompt parts; -1 for none.
+func (c *chooser) cacheOwners(j *job, candidates []routing.Candidate) (first, second int) {
 	if len(j.chain) == 0 {
-		return -1
+		return -1, -1
+	}
+	key := prefixKey(j.chain)
+	first = routing.Rendezvous(key, candidates)
+	if first < 0 || len(candidates) < 2 {
+		return first, -1
+	}
+	rest := slices.Delete(slices.Clone(candidates), first, first+1)
+	second = routing.Rendezvous(key, rest)
+	if second >= first {
+		second++
+	}
+	return first, second
+}
+
+// secondShare is the share of the shared parts that the second runner is expected to keep: requests overflow to it
+// while the first one is busy.
+const secondShare = 0.6
+
+// expectedShare returns the share of the shared parts that a candidate is expected to keep by its rank alone.
+func expectedShare(candidate, first, second int) float64 {
+	switch candidate {
+	case first:
+		return 1
+	case second:
+		return secondShare
+	default:
+		return 0
 	}
-	return routing.Rendezvous(prefixKey(j.chain), candidates)
 }
 
 // uncached returns the prompt tokens that the runner has to process. The owner of the shared parts is expected to
 // keep them, because the other daemons send requests with the same parts there as well.
-func (c *chooser) uncached(j *job, runner string, work *Tracker, owner bool) int {
-	cached := work.CachedTokens(runner, j.chain)
-	if owner {
-		cached = 0
-		for _, link := range j.chain {
-			cached += link.tokens
-		}
+func (c *chooser) uncached(j *job, runner string, work *Tracker, share float64) int {
+	shared := 0
+	for _, link := range j.chain {
+		shared += link.tokens
 	}
+	cached := max(work.CachedTokens(runner, j.chain), int(share*float64(shared)))
 	return max(j.meta.PromptTokens-cached, 0)
 }
 
