--- a/pkg/coordinator/report.go
+++ b/pkg/coordinator/report.go
@@ -129,6 +129,13 @@
 	return h
 }
 
+const (
+	// notableTokens and notableRequests are the work of other daemons below which a runner is not named: it delays a
+	// first token by less than 20 ms.
+	notableTokens   = 500
+	notableRequests = 8
+)
+
 // peerWork sums the work of all daemons but one.
 func (c *Coordinator) peerWork(except string) []*ferrypb.RunnerWork {
 	total := map[uint32]peerWork{}
@@ -143,6 +150,9 @@
 	}
 	out := make([]*ferrypb.RunnerWork, 0, len(total))
 	for runner, w := range total {
+		if w.tokens < notableTokens && w.requests < notableRequests {
+			continue
+		}
 		out = append(out, &ferrypb.RunnerWork{Runner: runner, Requests: uint32(max(w.requests, 0)), PromptTokens: uint32(max(w.tokens, 0))})
 	}
 	return out
--- a/pkg/coordinator/reporter.go
+++ b/pkg/coordinator/reporter.go
@@ -17,6 +17,9 @@
 	// reportPeriod is the period of reports; at twice the period daemons more often sent long prompts to one runner at the
 	// same time, which paused its streams.
 	reportPeriod = 125 * time.Millisecond
+	// reportsPerDaemon stretches the period with the number of daemons, so that the holder gets no more than about 330
+	// reports a second.
+	reportsPerDaemon = 3 * time.Millisecond
 	// reportSpacing is the shortest time between two reports of a daemon with waiting requests.
 	reportSpacing = 25 * time.Millisecond
 	// reportCall bounds one report, including the time that the holder holds it.
@@ -46,6 +49,9 @@
 	log     *eventlog.Logger
 	client  *http.Client
 
+	// daemons is the number of daemons that report, as the holder counts them.
+	daemons int
+
 	mu      sync.Mutex
 	clients map[string]ferrypb.Coordinator
 	view    *runnerView
@@ -62,26 +68,26 @@
 
 // Run reports until ctx ends.
 func (r *Reporter) Run(ctx context.Context) {
-	ticker := time.NewTicker(reportPeriod)
-	defer ticker.Stop()
-	waiting := false
-	for {
-		waiting = r.report(ctx)
-		if waiting {
-			if !sleep(ctx, reportSpacing) {
-				return
-			}
+	for ctx.Err() == nil {
+		if r.report(ctx) {
+			sleep(ctx, reportSpacing)
 			continue
 		}
+		period := time.NewTimer(r.period())
 		select {
 		case <-ctx.Done():
-			return
-		case <-ticker.C:
+		case <-period.C:
 		case <-r.demand.Poke():
 		}
+		period.Stop()
 	}
 }
 
+// period returns the time between reports.
+func (r *Reporter) period() time.Duration {
+	return max(reportPeriod, time.Duration(r.daemons)*reportsPerDaemon)
+}
+
 // report makes one report and returns whether requests wait and the holder answered.
 func (r *Reporter) report(ctx context.Context) bool {
 	target, source := r.target()
@@ -168,6 +174,7 @@
 }
 
 func (r *Reporter) apply(ctx context.Context, view *ferrypb.FleetView, sent time.Time) {
+	r.daemons = int(view.Daemons)
 	r.view.apply(view)
 	r.control.SetPlacement(ctx, r.view.placement(view))
 	if r.source == localHolder {
--- a/pkg/gateway/chooser.go
+++ b/pkg/gateway/chooser.go
@@ -37,7 +37,7 @@
 		Target: j.meta.Model, Adapter: j.meta.Adapter, Region: c.region,
 		Tried: j.tried, Suspects: work.Suspects(), Now: now,
 	}
-	candidates := c.policy.Filter(query, c.candidates(j, view, now))
+	candidates := c.policy.Filter(query, c.candidates(j, view, work, now))
 	if len(candidates) == 0 {
 		return choice{}, false
 	}
@@ -64,11 +64,11 @@
 }
 
 // candidates returns the servers that can run the request by what is known of them.
-func (c *chooser) candidates(j *job, view *View, now time.Time) []routing.Candidate {
+func (c *chooser) candidates(j *job, view *View, work *Tracker, now time.Time) []routing.Candidate {
 	var out []routing.Candidate
 	for _, id := range view.ByService[j.service.Name] {
 		s := view.Servers[id]
-		if j.needsModel() && !view.holding(&s, now).Serves(j.meta.Model, j.meta.Adapter) {
+		if j.needsModel() && (!view.holding(&s, now).Serves(j.meta.Model, j.meta.Adapter) || work.Denies(id, j.meta.Model, j.meta.Adapter, now)) {
 			continue
 		}
 		out = append(out, routing.Candidate{
--- a/pkg/gateway/chooser_test.go
+++ b/pkg/gateway/chooser_test.go
@@ -168,3 +168,33 @@
 		}
 	}
 }
+
+// Load pattern: models move, then the store and the holder of the lease are lost (incidents inc-b964 and inc-304a).
+// Guards against requests that follow the servers' older reports to runners that no longer hold the model, and that
+// spend the retry budget there again and again.
+func TestPlacementOutlivesItsHolderWithoutTheStore(t *testing.T) {
+	view, work, c := modelView(2), NewTracker(), testChooser()
+	view.Placement = &Placement{Holdings: map[string]Holding{
+		"r0": {BornMillis: 1, Models: map[string]bool{}}, "r1": {BornMillis: 1, Models: map[string]bool{"m": true}}}}
+	view.ServersAt, view.PlacementAt = now.Add(-9*time.Second), now.Add(-8*time.Second)
+	for range 3 {
+		if got, ok := c.choose(modelJob("id", "", 100, 10), view, work, now); !ok || got.server.ID != "r1" {
+			t.Fatalf("chose %q", got.server.ID)
+		}
+	}
+	view.ServersAt = now
+	if _, ok := c.choose(modelJob("id", "", 100, 10), view, work, now); !ok {
+		t.Error("newer reports of the servers do not count")
+	}
+	work.Denied("r0", "m", "", now)
+	if got, ok := c.choose(modelJob("id", "", 100, 10), view, work, now); !ok || got.server.ID != "r1" {
+		t.Errorf("a runner that refused the model is asked again: %q", got.server.ID)
+	}
+	work.Denied("r1", "m", "", now)
+	if _, ok := c.choose(modelJob("id", "", 100, 10), view, work, now.Add(time.Second)); ok {
+		t.Error("runners that refused the model are asked again")
+	}
+	if _, ok := c.choose(modelJob("id", "", 100, 10), view, work, now.Add(denialTime)); !ok {
+		t.Error("a refusal counts for ever")
+	}
+}
--- a/pkg/gateway/tracker.go
+++ b/pkg/gateway/tracker.go
@@ -13,6 +13,32 @@
 	servers  map[string]*serverWork
 	suspects *routing.Suspects
 	caches   map[string]*prefixCache
+	// denied holds until when a server is not asked again for a model and adapter that it did not hold.
+	denied map[string]time.Time
+}
+
+// denialTime is how long a server's word counts that it does not hold a model; by then a load would be reported.
+const denialTime = 2 * time.Second
+
+func denialKey(server, model, adapter string) string { return server + "\x00" + model + "/" + adapter }
+
+// Denied records that a server does not hold a model and adapter.
+func (t *Tracker) Denied(server, model, adapter string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for key, until := range t.denied {
+		if !now.Before(until) {
+			delete(t.denied, key)
+		}
+	}
+	t.denied[denialKey(server, model, adapter)] = now.Add(denialTime)
+}
+
+// Denies reports whether a server has recently said that it does not hold a model and adapter.
+func (t *Tracker) Denies(server, model, adapter string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Before(t.denied[denialKey(server, model, adapter)])
 }
 
 // serverWork is this daemon's work at one server.
@@ -26,7 +52,8 @@
 
 // NewTracker returns a tracker without work.
 func NewTracker() *Tracker {
-	return &Tracker{servers: map[string]*serverWork{}, suspects: routing.NewSuspects(), caches: map[string]*prefixCache{}}
+	return &Tracker{servers: map[string]*serverWork{}, suspects: routing.NewSuspects(), caches: map[string]*prefixCache{},
+		denied: map[string]time.Time{}}
 }
 
 func (t *Tracker) work(server string) *serverWork {
--- a/pkg/gateway/try.go
+++ b/pkg/gateway/try.go
@@ -41,6 +41,9 @@
 	resp, answer, fail := f.backend.open(ctx, j, c, lastEvent)
 	if fail != nil {
 		watchdog()
+		if fail.Code == failure.WrongIncarnation {
+			f.backend.tracker.Denied(c.server.ID, j.meta.Model, j.meta.Adapter, time.Now())
+		}
 		return attempt{fail: f.judge(ctx, c, fail)}
 	}
 	f.backend.tracker.Answered(c.server.ID)
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -34,9 +34,10 @@
 // Ready reports whether the daemon can serve requests.
 func (v *View) Ready() bool { return v.Config != nil && v.Listed }
 
-// holding returns what a server holds: by the coordinator's view while that is fresh, by its own report otherwise.
+// holding returns what a server holds: by the coordinator's view while that is fresh or newer than the list of servers,
+// by the server's own report otherwise. Without the store both grow old, and the reports were older from the start.
 func (v *View) holding(s *fleet.Server, now time.Time) Holding {
-	if v.Placement != nil && now.Sub(v.PlacementAt) < placementFreshness {
+	if v.Placement != nil && (now.Sub(v.PlacementAt) < placementFreshness || v.PlacementAt.After(v.ServersAt)) {
 		if h, ok := v.Placement.Holdings[s.ID]; ok && h.BornMillis == s.BornMillis {
 			return h
 		}
