coordinator: adapters on their way take places; memory limit from the settings

Cause, found by reading: a runner's report lists adapters on their way apart, so a report read in that moment made their places look free, and a runner that is ordered to hold more crashes. Test: TestAdapterPlan.

--- a/cmd/ferry-gateway/main.go
+++ b/cmd/ferry-gateway/main.go
@@ -20,6 +20,8 @@
 const (
 	// gcPercent trades processor time for memory, which is billed by its peak.
 	gcPercent = 60
+	// memoryPercent of the memory is the point from which garbage is collected more often.
+	memoryPercent = 80
 	// logFlush bounds the wait for a slow standard output at the end.
 	logFlush = 200 * time.Millisecond
 )
@@ -55,6 +57,7 @@
 	}
 	debug.SetGCPercent(gcPercent)
 	settings := file.Daemon(command.Int("metrics-port"))
+	debug.SetMemoryLimit(settings.MemoryLimit / 100 * memoryPercent)
 	out := eventlog.NewAsyncWriter(os.Stdout, eventlog.DefaultLinesPerSecond)
 	defer out.Close(logFlush)
 	app := gatewaydaemon.NewApp(settings, file.Ports(), out)
--- a/pkg/coordinator/plan_test.go
+++ b/pkg/coordinator/plan_test.go
@@ -141,6 +141,11 @@
 	if a, ok := PlanAdapter(testEngine(), []*Runner{full}, AdapterDemand{"m0", "a3"}, at); !ok || a.UnloadAdapter != "a2" {
 		t.Errorf("the adapter that was unused longest does not go: %+v", a)
 	}
+	free.Arriving = 1
+	if a, ok := PlanAdapter(testEngine(), []*Runner{full, free}, AdapterDemand{"m0", "a3"}, at); !ok || a.UnloadAdapter == "" {
+		t.Errorf("an adapter on its way takes no place: %+v", a)
+	}
+	free.Arriving = 0
 	full.LastUse = map[string]time.Time{"m0/a1": at, "m0/a2": at}
 	if a, ok := PlanAdapter(testEngine(), []*Runner{full}, AdapterDemand{"m0", "a3"}, at); ok {
 		t.Errorf("an adapter in use goes: %+v", a)
--- a/pkg/coordinator/refresh.go
+++ b/pkg/coordinator/refresh.go
@@ -61,6 +61,7 @@
 		r.Known, r.NextTry = false, r.Checked.Add(retryPause)
 	}
 	r.Orders, r.Models, r.OnDisk, r.InMem = state.Orders, state.Models, state.OnDisk, state.InMemory
+	r.Arriving = state.Arriving
 	if state.Draining {
 		r.Server.Draining = true
 	}
--- a/pkg/coordinator/runner.go
+++ b/pkg/coordinator/runner.go
@@ -21,8 +21,10 @@
 	Known  bool
 	Orders int64
 	Models []fleet.HeldModel
-	OnDisk []string
-	InMem  []string
+	// Arriving is the number of adapters on their way at the last report.
+	Arriving int
+	OnDisk   []string
+	InMem    []string
 	// Pending is the order whose effect has not been seen; nil for none.
 	Pending *PendingOrder
 	// NextTry delays orders after an unclear answer.
@@ -59,9 +61,9 @@
 	return h != nil && slices.Contains(h.Adapters, adapter)
 }
 
-// adapterCount returns the number of resident adapters.
+// adapterCount returns the number of places that adapters take.
 func (r *Runner) adapterCount() int {
-	n := 0
+	n := r.Arriving
 	for i := range r.Models {
 		n += len(r.Models[i].Adapters)
 	}
--- a/pkg/coordinator/runner_state.go
+++ b/pkg/coordinator/runner_state.go
@@ -10,14 +10,9 @@
 	// Busy is set while an order about a model is carried out.
 	Busy   bool
 	Models []fleet.HeldModel
-	// Arriving are adapters on their way, as MODEL/ADAPTER.
-	Arriving []string
+	// Arriving is the number of adapters on their way; they take places already.
+	Arriving int
 	OnDisk   []string
 	InMemory []string
-	Running  int
-	Queued   int
-	// UsedTokens of CacheTokens cannot be evicted.
-	UsedTokens  int
-	CacheTokens int
-	Draining    bool
+	Draining bool
 }
--- a/pkg/fleet/server.go
+++ b/pkg/fleet/server.go
@@ -24,16 +24,6 @@
 	InMemory []string
 }
 
-// Holds reports whether the model is resident.
-func (s *Server) Holds(model string) bool {
-	for i := range s.Models {
-		if s.Models[i].Name == model {
-			return true
-		}
-	}
-	return false
-}
-
 // before reports whether the report is older than another one of the same id.
 func (s *Server) before(o *Server) bool {
 	return s.BornMillis < o.BornMillis || (s.BornMillis == o.BornMillis && s.Sequence < o.Sequence)
