coordinator: versions of a view count within one tenure only

Cause: a follower kept the versions of servers and holdings as long as the holder's address stayed the same. A holder that restarted and took its own lease again counted from 0; once its counts had passed the follower's old ones, the follower took a difference for a complete view and missed what changed before, drains included.

Ruled out: the address as identity (it stays), the lease position (it grows within a tenure).

Change: reports and views name the tenure by its fencing number. A holder answers a report of another tenure with complete lists and ignores its work, whose indexes mean nothing. The follower drops its server version with the tenure.

--- a/pkg/coordinator/report.go
+++ b/pkg/coordinator/report.go
@@ -12,9 +12,14 @@
 
 // Report implements ferrypb.Coordinator.
 func (c *Coordinator) Report(ctx context.Context, report *ferrypb.LoadReport) (*ferrypb.FleetView, error) {
-	if !c.lease.Held() {
+	tenure := c.lease.Tenure()
+	if tenure == 0 {
 		return &ferrypb.FleetView{}, nil
 	}
+	if report.Tenure != tenure {
+		// Versions and indexes of another tenure mean nothing here, also if this daemon held the lease then.
+		report.ViewVersion, report.ServersVersion, report.Work = 0, 0, nil
+	}
 	waiting, changed := c.take(report, time.Now())
 	if waiting {
 		c.poke()
@@ -26,7 +31,7 @@
 		case <-ctx.Done():
 		}
 	}
-	return c.view(report), nil
+	return c.view(report, tenure), nil
 }
 
 // take applies a report. It returns whether requests wait at the daemon for something that it could be told now.
@@ -86,10 +91,10 @@
 }
 
 // view answers a report.
-func (c *Coordinator) view(report *ferrypb.LoadReport) *ferrypb.FleetView {
+func (c *Coordinator) view(report *ferrypb.LoadReport, tenure int64) *ferrypb.FleetView {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := &ferrypb.FleetView{Holder: true, Version: c.version, Daemons: uint32(len(c.daemons)), LeasePosition: c.lease.Position()}
+	out := &ferrypb.FleetView{Holder: true, Tenure: tenure, Version: c.version, Daemons: uint32(len(c.daemons)), LeasePosition: c.lease.Position()}
 	c.addHoldings(out, report.ViewVersion)
 	out.Work = c.peerWork(report.Daemon)
 	addStore(out, c.fleet.View(), report, time.Now())
--- a/pkg/coordinator/reporter.go
+++ b/pkg/coordinator/reporter.go
@@ -153,7 +153,7 @@
 }
 
 func (r *Reporter) message() (*ferrypb.LoadReport, bool) {
-	m := &ferrypb.LoadReport{Daemon: r.name, ViewVersion: r.view.version, ServersVersion: r.view.servers}
+	m := &ferrypb.LoadReport{Daemon: r.name, Tenure: r.view.tenure, ViewVersion: r.view.version, ServersVersion: r.view.servers}
 	if config := r.control.View().Config; config != nil {
 		m.ConfigVersion = config.Version
 	}
--- a/pkg/coordinator/runner_view.go
+++ b/pkg/coordinator/runner_view.go
@@ -7,8 +7,9 @@
 	"trefoilferry.example/ferry/pkg/gateway"
 )
 
-// runnerView is what a daemon has learned from one holder.
+// runnerView is what a daemon has learned from one tenure of the lease.
 type runnerView struct {
+	tenure   int64
 	version  uint64
 	servers  uint64
 	holdings map[string]gateway.Holding
@@ -22,9 +23,12 @@
 
 // apply takes over the changes of a view. The map of holdings is replaced, because readers keep the previous one.
 func (v *runnerView) apply(view *ferrypb.FleetView) {
-	if view.Version == v.version && len(view.Holdings) == 0 {
+	if view.Tenure == v.tenure && view.Version == v.version && len(view.Holdings) == 0 {
 		return
 	}
+	if view.Tenure != v.tenure {
+		v.tenure, v.servers = view.Tenure, 0
+	}
 	next := maps.Clone(v.holdings)
 	if view.HoldingsFull {
 		next = map[string]gateway.Holding{}
--- a/pkg/lease/keeper.go
+++ b/pkg/lease/keeper.go
@@ -207,6 +207,17 @@
 	return k.machine.Token(k.now())
 }
 
+// Tenure returns the fencing number of this daemon's tenure, also before orders may be given; 0 while it does not hold
+// the lease.
+func (k *Keeper) Tenure() int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.machine.Held(k.now()) {
+		return 0
+	}
+	return k.machine.Holder().Token
+}
+
 // Settled reports whether no other daemon can be acting as holder.
 func (k *Keeper) Settled() bool {
 	k.mu.Lock()
