gateway: reads of the store after the loss of the holder fit the bound for changes

Cause: a daemon followed the holder's view up to an age of 0.55 of the bound and then waited up to 2 s for a list, and for a configuration as long as the store may hold the read. With its own connection to the store silent as well, that is 4.2 s of 4.0.

Change: relayed state counts up to 0.45 of the bound, a first read gets 0.2 of it and doubles with failures up to 2 s, and the first read of the configuration after relayed state does not wait.

Measured: TestChangesArriveInTimeAfterLossOfTheHolder fails before (5.0 s, limit of the test, of 2.5 s) and passes after.

--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"trefoilferry.example/ferry/pkg/eventlog"
+	"trefoilferry.example/ferry/pkg/fleet"
 )
 
 const (
@@ -21,14 +22,20 @@
 // followConfig hands new configurations to the control loop until ctx ends.
 func (c *Control) followConfig(ctx context.Context, source ConfigSource) {
 	dependency := dependencyLog{log: c.log, name: "configuration"}
+	// The first read after relayed state does not wait for a change: one may have come since.
+	wait := time.Duration(0)
 	for ctx.Err() == nil {
 		if c.relayed(c.View().ConfigAt) {
+			wait = 0
 			pause(ctx, relayCheck)
 			continue
 		}
 		sent := time.Now()
-		config, err := source.Next(ctx, c.pace.ConfigWait)
+		config, err := c.readConfig(ctx, source, wait, dependency.failures)
 		dependency.note(err)
+		if err == nil {
+			wait = c.pace.ConfigWait
+		}
 		switch {
 		case err != nil:
 			pause(ctx, dependency.backoff())
@@ -43,6 +50,18 @@
 	}
 }
 
+func (c *Control) readConfig(ctx context.Context, source ConfigSource, wait time.Duration, failures int) (*fleet.Config, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+c.pace.readTimeout(failures))
+	defer cancel()
+	return source.Next(ctx, wait)
+}
+
+func (c *Control) readServers(ctx context.Context, source ServerSource, failures int) (ServerChanges, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.pace.readTimeout(failures))
+	defer cancel()
+	return source.Next(ctx)
+}
+
 // followServers hands the changes of the list of servers to the control loop until ctx ends.
 func (c *Control) followServers(ctx context.Context, source ServerSource) {
 	dependency := dependencyLog{log: c.log, name: "server list"}
@@ -54,7 +73,7 @@
 			continue
 		}
 		sent := time.Now()
-		changes, err := source.Next(ctx)
+		changes, err := c.readServers(ctx, source, dependency.failures)
 		dependency.note(err)
 		if err != nil {
 			failed = true
--- a/pkg/gateway/pace.go
+++ b/pkg/gateway/pace.go
@@ -10,18 +10,31 @@
 	ServerPeriod time.Duration
 	// RelayAge is the age of what the holder of the lease passed on up to which the store is not read directly.
 	RelayAge time.Duration
+	// ReadTimeout bounds the first read of the store after a successful one, beyond the time that it may wait.
+	ReadTimeout time.Duration
 }
 
-// Shares of the bound within which a change must be in force. The age of relayed state and the direct read after it
-// leave more than a third of the bound for slow answers.
+// Shares of the bound within which a change must be in force. The age of relayed state, a read over a connection that
+// went silent, the pause after it and a second read fit into the bound together.
 const (
 	configWaitShare   = 0.28
 	serverPeriodShare = 0.2
-	relayAgeShare     = 0.55
+	relayAgeShare     = 0.45
+	readTimeoutShare  = 0.2
 )
 
+// readTimeoutLimit bounds the reads of a store that is slow; its answers may take hundreds of times as long as usual.
+const readTimeoutLimit = 2 * time.Second
+
 // NewPace returns the periods for changes that must be in force within bound.
 func NewPace(bound time.Duration) Pace {
 	share := func(part float64) time.Duration { return time.Duration(float64(bound) * part) }
-	return Pace{ConfigWait: share(configWaitShare), ServerPeriod: share(serverPeriodShare), RelayAge: share(relayAgeShare)}
+	return Pace{ConfigWait: share(configWaitShare), ServerPeriod: share(serverPeriodShare), RelayAge: share(relayAgeShare),
+		ReadTimeout: share(readTimeoutShare)}
+}
+
+// readTimeout returns the time for a read after the given number of failed ones. It doubles, so that a slow store is
+// read as well.
+func (p Pace) readTimeout(failures int) time.Duration {
+	return min(p.ReadTimeout<<min(failures, maxDoublings), readTimeoutLimit)
 }
