gateway: attempts that reach no server need no retry budget; the budget knows the number of daemons

Requests whose only holder could not be reached were refused at once as well. The slack was divided by 8 whatever the number of daemons: with 31 of them 316 repeats beyond the ratio were possible in a window of which 102 are allowed (computed), with 4 or 5 of them a part lay idle.

Ruled out: too few holders (candidates of 5 and more on most of these lines), missing time (45 ms had passed).

Change: a failed connection is counted apart, bounded per request and not charged. A request that reached no server waits for another holder like one that finds none. The slack is divided by the number of daemons that report, 32 until known.

Measured: TestOnlyArrivalsNeedRetryBudget and TestUnreachedRequestAwaitsAnotherHolder fail before and pass after.

--- a/pkg/gateway/budgets_test.go
+++ b/pkg/gateway/budgets_test.go
@@ -8,15 +8,24 @@
 // Load pattern: a service fails everything while callers go on. Guards against more repeated arrivals in any window
 // than all daemons together may send.
 func TestRepeatsOfAllDaemonsStayInTheWindow(t *testing.T) {
-	limits := BudgetLimits{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}
-	const daemons, perSecond = 5, 20
+	for _, c := range []struct {
+		daemons int
+		slack   float64
+	}{{4, 54}, {5, 58}, {31, 102}, {60, 102}} {
+		requireRepeatsInWindow(t, c.daemons, BudgetLimits{Ratio: 0.2, Slack: c.slack, Window: 10 * time.Second})
+	}
+}
+
+func requireRepeatsInWindow(t *testing.T, daemons int, limits BudgetLimits) {
+	t.Helper()
+	const perSecond = 3
 	var taken []time.Time
 	for range daemons {
 		b := newBudgets(limits)
 		for step := range 30 * perSecond {
 			at := now.Add(time.Duration(step) * time.Second / perSecond)
-			b.request("s", at)
-			for b.take("s", at) {
+			b.request("s", daemons, at)
+			for b.take("s", daemons, at) {
 				taken = append(taken, at)
 			}
 		}
@@ -28,9 +37,9 @@
 				n++
 			}
 		}
-		bound := limits.Ratio*perSecond*daemons*limits.Window.Seconds() + limits.Slack
+		bound := limits.Ratio*perSecond*float64(daemons)*limits.Window.Seconds() + limits.Slack
 		if float64(n) > bound {
-			t.Errorf("%d repeats in the window from %v, allowed %v", n, start, bound)
+			t.Errorf("%d daemons: %d repeats in the window from %v, allowed %v", daemons, n, start, bound)
 		}
 	}
 	if len(taken) == 0 {
@@ -41,10 +50,10 @@
 // Guards against services that share one budget.
 func TestBudgetsAreApart(t *testing.T) {
 	b := newBudgets(BudgetLimits{Ratio: 0.2, Slack: 58, Window: 10 * time.Second})
-	for b.take("a", now) {
+	for b.take("a", 5, now) {
 		continue
 	}
-	if !b.take("b", now) {
+	if !b.take("b", 5, now) {
 		t.Error("repeats at one service used up the budget of another")
 	}
 }
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -207,6 +207,14 @@
 	return 0
 }
 
+// daemons returns the number of daemons that share the traffic; 0 while it is not known.
+func (c *Control) daemons() int {
+	if p := c.View().Placement; p != nil {
+		return p.Daemons
+	}
+	return 0
+}
+
 // Follow runs the loop and its sources until ctx ends.
 func (c *Control) Follow(ctx context.Context, config ConfigSource, servers ServerSource) {
 	var work sync.WaitGroup
--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -30,7 +30,7 @@
 	f.log.Log(eventlog.RequestServed, "request", j.meta.RequestID, "route", j.route.Name, "version", j.version,
 		"server", c.server.ID, "candidates", c.candidates, "predicted", c.predicted, "took", time.Since(j.arrived),
 		"first_event", p.relay.firstEvent(j.arrived), "longest_pause", p.relay.longest, "prefill", c.prefill,
-		"sent", p.sent+1, "refused", p.refused)
+		"sent", p.sent+1, "refused", p.refused, "unreached", p.unreached)
 }
 
 func (f *Forwarder) deliver(w http.ResponseWriter, whole *wholeAnswer) {
@@ -69,7 +69,7 @@
 	}
 	f.log.Log(event, "request", j.meta.RequestID, "route", j.route.Name, "version", j.version, "model", j.meta.Model,
 		"adapter", j.meta.Adapter, "code", fail.Code, "outcome", p.outcome, "took", time.Since(j.arrived),
-		"sent", p.sent, "refused", p.refused, "retry_after", fail.RetryAfter, "reason", fail)
+		"sent", p.sent, "refused", p.refused, "unreached", p.unreached, "retry_after", fail.RetryAfter, "reason", fail)
 }
 
 // refuse answers a request that was not accepted.
--- a/pkg/gateway/forwarder.go
+++ b/pkg/gateway/forwarder.go
@@ -41,7 +41,7 @@
 		f.refuse(w, j, fail)
 		return
 	}
-	f.budgets.request(j.service.Name, arrived)
+	f.budgets.request(j.service.Name, f.control.daemons(), arrived)
 	f.metrics.arrived(j)
 	if j.needsModel() {
 		f.demand.arrived(demandKey(j), estimateWork(&j.meta))
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -13,6 +13,8 @@
 const (
 	// refusedTries bounds the servers that may refuse one request; each refusal counts as a repeated arrival.
 	refusedTries = 2
+	// unreachedTries bounds the servers that one request tries to connect to in vain.
+	unreachedTries = 4
 	// hopeless is the share of the remaining time that a predicted first token may take.
 	hopeless = 0.8
 )
@@ -21,10 +23,11 @@
 type progress struct {
 	// outcome is the least certain one over all attempts.
 	outcome failure.Outcome
-	// sent counts attempts that may have run, refused those that did not.
-	sent    int
-	refused int
-	last    *failure.Failure
+	// sent counts attempts that may have run, refused those that a server refused, unreached those that reached none.
+	sent      int
+	refused   int
+	unreached int
+	last      *failure.Failure
 	// whole is the last complete failure answer of a server.
 	whole *wholeAnswer
 	relay *relay
@@ -65,27 +68,36 @@
 	if a.whole != nil {
 		p.whole = a.whole
 	}
-	if a.fail.Outcome == failure.NotRun {
+	switch {
+	case unreached(a.fail):
+		p.unreached++
+	case a.fail.Outcome == failure.NotRun:
 		p.refused++
-		return
+	default:
+		p.sent++
 	}
-	p.sent++
 }
 
-// again reports whether the request may be sent once more, and spends the budget for it.
+// unreached reports whether an attempt failed before any byte reached a server.
+func unreached(fail *failure.Failure) bool {
+	return fail.Code == failure.ConnectFailed && fail.Outcome == failure.NotRun
+}
+
+// again reports whether the request may be sent once more, and spends the budget for it. An attempt that reached no server
+// was no arrival, so what follows it needs no budget of its own.
 func (f *Forwarder) again(j *job, p *progress, fail *failure.Failure) bool {
 	now := time.Now()
 	state := retry.State{
 		Now: now, Attempts: p.sent, MaxAttempts: j.route.MaxAttempts,
 		Delivered: p.relay.started, Resumable: j.route.Resumable,
 	}
-	if p.refused > refusedTries {
+	if p.refused > refusedTries || p.unreached > unreachedTries {
 		return false
 	}
 	if retry.Next(state, fail, j.route.Repeatable(), j.deadline).Action == retry.GiveUp {
 		return false
 	}
-	if !f.budgets.take(j.service.Name, now) {
+	if !unreached(fail) && !f.budgets.take(j.service.Name, f.control.daemons(), now) {
 		f.log.Log(eventlog.BudgetEmpty, "request", j.meta.RequestID, "service", j.service.Name)
 		return false
 	}
@@ -95,7 +107,7 @@
 // pick chooses a server, waiting for one that holds the model if that can still be in time.
 func (f *Forwarder) pick(ctx context.Context, j *job, p *progress) (*choice, *failure.Failure) {
 	c, ok := f.chooser.choose(j, f.control.View(), f.backend.tracker, time.Now())
-	if !ok && j.needsModel() && len(j.tried) == 0 {
+	if !ok && j.needsModel() && p.sent == 0 {
 		c, ok = f.await(ctx, j)
 	}
 	if !ok {
@@ -159,7 +171,7 @@
 
 func (f *Forwarder) logAttempt(j *job, c *choice, p *progress, fail *failure.Failure) {
 	f.log.Log(eventlog.AttemptFailed, "request", j.meta.RequestID, "route", j.route.Name, "server", c.server.ID,
-		"code", fail.Code, "outcome", fail.Outcome, "sent", p.sent, "refused", p.refused, "predicted", c.predicted,
+		"code", fail.Code, "outcome", fail.Outcome, "sent", p.sent, "refused", p.refused, "unreached", p.unreached, "predicted", c.predicted,
 		"report_age", c.reportAge, "reason", fail)
 	f.metrics.attemptFailed(fail)
 }
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -28,6 +28,16 @@
 	return &Budget{limits: limits, tokens: limits.Burst, last: now}
 }
 
+// SetLimits changes the limits from now on. Retries beyond a smaller burst are lost.
+func (b *Budget) SetLimits(limits Limits, now time.Time) {
+	if limits == b.limits {
+		return
+	}
+	b.refill(now)
+	b.limits = limits
+	b.add(0)
+}
+
 // Request accounts one request of a caller.
 func (b *Budget) Request(now time.Time) {
 	b.refill(now)
