coordinator: loads in progress by the weight store's rate

Cause: three loads at a time, the figure of the smallest deployment, everywhere. The grown ones serve ten and nine at full speed, so models that gain demand got their copies seconds late.

Change: rate times usual load time (Little's law), which gives the store's own figures: 3, 4, 10 and 9. The rate in the sliding window is bounded as before.

--- a/pkg/coordinator/plan_models.go
+++ b/pkg/coordinator/plan_models.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"trefoilferry.example/ferry/pkg/eventlog"
@@ -16,7 +17,7 @@
 		rate = &loadRate{limits: c.config.Loads}
 		c.rates[service.Name] = rate
 	}
-	loads := min(rate.allowed(service.Engine.LoadsPerSecond, c.lease.Settled(), now), concurrentLoads-c.storeLoads(runners))
+	loads := min(rate.allowed(service.Engine.LoadsPerSecond, c.lease.Settled(), now), concurrentLoads(service.Engine)-c.storeLoads(runners))
 	plan := Plan(PlanInput{Engine: service.Engine, Runners: runners, Demand: c.modelDemand(service.Name, now), StoreLoads: loads, Now: now})
 	for _, a := range plan {
 		if a.FromStore {
@@ -34,8 +35,15 @@
 	}
 }
 
-// concurrentLoads is the number of loads that the weight store serves at full speed in the smallest deployment.
-const concurrentLoads = 3
+// concurrentLoads returns the number of loads in progress at which the weight store delivers its whole rate, each load
+// taking its usual time (Little's law). More of them only slow each other down.
+func concurrentLoads(e *fleet.Engine) int {
+	total := 0.0
+	for _, m := range e.Models {
+		total += m.StoreLoad.Seconds()
+	}
+	return max(int(math.Ceil(e.LoadsPerSecond*total/float64(max(len(e.Models), 1)))), 1)
+}
 
 // storeLoads counts the loads in progress that come from the store.
 func (c *Coordinator) storeLoads(runners []*Runner) int {
