coordinator: models of a runner that cannot be reached are placed elsewhere at once

Cause: a crashed runner stays listed until three heartbeats are missing.

Ruled out: dropping the runner from what daemons are told, as one that only the holder cannot reach still serves others.

Change: daemons report runners that did not accept a connection; the holder reads such a runner's report at once, and while it cannot connect itself, copies there do not count. Log event F0330.

--- a/pkg/coordinator/adapter_plan.go
+++ b/pkg/coordinator/adapter_plan.go
@@ -65,7 +65,7 @@
 	return best, best.Runner != nil
 }
 
-// holdersOf returns the runners that hold the adapter.
+// holdersOf returns the runners that hold the adapter and can be reached.
 func holdersOf(runners []*Runner, model, adapter string) []*Runner {
-	return slices.DeleteFunc(slices.Clone(runners), func(r *Runner) bool { return !r.HoldsAdapter(model, adapter) })
+	return slices.DeleteFunc(slices.Clone(runners), func(r *Runner) bool { return r.Unreachable || !r.HoldsAdapter(model, adapter) })
 }
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -78,9 +78,9 @@
 	loads  int
 }
 
-// count adds the copies of a runner that serve or will serve; copies that leave do not count.
+// count adds the copies of a runner that serve or will serve; copies that leave or cannot be reached do not count.
 func (p *planner) count(r *Runner) {
-	if r.Server.Draining {
+	if r.Server.Draining || r.Unreachable {
 		return
 	}
 	for i := range r.Models {
--- a/pkg/coordinator/refresh.go
+++ b/pkg/coordinator/refresh.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"time"
+
+	"trefoilferry.example/ferry/pkg/eventlog"
+	"trefoilferry.example/ferry/pkg/failure"
 )
 
 const (
@@ -14,6 +17,9 @@
 	retryPause = 400 * time.Millisecond
 	// concurrentChecks bounds the reads that one step begins, so that a new holder does not send them all at once.
 	concurrentChecks = 6
+	// recheckPause is the age up to which a report is not read again because a daemon could not connect; a partition of
+	// that daemon would otherwise lead to reads with every plan.
+	recheckPause = 500 * time.Millisecond
 )
 
 // refreshRunners reads the reports that are due.
@@ -42,6 +48,7 @@
 	defer c.mu.Unlock()
 	if err != nil || state.BornMillis != r.Server.BornMillis {
 		r.Known = false
+		c.setUnreachable(r, failure.HasCode(err, failure.ConnectFailed), err)
 		r.NextTry = time.Now().Add(retryPause)
 		return false
 	}
@@ -49,12 +56,35 @@
 	return true
 }
 
+// setUnreachable notes whether a runner accepts connections. The plan follows at once, because its models may be missing.
+func (c *Coordinator) setUnreachable(r *Runner, unreachable bool, reason error) {
+	if r.Unreachable == unreachable {
+		return
+	}
+	r.Unreachable = unreachable
+	if unreachable {
+		c.log.Log(eventlog.RunnerUnreachable, "server", r.id, "report_age", time.Since(r.Checked), "models", len(r.Models), "reason", reason)
+		c.poke()
+	}
+}
+
+// checkSoon makes the report of a runner due, because a daemon could not connect to it.
+func (c *Coordinator) checkSoon(index uint32, now time.Time) {
+	for _, r := range c.runners {
+		if r.index == index && !r.Unreachable && now.Sub(r.Checked) > recheckPause {
+			r.Known = false
+			c.poke()
+		}
+	}
+}
+
 // applyState takes over a runner's report. A report may be some hundred milliseconds old, so an accepted order of this
 // coordinator is not undone by a report that does not know of it.
 func (c *Coordinator) applyState(r *Runner, state *RunnerState) {
 	if state.Orders < r.Orders && r.Known {
 		return
 	}
+	c.setUnreachable(r, false, nil)
 	r.Known, r.Checked, r.NextTry = true, time.Now(), time.Time{}
 	if state.Busy && r.Pending == nil {
 		// An order of an earlier holder is being carried out; what it loads does not show in the report yet.
--- a/pkg/coordinator/report.go
+++ b/pkg/coordinator/report.go
@@ -18,7 +18,7 @@
 	}
 	if report.Tenure != tenure {
 		// Versions and indexes of another tenure mean nothing here, also if this daemon held the lease then.
-		report.ViewVersion, report.ServersVersion, report.Work = 0, 0, nil
+		report.ViewVersion, report.ServersVersion, report.Work, report.Unreached = 0, 0, nil, nil
 	}
 	waiting, changed := c.take(report, time.Now())
 	if waiting {
@@ -48,6 +48,9 @@
 		state.work[w.Runner] = peerWork{requests: int(w.Requests), tokens: int(w.PromptTokens)}
 	}
 	c.daemons[report.Daemon] = state
+	for _, index := range report.Unreached {
+		c.checkSoon(index, now)
+	}
 	return waiting && report.ViewVersion == c.version, c.changed
 }
 
--- a/pkg/coordinator/reporter.go
+++ b/pkg/coordinator/reporter.go
@@ -170,6 +170,11 @@
 			m.Work = append(m.Work, &ferrypb.RunnerWork{Runner: index, Requests: uint32(requests), PromptTokens: uint32(max(tokens, 0))})
 		}
 	})
+	r.tracker.EachUnreached(time.Now(), func(server string) {
+		if index, ok := r.view.indexes[server]; ok {
+			m.Unreached = append(m.Unreached, index)
+		}
+	})
 	return m, waiting
 }
 
--- a/pkg/coordinator/runner.go
+++ b/pkg/coordinator/runner.go
@@ -29,6 +29,9 @@
 	Pending *PendingOrder
 	// NextTry delays orders after an unclear answer.
 	NextTry time.Time
+	// Unreachable is set from a read of the report that found no connection to the next one that did. What the runner
+	// holds serves nobody then, and a runner that crashed comes back empty.
+	Unreachable bool
 	// Checked is when the runner's report was last read.
 	Checked time.Time
 	// LastUse is when an adapter was last asked for, by MODEL/ADAPTER.
--- a/pkg/eventlog/catalog_gateway.go
+++ b/pkg/eventlog/catalog_gateway.go
@@ -22,5 +22,6 @@
 	CoordinatorFound   = add(326, log.InfoLevel, "coordinator reachable", "The holder of the lease answers reports.")
 	ModelOrdered       = add(327, log.InfoLevel, "model ordered", "A backend server was ordered to load or unload; demand and copies are the deciding inputs.")
 	ModelOrderAnswered = add(328, log.InfoLevel, "model order answered", "A backend server answered an order.")
+	RunnerUnreachable  = add(330, log.WarnLevel, "runner unreachable", "The holder could not connect to a runner; until it can, models and adapters there do not count as resident.")
 	ModelOrderUnclear  = add(329, log.WarnLevel, "model order unclear", "An order had no usable answer; the server's report is read before the next one.")
 )
--- a/pkg/gateway/tracker.go
+++ b/pkg/gateway/tracker.go
@@ -15,6 +15,31 @@
 	caches   map[string]*prefixCache
 	// denied holds until when a server is not asked again for a model and adapter that it did not hold.
 	denied map[string]time.Time
+	// unreached holds when a connection to a server failed last.
+	unreached map[string]time.Time
+}
+
+// unreachedTime is how long a failed connection is reported; it covers several reports, as one may be lost.
+const unreachedTime = time.Second
+
+// Unreached records that a connection to a server failed.
+func (t *Tracker) Unreached(server string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.unreached[server] = now
+}
+
+// EachUnreached calls f for every server to which a connection failed lately.
+func (t *Tracker) EachUnreached(now time.Time, f func(server string)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, at := range t.unreached {
+		if now.Sub(at) > unreachedTime {
+			delete(t.unreached, id)
+			continue
+		}
+		f(id)
+	}
 }
 
 // denialTime is how long a server's word counts that it does not hold a model; by then a load would be reported.
@@ -53,7 +78,7 @@
 // NewTracker returns a tracker without work.
 func NewTracker() *Tracker {
 	return &Tracker{servers: map[string]*serverWork{}, suspects: routing.NewSuspects(), caches: map[string]*prefixCache{},
-		denied: map[string]time.Time{}}
+		denied: map[string]time.Time{}, unreached: map[string]time.Time{}}
 }
 
 func (t *Tracker) work(server string) *serverWork {
@@ -113,6 +138,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.suspects.Answered(server)
+	delete(t.unreached, server)
 }
 
 // Suspects returns the servers to avoid and until when.
--- a/pkg/gateway/try.go
+++ b/pkg/gateway/try.go
@@ -92,6 +92,9 @@
 	if fail.Code == failure.ClientCancelled && context.Cause(ctx) == errStalled {
 		fail = failure.Wrap(failure.ConnectionLost, fail.Outcome, "the server did not go on in time", fail)
 	}
+	if unreached(fail) {
+		f.backend.tracker.Unreached(c.server.ID, time.Now())
+	}
 	switch fail.Code {
 	case failure.ConnectFailed, failure.ConnectionLost, failure.Truncated:
 		now := time.Now()
