gateway: callers of a daemon without configuration return when the store may be back

Ruled out: another source of the configuration, as no process that knows it is left and hosts have no disks.

Change: while reads of the store fail, the time is a third of the caller's remaining time, which is the longest that callers honour; at a usual start it stays 0.5 s.

--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -28,6 +28,8 @@
 	view     atomic.Pointer[View]
 	// following is set while another daemon holds the lease and answers.
 	following atomic.Bool
+	// storeLost is set while reads of the configuration fail.
+	storeLost atomic.Bool
 }
 
 // NewControl returns a loop that knows nothing yet.
--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -21,6 +21,26 @@
 	overloadedRetry = 150 * time.Millisecond
 )
 
+const (
+	// retryShare is the share of its remaining time after which a caller can still be served.
+	retryShare = 1.0 / 3
+	// maxNotReadyRetry is told to callers that state no deadline; outages of the store last seconds.
+	maxNotReadyRetry = 2 * time.Second
+)
+
+// notReadyRetryAfter returns when a caller should come back to a daemon without a configuration. A started daemon reads it
+// within half a second, but while the store is away a caller that returns so early is refused a second time, often its last.
+func notReadyRetryAfter(patience time.Duration, storeLost bool) time.Duration {
+	switch {
+	case !storeLost:
+		return notReadyRetry
+	case patience > 0:
+		return max(time.Duration(float64(patience)*retryShare), notReadyRetry)
+	default:
+		return maxNotReadyRetry
+	}
+}
+
 // finish delivers a whole answer and accounts the request. Streams are already delivered.
 func (f *Forwarder) finish(w http.ResponseWriter, j *job, c *choice, p *progress, a attempt) {
 	if a.whole != nil {
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -33,6 +33,7 @@
 		sent := time.Now()
 		config, err := c.readConfig(ctx, source, wait, dependency.failures)
 		dependency.note(err)
+		c.storeLost.Store(err != nil)
 		if err == nil {
 			wait = c.pace.ConfigWait
 		}
--- a/pkg/gateway/forwarder.go
+++ b/pkg/gateway/forwarder.go
@@ -53,11 +53,12 @@
 func (f *Forwarder) accept(w http.ResponseWriter, r *http.Request, arrived time.Time) (*job, *failure.Failure) {
 	j := &job{method: r.Method, target: r.RequestURI, host: r.Host, header: r.Header, arrived: arrived, tried: map[string]bool{}}
 	view := f.control.View()
-	if view.Config == nil {
-		return j, failure.New(failure.NotReady, failure.NotRun, "no configuration has been read yet").WithRetryAfter(notReadyRetry)
-	}
 	meta, err := f.codec.Meta(r.Header)
 	j.meta = meta
+	if view.Config == nil {
+		return j, failure.New(failure.NotReady, failure.NotRun, "no configuration has been read yet").
+			WithRetryAfter(notReadyRetryAfter(meta.Patience, f.control.storeLost.Load()))
+	}
 	if err != nil {
 		return j, failure.From(err)
 	}
