gateway, coordinator: the holder reads the list more often while crashed runners return

Ruled out: a shorter period throughout (each read is billed), reports of the runners themselves (a restarted runner has mostly another id, which only the list tells).

Change: a runner that cannot be reached makes the holder read four times as often for 5 s.

--- a/pkg/coordinator/refresh.go
+++ b/pkg/coordinator/refresh.go
@@ -20,6 +20,8 @@
 	// recheckPause is the age up to which a report is not read again because a daemon could not connect; a partition of
 	// that daemon would otherwise lead to reads with every plan.
 	recheckPause = 500 * time.Millisecond
+	// returnTime is how long a runner that cannot be reached is expected to return; most crashed ones do within 5 s.
+	returnTime = 5 * time.Second
 )
 
 // refreshRunners reads the reports that are due.
@@ -63,6 +65,8 @@
 	}
 	r.Unreachable = unreachable
 	if unreachable {
+		// A runner that returns is empty and serves nobody until the list names it.
+		c.fleet.Hurry(time.Now().Add(returnTime))
 		c.log.Log(eventlog.RunnerUnreachable, "server", r.id, "report_age", time.Since(r.Checked), "models", len(r.Models), "reason", reason)
 		c.poke()
 	}
--- a/pkg/coordinator/takeover_test.go
+++ b/pkg/coordinator/takeover_test.go
@@ -20,6 +20,8 @@
 	return &gateway.View{Config: f.config, Servers: f.servers, Listed: true}
 }
 
+func (fixedFleet) Hurry(time.Time) {}
+
 type fixedLease struct{}
 
 func (fixedLease) Held() bool           { return true }
--- a/pkg/coordinator/tenure_test.go
+++ b/pkg/coordinator/tenure_test.go
@@ -28,6 +28,8 @@
 	return &gateway.View{Config: f.config, Servers: f.servers, Listed: true, ServersAt: now, ConfigAt: now, ServersVersion: f.version}
 }
 
+func (countedFleet) Hurry(time.Time) {}
+
 // tenureLease is the lease of a holder during one tenure.
 type tenureLease struct {
 	fixedLease
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -30,6 +30,8 @@
 	following atomic.Bool
 	// storeLost is set while reads of the configuration fail.
 	storeLost atomic.Bool
+	// hurryUntil is until when the list of servers is read more often, as nanoseconds since 1970.
+	hurryUntil atomic.Int64
 }
 
 // NewControl returns a loop that knows nothing yet.
@@ -45,6 +47,17 @@
 // SetFollowing tells whether another daemon passes the store's changes on.
 func (c *Control) SetFollowing(following bool) { c.following.Store(following) }
 
+// Hurry makes the daemon read the list of servers more often until the given time, because servers are expected to return.
+func (c *Control) Hurry(until time.Time) { c.hurryUntil.Store(until.UnixNano()) }
+
+// serverPause returns the time between two reads of the list of servers.
+func (c *Control) serverPause(now time.Time) time.Duration {
+	if now.UnixNano() < c.hurryUntil.Load() {
+		return c.pace.ServerPeriod / hurryFactor
+	}
+	return c.pace.ServerPeriod
+}
+
 // Relay hands an update of the holder of the lease to the loop.
 func (c *Control) Relay(ctx context.Context, u *RelayUpdate) {
 	c.send(ctx, controlEvent{relay: u})
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -85,7 +85,7 @@
 		failed = false
 		if !changes.Full {
 			// A list may be older than the changes that follow it, so these are read at once.
-			pause(ctx, c.pace.ServerPeriod)
+			pause(ctx, c.serverPause(time.Now()))
 		}
 	}
 }
--- a/pkg/gateway/follow_test.go
+++ b/pkg/gateway/follow_test.go
@@ -69,3 +69,32 @@
 		<-done
 	}
 }
+
+// countedServers counts reads of an unchanged list.
+type countedServers struct{ reads atomic.Int32 }
+
+func (s *countedServers) Next(context.Context) (ServerChanges, error) {
+	s.reads.Add(1)
+	return ServerChanges{}, nil
+}
+
+func (*countedServers) Restart() {}
+
+// Load pattern: runners crash under load and return empty. Guards against returned runners that stay unused for a whole
+// period of the list, and against a list that is read so often without a reason.
+func TestListIsReadMoreOftenWhileServersReturn(t *testing.T) {
+	const bound = 2 * time.Second
+	reads := func(hurry time.Duration) int32 {
+		control, source := NewControl(eventlog.Discard(), NewPace(bound)), &countedServers{}
+		control.Hurry(time.Now().Add(hurry))
+		ctx, cancel := context.WithTimeout(t.Context(), bound)
+		defer cancel()
+		go control.Run(ctx)
+		control.followServers(ctx, source)
+		return source.reads.Load()
+	}
+	usual, hurried := reads(0), reads(bound)
+	if usual > 6 || hurried < 3*usual-2 {
+		t.Errorf("%d reads usually, %d while servers return", usual, hurried)
+	}
+}
--- a/pkg/gateway/pace.go
+++ b/pkg/gateway/pace.go
@@ -23,6 +23,9 @@
 	readTimeoutShare  = 0.2
 )
 
+// hurryFactor shortens the period between reads of the list of servers while servers are expected to return.
+const hurryFactor = 4
+
 // readTimeoutLimit bounds the reads of a store that is slow; its answers may take hundreds of times as long as usual.
 const readTimeoutLimit = 2 * time.Second
 
