coordinator: only missing models use all loads that the weight store serves at once

Change: models without a copy use the whole rate, others three loads at a time as before.

TestOnlyMissingModelsUseAllLoads.

--- a/pkg/coordinator/load_concurrency_test.go
+++ b/pkg/coordinator/load_concurrency_test.go
@@ -28,3 +28,20 @@
 		}
 	}
 }
+
+// Load pattern: all models gain demand at once while some have no copy. Guards against further copies that take the store's
+// rate and other models' places, and against missing models that wait for them.
+func TestOnlyMissingModelsUseAllLoads(t *testing.T) {
+	engine := testEngine()
+	runners := []*Runner{planRunner("a", "m0", "m1"), planRunner("b", "m0", "m1"), planRunner("c"), planRunner("d")}
+	in := PlanInput{Engine: engine, Runners: runners, StoreLoads: 5, SurplusLoads: 0, Now: time.Unix(100, 0),
+		Demand: demandOf(ModelDemand{Model: "m0", Rate: 3}, ModelDemand{Model: "m2", Rate: 0.1, Waiting: 1})}
+	plan := Plan(in)
+	if len(plan) != 1 || plan[0].Load != "m2" {
+		t.Errorf("planned %+v, want the missing model alone", plan)
+	}
+	in.SurplusLoads = 2
+	if plan = Plan(in); len(plan) != 2 || plan[0].Load != "m2" {
+		t.Errorf("planned %+v, want the missing model first and one more copy", plan)
+	}
+}
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -24,9 +24,10 @@
 	Engine  *fleet.Engine
 	Runners []*Runner
 	Demand  map[string]ModelDemand
-	// StoreLoads is the number of loads from the store that may begin now.
-	StoreLoads int
-	Now        time.Time
+	// StoreLoads is the number of loads from the store that may begin now, SurplusLoads that of models that have copies.
+	StoreLoads   int
+	SurplusLoads int
+	Now          time.Time
 }
 
 // Action is one change of what a runner holds.
@@ -58,7 +59,7 @@
 
 // Plan returns the next changes, most urgent first. It plans at most one change for each runner.
 func Plan(in PlanInput) []Action {
-	p := &planner{in: in, copies: map[string]int{}, taken: map[string]bool{}, loads: in.StoreLoads}
+	p := &planner{in: in, copies: map[string]int{}, taken: map[string]bool{}, loads: in.StoreLoads, surplus: in.SurplusLoads}
 	for _, r := range in.Runners {
 		p.count(r)
 	}
@@ -75,7 +76,9 @@
 	in     PlanInput
 	copies map[string]int
 	taken  map[string]bool
-	loads  int
+	// loads and surplus are the loads from the store that may still begin.
+	loads   int
+	surplus int
 }
 
 // count adds the copies of a runner that serve or will serve; copies that leave or cannot be reached do not count.
@@ -154,6 +157,7 @@
 	}
 	if a.FromStore {
 		p.loads--
+		p.surplus--
 	}
 	return a, true
 }
@@ -167,7 +171,7 @@
 
 func (p *planner) optionAt(r *Runner, model string) (option, bool) {
 	fromStore := !r.keeps(model)
-	if fromStore && p.loads <= 0 {
+	if fromStore && !p.mayLoad(model) {
 		return option{}, false
 	}
 	a := Action{Runner: r, Load: model, FromStore: fromStore}
@@ -186,6 +190,14 @@
 	return option{action: a, cost: cost + loss}, true
 }
 
+// mayLoad reports whether a load of the model from the store may begin.
+func (p *planner) mayLoad(model string) bool {
+	if p.copies[model] > 0 && p.surplus <= 0 {
+		return false
+	}
+	return p.loads > 0
+}
+
 // runnerLoad returns the demand that the runner carries if each model's demand is spread over its copies.
 func (p *planner) runnerLoad(r *Runner) float64 {
 	load := 0.0
--- a/pkg/coordinator/plan_models.go
+++ b/pkg/coordinator/plan_models.go
@@ -17,8 +17,10 @@
 		rate = &loadRate{limits: c.config.Loads}
 		c.rates[service.Name] = rate
 	}
-	loads := min(rate.allowed(service.Engine.LoadsPerSecond, c.lease.Settled(), now), concurrentLoads(service.Engine)-c.storeLoads(runners))
-	plan := Plan(PlanInput{Engine: service.Engine, Runners: runners, Demand: c.modelDemand(service.Name, now), StoreLoads: loads, Now: now})
+	inProgress := c.storeLoads(runners)
+	loads := min(rate.allowed(service.Engine.LoadsPerSecond, c.lease.Settled(), now), concurrentLoads(service.Engine)-inProgress)
+	plan := Plan(PlanInput{Engine: service.Engine, Runners: runners, Demand: c.modelDemand(service.Name, now),
+		StoreLoads: loads, SurplusLoads: surplusLoads - inProgress, Now: now})
 	for _, a := range plan {
 		if a.FromStore {
 			rate.began(now)
@@ -35,6 +37,10 @@
 	}
 }
 
+// surplusLoads is the number of loads in progress beyond which models that have copies get no further one: each makes
+// another copy give way with what it kept of its prompts. Nine and ten at once made more answers late.
+const surplusLoads = 3
+
 // concurrentLoads returns the number of loads in progress at which the weight store delivers its whole rate, each load
 // taking its usual time (Little's law). More of them only slow each other down.
 func concurrentLoads(e *fleet.Engine) int {
