gateway: longer pauses between failed reads of the store where the daemon can serve

Change: pauses double up to 3 s instead of 1.5 s, still shorter than the time after an outage at which bounds begin; a daemon that cannot serve yet reads again within 0.5 s.

What remains is mostly the first seconds of each outage. TestFailedReadsBackOff.

--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -12,9 +12,12 @@
 	// relayCheck is how often the age is checked.
 	relayCheck = 100 * time.Millisecond
 	// failurePause is the first pause after a failed read; it doubles up to failureLimit, because calls are billed also
-	// while the store refuses them. After an outage the bounds for changes begin only seconds later.
+	// while the store refuses them. After an outage the bounds for changes begin only seconds later, and the limit is
+	// shorter than these.
 	failurePause = 250 * time.Millisecond
-	failureLimit = 1500 * time.Millisecond
+	failureLimit = 3 * time.Second
+	// unreadyLimit bounds the pause while the daemon cannot serve for want of what it reads.
+	unreadyLimit = 500 * time.Millisecond
 	// startPause is the pause while there is no configuration yet.
 	startPause = 200 * time.Millisecond
 )
@@ -39,7 +42,7 @@
 		}
 		switch {
 		case err != nil:
-			pause(ctx, dependency.backoff())
+			pause(ctx, dependency.backoff(c.View().Ready()))
 		case config != nil:
 			c.send(ctx, controlEvent{config: config, confirmed: sent})
 		case c.View().Config == nil:
@@ -78,7 +81,7 @@
 		dependency.note(err)
 		if err != nil {
 			failed = true
-			pause(ctx, dependency.backoff())
+			pause(ctx, dependency.backoff(c.View().Ready()))
 			continue
 		}
 		c.send(ctx, controlEvent{servers: &serverEvent{changes: changes, afterOutage: failed, sentAt: sent}})
@@ -108,9 +111,13 @@
 	failures int
 }
 
-// backoff returns the pause after the newest failure.
-func (d *dependencyLog) backoff() time.Duration {
-	return min(failurePause<<min(d.failures-1, maxDoublings), failureLimit)
+// backoff returns the pause after the newest failure. ready tells that the daemon serves with what it has read before.
+func (d *dependencyLog) backoff(ready bool) time.Duration {
+	limit := unreadyLimit
+	if ready {
+		limit = failureLimit
+	}
+	return min(failurePause<<min(d.failures-1, maxDoublings), limit)
 }
 
 // maxDoublings keeps the shift of the pause in range; the limit is reached long before.
--- a/pkg/gateway/follow_test.go
+++ b/pkg/gateway/follow_test.go
@@ -98,3 +98,24 @@
 		t.Errorf("%d reads usually, %d while servers return", usual, hurried)
 	}
 }
+
+// Load pattern: the store is away for 14 s and every call is billed (2,517 calls on trouble-3 of apdd-orders-grown, four
+// times a usual day). Guards against daemons that go on calling it at a high rate although they can serve, and against
+// daemons that cannot serve and wait long.
+func TestFailedReadsBackOff(t *testing.T) {
+	const outage = 14 * time.Second
+	calls := func(ready bool) int {
+		d, n := dependencyLog{log: eventlog.Discard()}, 0
+		for passed := time.Duration(0); passed < outage; passed += d.backoff(ready) {
+			d.note(failure.New(failure.LogUnavailable, failure.NotRun, "away"))
+			n++
+		}
+		return n
+	}
+	if n := calls(true); n > 8 {
+		t.Errorf("%d calls of a daemon that serves", n)
+	}
+	if n := calls(false); n < int(outage/unreadyLimit) {
+		t.Errorf("%d calls of a daemon that cannot serve", n)
+	}
+}
