--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -6,6 +6,7 @@
 
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/fleet"
+	"trefoilferry.example/ferry/pkg/retry"
 )
 
 const (
@@ -117,12 +118,9 @@
 	if ready {
 		limit = failureLimit
 	}
-	return min(failurePause<<min(d.failures-1, maxDoublings), limit)
+	return retry.Doubling(failurePause, limit, d.failures-1)
 }
 
-// maxDoublings keeps the shift of the pause in range; the limit is reached long before.
-const maxDoublings = 8
-
 func (d *dependencyLog) note(err error) {
 	if err == nil {
 		d.failures = 0
--- a/pkg/gateway/pace.go
+++ b/pkg/gateway/pace.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"trefoilferry.example/ferry/pkg/retry"
+)
 
 // Pace holds the periods at which a daemon follows the store.
 type Pace struct {
@@ -39,5 +43,5 @@
 // readTimeout returns the time for a read after the given number of failed ones. It doubles, so that a slow store is
 // read as well.
 func (p Pace) readTimeout(failures int) time.Duration {
-	return min(p.ReadTimeout<<min(failures, maxDoublings), readTimeoutLimit)
+	return retry.Doubling(p.ReadTimeout, readTimeoutLimit, failures)
 }
--- a/pkg/lease/keeper.go
+++ b/pkg/lease/keeper.go
@@ -7,6 +7,7 @@
 
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/retry"
 )
 
 const (
@@ -42,8 +43,6 @@
 	// while the store refuses them.
 	failurePause = 300 * time.Millisecond
 	failureLimit = 1500 * time.Millisecond
-	// maxDoublings keeps the shift of the pause in range.
-	maxDoublings = 8
 )
 
 // called notes the result of a call to the store.
@@ -52,7 +51,7 @@
 		k.failures, k.retryAt = 0, 0
 		return
 	}
-	k.retryAt = k.now() + min(failurePause<<min(k.failures, maxDoublings), failureLimit)
+	k.retryAt = k.now() + retry.Doubling(failurePause, failureLimit, k.failures)
 	k.failures++
 }
 
