coordinator: the last serving copy of a wanted model stays; room is made where few requests run

Change: a copy may go only if another one serves now, unless nobody asks for the model. The cost of a runner at which a model must go first grows with the requests in progress there, as daemons report them.

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -112,6 +112,7 @@
 	c.syncRunners(config, view.Servers)
 	c.expireDaemons(now)
 	c.refreshRunners(ctx, now)
+	c.countRunning()
 	token, ok := c.lease.Token()
 	if !ok {
 		return
@@ -167,6 +168,19 @@
 	}
 }
 
+// countRunning sums the requests in progress at each runner over all daemons.
+func (c *Coordinator) countRunning() {
+	total := map[uint32]int{}
+	for _, d := range c.daemons {
+		for index, w := range d.work {
+			total[index] += w.requests
+		}
+	}
+	for _, r := range c.runners {
+		r.Running = total[r.index]
+	}
+}
+
 // bump marks a change of what daemons are told, of one runner or of the set.
 func (c *Coordinator) bump(r *Runner) {
 	c.version++
--- a/pkg/coordinator/plan.go
+++ b/pkg/coordinator/plan.go
@@ -59,7 +59,7 @@
 
 // Plan returns the next changes, most urgent first. It plans at most one change for each runner.
 func Plan(in PlanInput) []Action {
-	p := &planner{in: in, copies: map[string]int{}, taken: map[string]bool{}, loads: in.StoreLoads, surplus: in.SurplusLoads}
+	p := &planner{in: in, copies: map[string]int{}, serving: map[string]int{}, taken: map[string]bool{}, loads: in.StoreLoads, surplus: in.SurplusLoads}
 	for _, r := range in.Runners {
 		p.count(r)
 	}
@@ -73,9 +73,11 @@
 }
 
 type planner struct {
-	in     PlanInput
-	copies map[string]int
-	taken  map[string]bool
+	in PlanInput
+	// copies counts those that serve or will serve, serving only those that serve now.
+	copies  map[string]int
+	serving map[string]int
+	taken   map[string]bool
 	// loads and surplus are the loads from the store that may still begin.
 	loads   int
 	surplus int
@@ -89,6 +91,7 @@
 	for i := range r.Models {
 		if r.Models[i].Name != r.unloading() {
 			p.copies[r.Models[i].Name]++
+			p.serving[r.Models[i].Name]++
 		}
 	}
 	if m := r.loading(); m != "" && !r.Holds(m) {
@@ -154,6 +157,7 @@
 	p.copies[model]++
 	if a.Unload != "" {
 		p.copies[a.Unload]--
+		p.serving[a.Unload]--
 	}
 	if a.FromStore {
 		p.loads--
@@ -167,6 +171,8 @@
 	storeCost = 0.15
 	// busyCost prefers runners with little other demand.
 	busyCost = 0.2
+	// drainCost prefers runners with few requests in progress where a model must go first: the unload waits for them.
+	drainCost = 0.02
 )
 
 func (p *planner) optionAt(r *Runner, model string) (option, bool) {
@@ -187,7 +193,7 @@
 		return option{}, false
 	}
 	a.Unload = victim
-	return option{action: a, cost: cost + loss}, true
+	return option{action: a, cost: cost + loss + drainCost*float64(r.Running)}, true
 }
 
 // mayLoad reports whether a load of the model from the store may begin.
@@ -228,7 +234,7 @@
 func (p *planner) loss(victim, model string) (float64, bool) {
 	d := p.in.Demand[victim]
 	missing := p.copies[model] == 0
-	if p.copies[victim] > 1 {
+	if p.serving[victim] > 1 {
 		after := p.pressure(victim, p.copies[victim]-1)
 		if !missing && after*worthMoving > p.pressure(model, p.copies[model]) {
 			return 0, false
--- a/pkg/coordinator/runner.go
+++ b/pkg/coordinator/runner.go
@@ -32,6 +32,8 @@
 	// Unreachable is set from a read of the report that found no connection to the next one that did. What the runner
 	// holds serves nobody then, and a runner that crashed comes back empty.
 	Unreachable bool
+	// Running is the number of requests in progress there, as the daemons report.
+	Running int
 	// Checked is when the runner's report was last read.
 	Checked time.Time
 	// LastUse is when an adapter was last asked for, by MODEL/ADAPTER.
