gateway: simulation of a busy model in three files

Cause: one test file of 420 lines. Change: entry hosts and arrivals, runners, and the tests of routing apart; nothing else.

--- a/pkg/gateway/loadsim_test.go
+++ b/pkg/gateway/loadsim_test.go
@@ -5,12 +5,9 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"slices"
-	"testing"
 	"time"
 
 	"trefoilferry.example/ferry/pkg/fleet"
-	"trefoilferry.example/ferry/pkg/routing"
 )
 
 // The simulation plays entry hosts and the runners of one busy model without network or processes. Runners process
@@ -64,17 +61,6 @@
 	paused  bool
 }
 
-type simRunner struct {
-	id       string
-	region   string
-	queue    []*simRequest
-	running  []*simRequest
-	cache    *prefixCache
-	stepping bool
-	// prefilled holds the prompt tokens that the step in progress processes.
-	prefilled map[*simRequest]int
-}
-
 type simGateway struct {
 	chooser *chooser
 	work    *Tracker
@@ -253,168 +239,3 @@
 	}
 	s.after(hop, func() { s.accept(runner, r) })
 }
-
-func (s *simulation) accept(runner *simRunner, r *simRequest) {
-	r.done = runner.cache.match(r.job.chain)
-	r.left = r.job.meta.PromptTokens - r.done
-	runner.cache.add(r.job.chain)
-	runner.queue = append(runner.queue, r)
-	if !runner.stepping {
-		s.step(runner)
-	}
-}
-
-// step runs one step of a runner: a token for each stream and a chunk of the prompts in their order.
-func (s *simulation) step(runner *simRunner) {
-	if len(runner.queue) == 0 && len(runner.running) == 0 {
-		runner.stepping = false
-		return
-	}
-	runner.stepping = true
-	budget := simChunk - len(runner.running)
-	ms := simStep.Seconds()*1000 + float64(len(runner.running))*simStepPerSlot.Seconds()*1000
-	runner.prefilled = map[*simRequest]int{}
-	for _, r := range runner.queue {
-		n := min(budget, r.left)
-		if n == 0 {
-			break
-		}
-		budget -= n
-		runner.prefilled[r] = n
-		ms += float64(n)/simTokensPerMs + simPairsPerM*float64(n)*float64(r.done+n/2)/1e6
-	}
-	s.after(time.Duration(ms*float64(time.Millisecond)), func() { s.stepped(runner) })
-}
-
-func (s *simulation) stepped(runner *simRunner) {
-	streams := runner.running[:0]
-	for _, r := range runner.running {
-		if !s.token(runner, r) {
-			streams = append(streams, r)
-		}
-	}
-	runner.running = streams
-	for len(runner.queue) > 0 {
-		r := runner.queue[0]
-		n := runner.prefilled[r]
-		r.left -= n
-		r.done += n
-		if r.left > 0 {
-			break
-		}
-		runner.queue = runner.queue[1:]
-		if !s.token(runner, r) {
-			runner.running = append(runner.running, r)
-		}
-	}
-	s.step(runner)
-}
-
-// token makes one token of a stream and reports whether it was the last.
-func (s *simulation) token(runner *simRunner, r *simRequest) bool {
-	work := s.gateways[r.gateway].work
-	r.made++
-	last := r.made >= r.output
-	if r.made%simEventTokens == 1 || last {
-		if r.made == 1 {
-			r.firstAt = s.now
-			work.FirstToken(runner.id, r.prefill)
-		} else if s.now-r.lastAt > simLatePause {
-			r.paused = true
-		}
-		r.lastAt = s.now
-	}
-	if last {
-		work.End(runner.id, 0)
-		s.finished(r)
-	}
-	return last
-}
-
-func (s *simulation) finished(r *simRequest) {
-	late := r.paused || r.firstAt-r.at > r.job.route.TargetLatency
-	if r.dossier {
-		s.result.dossiers++
-		if late {
-			s.result.lateDossiers++
-		}
-		return
-	}
-	s.result.questions++
-	if late {
-		s.result.lateQuestions++
-	}
-}
-
-// shares are the parts of all requests of a kind.
-type shares struct{ lateDossiers, lateQuestions, crossed float64 }
-
-// play plays a load with several seeds.
-func play(load simLoad, scorers []routing.Scorer) shares {
-	var sum simResult
-	for seed := range uint64(simSeeds) {
-		s := newSimulation(load, seed)
-		for _, g := range s.gateways {
-			g.chooser.models.Scorers = scorers
-		}
-		r := s.run()
-		sum.dossiers += r.dossiers
-		sum.questions += r.questions
-		sum.lateDossiers += r.lateDossiers
-		sum.lateQuestions += r.lateQuestions
-		sum.crossed += r.crossed
-	}
-	return shares{
-		lateDossiers:  float64(sum.lateDossiers) / float64(sum.dossiers),
-		lateQuestions: float64(sum.lateQuestions) / float64(sum.questions),
-		crossed:       float64(sum.crossed) / float64(sum.dossiers+sum.questions),
-	}
-}
-
-// without returns the scorers but those of the given type, or fails when there is none.
-func without[S routing.Scorer](t *testing.T, all []routing.Scorer) []routing.Scorer {
-	t.Helper()
-	left := slices.DeleteFunc(slices.Clone(all), func(s routing.Scorer) bool { _, ok := s.(S); return ok })
-	if len(left) == len(all) {
-		t.Fatal("the policy lacks the scorer that the test leaves out")
-	}
-	return left
-}
-
-func busyModel() []simLoad {
-	return []simLoad{
-		{gateways: 31, runners: 10, dossiers: 30, questions: 35, adapters: 80, adapterShare: 0.5, span: 20 * time.Second},
-		{gateways: 5, runners: 6, dossiers: 14, questions: 18, adapters: 40, adapterShare: 0.5, span: 20 * time.Second},
-	}
-}
-
-// simSeeds is the number of seeds that a comparison plays; single ones differ by several points.
-const simSeeds = 4
-
-// Load pattern: one busy model at many entry hosts, long dossiers beside questions with long answers. Guards against
-// prompts that are sent to runners with many streams, whose answers then pause: rating by the first token alone counts
-// only the wait of the new request.
-func TestBacklogCostKeepsStreamsFromPausing(t *testing.T) {
-	for _, load := range busyModel() {
-		all := newChooser("", nil).models.Scorers
-		before, after := play(load, without[routing.BacklogScorer](t, all)), play(load, all)
-		t.Logf("%d entry hosts, %d runners: %+v without, %+v with the cost", load.gateways, load.runners, before, after)
-		if after.lateQuestions >= before.lateQuestions || after.lateDossiers > before.lateDossiers+0.01 {
-			t.Errorf("%+v: the backlog cost does not help", load)
-		}
-	}
-}
-
-// Load pattern: one busy model with holders in all regions. Guards against prompts and streams that cross regions for a
-// gain that callers do not notice, and against a cost of regions that makes answers late.
-func TestRegionsKeepTheirTraffic(t *testing.T) {
-	for _, load := range busyModel() {
-		all := newChooser("", nil).models.Scorers
-		low := append(without[routing.RegionCostScorer](t, all), routing.RegionCostScorer{Cost: regionCost})
-		before, after := play(load, low), play(load, all)
-		t.Logf("%d entry hosts, %d runners: %+v at the round trip, %+v at the cost for models", load.gateways, load.runners, before, after)
-		if after.crossed >= before.crossed || after.lateQuestions > before.lateQuestions+0.01 || after.lateDossiers > before.lateDossiers+0.01 {
-			t.Errorf("%+v: the cost of regions does not help", load)
-		}
-	}
-}
