Bound what is read of a server's response: heads, refusals, bodies that are no answer

Cause: response heads were read with http.ReadResponse and no bound, so that a server that sends bytes without end in a status line, a header or informational responses filled the memory of the process. Unsigned bodies were read up to 16 MB each before they were rejected, refusals with a body without end held their retry until the deadline, and a keyed call on the agent's way read a response without bound. Comments and empty events counted as progress of a stream.

A request that fails because of stale responses now closes its connection, which was leaked before.

Ruled out by the same tests: trailers, chunk sizes and chunk extensions without end are bounded by net/http.

Before: TestEndlessHeadFailsTheRequest ended by memory exhaustion (12 GB address space), TestBodiesThatAreNoAnswerAreNotRead waited for its deadline of 5 s, comments kept a stalled stream open until its deadline. After: all pass.

--- a/pkg/agent/exec_keyed.go
+++ b/pkg/agent/exec_keyed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"time"
 
@@ -54,6 +55,9 @@
 	return digest.Sum64()
 }
 
+// maxKeyedResponseBytes bounds the response to a keyed call, which is read completely before it is passed on.
+const maxKeyedResponseBytes = 16 << 20
+
 // runKeyed calls the service and records the outcome. The call continues when the caller cancels, so that its outcome
 // becomes known.
 func (s *ExecServer) runKeyed(ctx context.Context, c *call, grant *idempotency.Grant) error {
@@ -68,7 +72,10 @@
 		return s.keyFailed(c, grant, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxKeyedResponseBytes+1))
+	if err == nil && len(body) > maxKeyedResponseBytes {
+		err = failure.New(failure.BodyTooLarge, failure.Ran, fmt.Sprintf("the service's response is longer than %d bytes", maxKeyedResponseBytes))
+	}
 	if err != nil {
 		return s.keyFailed(c, grant, withStartedOutcome(err))
 	}
--- a/pkg/coordinator/reporter.go
+++ b/pkg/coordinator/reporter.go
@@ -11,6 +11,7 @@
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/gateway"
 	"trefoilferry.example/ferry/pkg/lease"
+	"trefoilferry.example/ferry/pkg/oncehttp"
 )
 
 const (
@@ -66,7 +67,8 @@
 // NewReporter returns a reporter for the named daemon; local is the coordinator of this process.
 func NewReporter(name string, l Lease, local *Coordinator, control *gateway.Control, demand *gateway.Demand, tracker *gateway.Tracker, log *eventlog.Logger) *Reporter {
 	return &Reporter{name: name, lease: l, local: local, demand: demand, tracker: tracker, control: control, log: log,
-		client:  &http.Client{Timeout: reportTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true, IdleConnTimeout: 5 * time.Second}},
+		client: &http.Client{Timeout: reportTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true,
+			IdleConnTimeout: 5 * time.Second, MaxResponseHeaderBytes: oncehttp.MaxHeaderBytes}},
 		clients: map[string]ferrypb.Coordinator{}, view: newRunnerView()}
 }
 
--- a/pkg/entry/executor.go
+++ b/pkg/entry/executor.go
@@ -14,6 +14,7 @@
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/frame"
+	"trefoilferry.example/ferry/pkg/oncehttp"
 )
 
 // maxIdlePerAgent is the number of idle connections kept to one agent.
@@ -34,6 +35,8 @@
 		MaxIdleConnsPerHost: maxIdlePerAgent,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: oncehttp.MaxHeaderBytes,
 	}
 	unpooled := pooled.Clone()
 	unpooled.DisableKeepAlives = true
--- a/pkg/entry/module.go
+++ b/pkg/entry/module.go
@@ -19,6 +19,7 @@
 	"trefoilferry.example/ferry/pkg/infra"
 	"trefoilferry.example/ferry/pkg/infra/httphosts"
 	"trefoilferry.example/ferry/pkg/infra/httplog"
+	"trefoilferry.example/ferry/pkg/oncehttp"
 	"trefoilferry.example/ferry/pkg/routing"
 	"trefoilferry.example/ferry/pkg/timeline"
 )
@@ -89,6 +90,8 @@
 		MaxIdleConnsPerHost: maxIdlePerAgent,
 		IdleConnTimeout:     s.Limits.IdleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: oncehttp.MaxHeaderBytes,
 	}}
 }
 
--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -32,6 +32,8 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
+	// head bounds what reader reads while the head of a response is due.
+	head *headLimiter
 	// written is closed once the current request is written or its write has failed.
 	written      chan struct{}
 	writeErr     error
@@ -42,7 +44,8 @@
 }
 
 func newConn(c net.Conn, address string) *conn {
-	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(c, readBufferBytes), keepAlive: defaultKeepAlive}
+	head := &headLimiter{in: c}
+	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, keepAlive: defaultKeepAlive}
 }
 
 // roundTrip sends the request and reads the head of its response, skipping responses that req.Matches rejects. ctx
@@ -65,11 +68,13 @@
 			return nil, c.classify(ctx, err)
 		}
 	}
-	return nil, failure.New(failure.FrameMismatch, failure.Unknown, "the response from "+c.address+" belongs to another request")
+	return nil, c.classify(ctx, failure.New(failure.FrameMismatch, failure.Unknown, "the response from "+c.address+" belongs to another request"))
 }
 
-// readHead reads a response head and skips informational (1xx) responses.
+// readHead reads a response head and skips informational (1xx) responses. It reads at most about maxHeadBytes.
 func (c *conn) readHead(method string) (*responseHead, error) {
+	c.head.begin()
+	defer c.head.end()
 	for {
 		//nolint:bodyclose // The body is read from the connection, whose owner closes or reuses it.
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
@@ -102,6 +107,9 @@
 	_ = c.Close()
 	<-c.written
 	code, outcome := failure.ConnectionLost, failure.Unknown
+	if failure.HasCode(cause, failure.FrameMismatch) {
+		code = failure.FrameMismatch
+	}
 	if c.writeErr != nil && c.bytesWritten == 0 {
 		code, outcome = failure.ConnectFailed, failure.NotRun
 	}
--- /dev/null
+++ b/pkg/exchange/head_limiter.go
@@ -0,0 +1,39 @@
+package exchange
+
+import (
+	"io"
+
+	"trefoilferry.example/ferry/pkg/failure"
+)
+
+// maxHeadBytes bounds the head of a response together with the informational responses before it. Backend servers send
+// a few hundred bytes; the bound keeps one that sends bytes without end from filling the memory of the process.
+const maxHeadBytes = 64 << 10
+
+// headLimiter bounds what is read from a connection while the head of a response is due. Bodies are bounded by their
+// readers.
+type headLimiter struct {
+	in io.Reader
+	// inHead is set while a head is read; left is the number of bytes that it may still have.
+	inHead bool
+	left   int
+}
+
+// begin starts a head of at most maxHeadBytes.
+func (l *headLimiter) begin() { l.inHead, l.left = true, maxHeadBytes }
+
+// end lifts the bound.
+func (l *headLimiter) end() { l.inHead = false }
+
+// Read fails with code FrameMismatch once a head is longer than maxHeadBytes.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.inHead {
+		return l.in.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, failure.New(failure.FrameMismatch, failure.Unknown, "the head of the response is too long")
+	}
+	n, err := l.in.Read(p)
+	l.left -= n
+	return n, err
+}
--- a/pkg/gateway/attempt_result.go
+++ b/pkg/gateway/attempt_result.go
@@ -15,6 +15,8 @@
 	response *bufferedResponse
 	// delivered is set once a part of a stream has been written to the caller.
 	delivered bool
+	// reserved is what response, or an attempt to read one, holds of the buffer budget, in bytes.
+	reserved int64
 }
 
 // bufferedResponse is a response that was read completely.
--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -14,6 +14,10 @@
 // maxBufferedBytes bounds a response body that is buffered, and a request body when the configuration sets no limit.
 const maxBufferedBytes = 16 << 20
 
+// maxRefusalBytes is the longest body of a refusal that is read to reuse the connection. The refused request is retried
+// at once, so a body of unknown length must not hold it up.
+const maxRefusalBytes = 4 << 10
+
 // backend sends requests to backend servers.
 type backend struct {
 	pool    *exchange.Pool
@@ -46,8 +50,10 @@
 	b.tracker.RecordLoad(c.server.ID, meta.Load, time.Now())
 	if meta.NotRun {
 		defer resp.Close()
-		// The body is drained so that the connection can be reused; errors do not matter.
-		_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxBufferedBytes))
+		if resp.Length >= 0 && resp.Length <= maxRefusalBytes {
+			// The body is drained so that the connection can be reused; errors do not matter.
+			_, _ = io.Copy(io.Discard, resp)
+		}
 		return nil, meta, refusalFailure(resp.Status)
 	}
 	return resp, meta, nil
@@ -61,23 +67,21 @@
 	return failure.New(failure.Overloaded, failure.NotRun, "the server refused the request with status "+strconv.Itoa(status))
 }
 
-// readFullResponse reads a whole response. Responses without the signature, or with a content coding, are rejected:
-// they do not come from a backend server.
-func readFullResponse(resp *exchange.Response, meta ResponseMeta) attemptResult {
+// readFullResponse reads a whole response within the budget. Responses without the signature, or with a content coding,
+// are rejected unread: they do not come from a backend server, and their body may have no end.
+func readFullResponse(resp *exchange.Response, meta ResponseMeta, budget *bufferBudget) attemptResult {
 	defer resp.Close()
-	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes+1))
-	switch {
-	case err != nil:
-		return attemptResult{fail: failure.From(err)}
-	case len(body) > maxBufferedBytes:
-		return attemptResult{fail: failure.New(failure.BodyTooLarge, failure.Ran,
-			"the response body is longer than "+strconv.Itoa(maxBufferedBytes)+" bytes")}
-	case !meta.Signed || resp.Header.Get("Content-Encoding") != "":
+	if !meta.Signed || resp.Header.Get("Content-Encoding") != "" {
 		return attemptResult{fail: failure.New(failure.FrameMismatch, failure.Unknown, "the response is not signed by a backend server or has a content coding")}
 	}
+	body, reserved, err := budget.readAll(resp)
+	if err != nil {
+		return attemptResult{fail: failure.From(err), reserved: reserved}
+	}
 	buffered := &bufferedResponse{status: resp.Status, header: resp.Header, body: body}
 	if resp.Status >= http.StatusInternalServerError {
-		return attemptResult{response: buffered, fail: failure.New(failure.EngineFailed, failure.Ran, "the server answered with status "+strconv.Itoa(resp.Status))}
+		return attemptResult{response: buffered, reserved: reserved,
+			fail: failure.New(failure.EngineFailed, failure.Ran, "the server answered with status "+strconv.Itoa(resp.Status))}
 	}
-	return attemptResult{response: buffered}
+	return attemptResult{response: buffered, reserved: reserved}
 }
--- a/pkg/gateway/event_reader.go
+++ b/pkg/gateway/event_reader.go
@@ -73,6 +73,16 @@
 	return first, last
 }
 
+// carriesData reports whether any of the events has a data field.
+func carriesData(events []byte) bool {
+	for line := range bytes.Lines(events) {
+		if bytes.HasPrefix(line, []byte("data")) {
+			return true
+		}
+	}
+	return false
+}
+
 // isNextEventID reports whether next is previous plus one. It returns true if either id is not a number, because such
 // ids cannot be compared.
 func isNextEventID(previous, next string) bool {
--- a/pkg/gateway/forwarder.go
+++ b/pkg/gateway/forwarder.go
@@ -22,6 +22,7 @@
 	backend *backend
 	chooser *chooser
 	budgets *budgets
+	buffers bufferBudget
 	demand  *Demand
 	codec   Codec
 	log     *eventlog.Logger
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -83,13 +83,16 @@
 		if err != nil {
 			return r.classifyReadError(ctx, err)
 		}
-		r.recordArrival(time.Now())
-		if watchdog != nil {
-			watchdog.Reset(stall)
-		}
-		if first {
-			first = false
-			onFirst()
+		if carriesData(events) {
+			// Comments and empty events show no progress: a stalled stream may still send them.
+			r.recordArrival(time.Now())
+			if watchdog != nil {
+				watchdog.Reset(stall)
+			}
+			if first {
+				first = false
+				onFirst()
+			}
 		}
 		if f := r.deliver(resp, events); f != nil {
 			return f
--- a/pkg/gateway/run_attempt.go
+++ b/pkg/gateway/run_attempt.go
@@ -49,7 +49,8 @@
 	}
 	f.backend.tracker.RecordResponse(c.server.ID)
 	if j.bufferResponse() || resp.Status != 200 || !respMeta.Signed {
-		a := readFullResponse(resp, respMeta)
+		a := readFullResponse(resp, respMeta, &f.buffers)
+		p.reserved += a.reserved
 		stopTimeout()
 		if a.fail != nil {
 			a.fail = f.classifyFailure(ctx, c, a.fail)
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -34,6 +34,8 @@
 	// failureResponse is the last complete error response of a server; nil if none.
 	failureResponse *bufferedResponse
 	relay           *streamRelay
+	// reserved is what the responses of all attempts hold of the buffer budget, in bytes.
+	reserved int64
 }
 
 // serve makes attempts until the request is served or may not be retried.
@@ -44,6 +46,7 @@
 		defer cancel()
 	}
 	p := &progress{outcome: failure.NotRun, relay: &streamRelay{w: w, codec: f.codec, lastEvent: j.meta.LastEventID}}
+	defer func() { f.buffers.release(p.reserved) }()
 	for {
 		c, fail := f.pickServer(ctx, j, p)
 		if fail == nil {
--- a/pkg/oncehttp/client.go
+++ b/pkg/oncehttp/client.go
@@ -14,6 +14,9 @@
 	idleTimeout = 15 * time.Second
 	// maxIdlePerHost is large enough to keep the connections of a full engine batch.
 	maxIdlePerHost = 64
+	// MaxHeaderBytes bounds the header of a response, informational responses included; the default of net/http is 10
+	// MB for each response.
+	MaxHeaderBytes = 256 << 10
 )
 
 // NewClient returns an HTTP client without a total timeout, because that would end streams, and without proxies.
@@ -24,5 +27,7 @@
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: MaxHeaderBytes,
 	}}
 }
