Give a cut-off holder up earlier, but use its view of the runners

Cause: a holder that does not reach the store was followed until its list was 0.45 of the bound old; then all daemons read the store themselves and wrote the lease at once. While the store was away for all, its view of the runners was dropped, so that every daemon routed without the others' work.

--- a/pkg/coordinator/reporter.go
+++ b/pkg/coordinator/reporter.go
@@ -113,17 +113,24 @@
 	if err == nil && !view.Holder {
 		err = failure.New(failure.PeerUnavailable, failure.NotRun, "the daemon does not hold the lease")
 	}
-	if err == nil && !r.control.CanRelay(time.Duration(view.ServersAgeMillis)*time.Millisecond) && source != localHolder {
-		err = failure.New(failure.LogUnavailable, failure.NotRun, "the holder does not reach the store")
-	}
-	r.recordResult(err, source, view.GetLeasePosition())
 	if err != nil {
+		r.recordResult(err, source, 0)
 		return false
 	}
-	r.applyView(ctx, view, sent)
+	cutOff := source != localHolder && !r.control.CanRelay(millis(view.ServersAgeMillis), millis(view.ConfigAgeMillis))
+	if cutOff {
+		err = failure.New(failure.LogUnavailable, failure.NotRun, "the holder does not reach the store")
+	}
+	r.recordResult(err, source, view.LeasePosition)
+	r.applyPlacement(ctx, view)
+	if !cutOff {
+		r.applyStoreState(ctx, view, sent)
+	}
 	return waiting
 }
 
+func millis(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
+
 // target returns the client of the holder and the holder's address; nil when no holder is known.
 func (r *Reporter) target() (ferrypb.Coordinator, string) {
 	if r.lease.Held() {
@@ -187,11 +194,17 @@
 	return m, waiting
 }
 
-func (r *Reporter) applyView(ctx context.Context, view *ferrypb.FleetView, sent time.Time) {
+// applyPlacement applies what the holder knows of the runners. It is also used of a holder that does not reach the store:
+// while the store is away for all there is no other holder, and without its view every daemon would route blindly.
+func (r *Reporter) applyPlacement(ctx context.Context, view *ferrypb.FleetView) {
 	r.daemons = int(view.Daemons)
 	r.lease.SetDaemons(r.daemons)
 	r.view.apply(view)
 	r.control.SetPlacement(ctx, r.view.placement(view))
+}
+
+// applyStoreState applies what the holder has read from the store.
+func (r *Reporter) applyStoreState(ctx context.Context, view *ferrypb.FleetView, sent time.Time) {
 	if r.source == localHolder {
 		r.control.SetRelayActive(false)
 		return
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -29,8 +29,10 @@
 	dependency := dependencyState{log: c.log, name: "configuration"}
 	// The first read after relayed state returns at once, because the configuration may have changed since the relay.
 	wait := time.Duration(0)
+	// The view shows the result of a read only after the control loop has applied it.
+	var lastRead time.Time
 	for ctx.Err() == nil {
-		if c.relayFresh(c.View().ConfigAt) {
+		if c.relayFresh(c.View().ConfigAt) || c.relayFresh(lastRead) {
 			wait = 0
 			sleep(ctx, relayCheckInterval)
 			continue
@@ -39,6 +41,9 @@
 		config, err := c.readConfig(ctx, source, wait, dependency.failures)
 		dependency.record(err)
 		c.storeUnavailable.Store(err != nil)
+		if err == nil {
+			lastRead = sent
+		}
 		switch {
 		case err == nil && config == nil:
 			wait = c.timing.ConfigWait
@@ -79,8 +84,9 @@
 func (c *Control) followServers(ctx context.Context, source ServerSource) {
 	dependency := dependencyState{log: c.log, name: "server list"}
 	failed := false
+	var lastRead time.Time
 	for ctx.Err() == nil {
-		if c.relayFresh(c.View().ServersAt) {
+		if c.relayFresh(c.View().ServersAt) || c.relayFresh(lastRead) {
 			source.Restart()
 			sleep(ctx, relayCheckInterval)
 			continue
@@ -94,7 +100,7 @@
 			continue
 		}
 		c.send(ctx, controlEvent{servers: &serverEvent{changes: changes, afterOutage: failed, sentAt: sent}})
-		failed = false
+		failed, lastRead = false, sent
 		if !changes.Full {
 			// A complete list may be older than the changes after it, so those are read without a delay.
 			sleep(ctx, c.serverPollInterval(time.Now()))
@@ -108,8 +114,11 @@
 	return c.relayActive.Load() && time.Since(confirmed) < c.timing.MaxRelayAge
 }
 
-// CanRelay reports whether a server list of the given age is current enough to be relayed to other daemons.
-func (c *Control) CanRelay(serversAge time.Duration) bool { return serversAge < c.timing.MaxRelayAge }
+// CanRelay reports whether a holder whose server list and configuration have the given ages reaches the store, so that
+// it should go on as the holder.
+func (c *Control) CanRelay(serversAge, configAge time.Duration) bool {
+	return serversAge < c.timing.MaxHolderAge && configAge < c.timing.MaxRelayAge
+}
 
 // dependencyState counts the failures of a dependency and logs when it becomes unavailable and when it recovers.
 type dependencyState struct {
--- a/pkg/gateway/poll_timing.go
+++ b/pkg/gateway/poll_timing.go
@@ -14,6 +14,9 @@
 	ServerInterval time.Duration
 	// MaxRelayAge is the age up to which state relayed by the lease holder is used without reading the store.
 	MaxRelayAge time.Duration
+	// MaxHolderAge is the age of the holder's own state from which it counts as lost. It is shorter than MaxRelayAge, so
+	// that another daemon usually holds the lease before all of them have to read the store.
+	MaxHolderAge time.Duration
 	// ReadTimeout bounds a read of the store after a successful one, in addition to the time that a long poll waits.
 	ReadTimeout time.Duration
 }
@@ -23,6 +26,7 @@
 const (
 	configWaitShare   = 0.28
 	serverPeriodShare = 0.2
+	holderAgeShare    = 0.33
 	relayAgeShare     = 0.45
 	readTimeoutShare  = 0.2
 )
@@ -38,7 +42,8 @@
 func NewPollTiming(bound time.Duration) PollTiming {
 	share := func(part float64) time.Duration { return time.Duration(float64(bound) * part) }
 	return PollTiming{ConfigWait: share(configWaitShare), ServerInterval: share(serverPeriodShare), MaxRelayAge: share(relayAgeShare),
-		ReadTimeout: share(readTimeoutShare)}
+		MaxHolderAge: share(holderAgeShare),
+		ReadTimeout:  share(readTimeoutShare)}
 }
 
 // readTimeout returns the timeout for a read after the given number of consecutive failures. It doubles, so that a slow
--- a/pkg/lease/elector.go
+++ b/pkg/lease/elector.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -27,6 +26,7 @@
 	store Store
 	log   *eventlog.Logger
 	now   func() time.Duration
+	name  string
 
 	mu      sync.Mutex
 	machine *Machine
@@ -37,10 +37,8 @@
 	released bool
 	wake     chan struct{}
 	handover StateHandover
-	// daemons is the number of daemons that may take the lease; draw is this daemon's random number between 0 and 1, by
-	// which it delays its takeover.
+	// daemons is the number of daemons that may take the lease; 0 if unknown.
 	daemons int
-	draw    float64
 	// failures counts consecutive failed calls to the store; retryAt is the earliest time of the next call.
 	failures int
 	retryAt  time.Duration
@@ -65,8 +63,8 @@
 
 // NewElector returns an elector for the daemon of that name and address; the caller starts it with Run.
 func NewElector(store Store, log *eventlog.Logger, name, address string, timing Timing, handover StateHandover) *Elector {
-	return &Elector{store: store, log: log, now: Uptime, machine: NewMachine(name, address, timing),
-		draw: rand.Float64(), wake: make(chan struct{}, 1), handover: handover}
+	return &Elector{store: store, log: log, now: Uptime, name: name,
+		machine: NewMachine(name, address, timing), wake: make(chan struct{}, 1), handover: handover}
 }
 
 // SetDaemons sets the number of daemons that may take the lease, 0 if it is unknown.
@@ -94,7 +92,7 @@
 func (e *Elector) step(ctx context.Context) {
 	e.mu.Lock()
 	now := e.now()
-	e.machine.SetTakeoverDelay(takeoverDelay(e.daemons, e.draw))
+	e.machine.SetTakeoverDelay(takeoverDelay(e.daemons, e.name, e.machine.Position()))
 	holderResponsive := e.hasContact && now-e.lastContact < holderContactTTL
 	next := e.machine.Next(now, holderResponsive)
 	if e.released || now < e.retryAt {
@@ -172,7 +170,6 @@
 	defer e.mu.Unlock()
 	if err != nil {
 		e.machine.ApplyWriteFailure(sent)
-		e.draw = rand.Float64()
 		e.recordStoreCall(failure.HasCode(err, failure.PublishConflict))
 		if !failure.HasCode(err, failure.PublishConflict) {
 			e.log.Log(eventlog.LeaseNotWritten, "token", rec.Token, "reason", err)
--- a/pkg/lease/takeover.go
+++ b/pkg/lease/takeover.go
@@ -1,6 +1,11 @@
 package lease
 
-import "time"
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 const (
 	// takeoverSpread is the time over which takeovers are spread for each daemon: a write reaches the store and its
@@ -13,11 +18,12 @@
 )
 
 // takeoverDelay returns how much longer than needed a daemon waits before it takes the lease of another one, given the
-// number of daemons (0 if unknown) and a random number between 0 and 1. The first of n daemons waits takeoverSpread on
-// average, whatever their number.
-func takeoverDelay(daemons int, draw float64) time.Duration {
+// number of daemons (0 if unknown). It depends on a hash of the daemon's name and the position of the record, so that
+// daemons take turns. The first of n daemons waits takeoverSpread on average, whatever their number.
+func takeoverDelay(daemons int, name string, position int64) time.Duration {
 	if daemons <= 0 {
 		daemons = assumedDaemons
 	}
-	return time.Duration(draw * float64(min(time.Duration(daemons)*takeoverSpread, maxTakeoverSpread)))
+	share := float64(xxhash.Sum64String(name+"/"+strconv.FormatInt(position, 10))) / (1 << 64)
+	return time.Duration(share * float64(min(time.Duration(daemons)*takeoverSpread, maxTakeoverSpread)))
 }
