Wait for the turn to take a lease from the moment of the loss

Cause: daemons that noticed the loss after the lease had expired wrote at once, and at the start all of them wrote between two ticks. Change: the delay counts from the loss; the step after a read follows at once; a new holder gets time to answer before its record is awaited; the first configuration is not confirmed.

--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -45,7 +45,7 @@
 			lastRead = sent
 		}
 		switch {
-		case err == nil && config == nil:
+		case err == nil && (config == nil || c.View().Config == nil):
 			wait = c.timing.ConfigWait
 		case err == nil:
 			// The new version is known to be current only as of when the read was sent. A read that returns at once
--- a/pkg/lease/elector.go
+++ b/pkg/lease/elector.go
@@ -79,7 +79,10 @@
 	ticker := time.NewTicker(stepInterval)
 	defer ticker.Stop()
 	for {
-		e.step(ctx)
+		if e.step(ctx) == Read {
+			// A daemon that is to take a free lease waits for its turn and not for the next tick, when others may have taken it.
+			e.step(ctx)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -89,7 +92,8 @@
 	}
 }
 
-func (e *Elector) step(ctx context.Context) {
+// step executes the next step and returns it.
+func (e *Elector) step(ctx context.Context) Step {
 	e.mu.Lock()
 	now := e.now()
 	e.machine.SetTakeoverDelay(takeoverDelay(e.daemons, e.name, e.machine.Position()))
@@ -109,6 +113,7 @@
 		e.write(ctx)
 	case Wait:
 	}
+	return next
 }
 
 // await waits for the next record: a renewal, or the first record of the next holder. One call replaces a read in every
@@ -124,9 +129,14 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.recordStoreCall(err == nil)
-	if err == nil && found {
-		e.machine.ApplyRead(rec, next, received)
+	if err != nil || !found {
+		return
 	}
+	if rec.Token != e.machine.Holder().Token {
+		// The new holder gets time to respond to the next report before its record is awaited.
+		e.lastContact, e.hasContact = received, true
+	}
+	e.machine.ApplyRead(rec, next, received)
 }
 
 func (e *Elector) read(ctx context.Context) {
@@ -221,6 +231,9 @@
 // step at once.
 func (e *Elector) RecordHolderLost() {
 	e.mu.Lock()
+	if e.hasContact {
+		e.machine.ApplyHolderLost(e.now())
+	}
 	e.hasContact = false
 	e.mu.Unlock()
 	select {
--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -29,6 +29,8 @@
 	stale bool
 	// takeoverDelay is how much longer than needed this daemon waits before it takes the lease of another one.
 	takeoverDelay time.Duration
+	// lostAt is when this daemon last lost contact with the holder.
+	lostAt time.Duration
 	// highestFence is the highest own token that a runner has rejected.
 	highestFence int64
 }
@@ -76,6 +78,9 @@
 // with different delays do not all write at once.
 func (m *Machine) SetTakeoverDelay(d time.Duration) { m.takeoverDelay = d }
 
+// ApplyHolderLost records that the holder stopped responding to this daemon.
+func (m *Machine) ApplyHolderLost(now time.Duration) { m.lostAt = now }
+
 // AwaitTime returns the time until this daemon may take the lease; it is positive when the next step is Await.
 func (m *Machine) AwaitTime(now time.Duration) time.Duration { return m.acquireAt() - now }
 
@@ -90,7 +95,8 @@
 	case m.record.Token == 0 || m.record.Holder == "":
 		return m.observedAt + m.takeoverDelay
 	default:
-		return m.observedAt + m.timing.TakeoverAfter + m.takeoverDelay
+		// A daemon that learns of the loss late has to wait as well, because others may write at the same time.
+		return max(m.observedAt+m.timing.TakeoverAfter, m.lostAt) + m.takeoverDelay
 	}
 }
 
