Let strong hosts hold the lease, and make reports cheap

Cause: any host could take the lease, and 85 of 103 have 0.144 cores. Each report summed the work of all daemons, each change of a runner woke every daemon with waiting requests, and plans ran as often as they were asked for.

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -12,6 +12,9 @@
 const (
 	// planInterval is the time between two plans. A model load takes at least a few hundred milliseconds.
 	planInterval = 100 * time.Millisecond
+	// planPauseFactor is the pause after a plan in multiples of the time that it took, so that planning leaves most of
+	// the processor to reports and requests.
+	planPauseFactor = 4
 	// maxReportAge is the age after which a daemon's report expires, and with it the waiting requests and the work
 	// that it reported.
 	maxReportAge = 2 * time.Second
@@ -33,8 +36,10 @@
 	// adapterWaiting holds the number of requests that wait for an adapter, by daemon.
 	adapterWaiting map[adapterKey]map[string]int
 	daemons        map[string]*daemonReport
-	loadLimiters   map[string]*loadLimiter
-	viewVersion    uint64
+	// totalWork is the sum over the reports in daemons, by runner index.
+	totalWork    map[uint32]runnerWork
+	loadLimiters map[string]*loadLimiter
+	viewVersion  uint64
 	// removed holds the runners that left the list, with the view version at which they left.
 	removed     map[string]removedRunner
 	lastIndex   uint32
@@ -75,6 +80,7 @@
 	c.demand = map[modelKey]*demandRate{}
 	c.adapterWaiting = map[adapterKey]map[string]int{}
 	c.daemons = map[string]*daemonReport{}
+	c.totalWork = map[uint32]runnerWork{}
 	c.loadLimiters = map[string]*loadLimiter{}
 	c.removed = map[string]removedRunner{}
 }
@@ -85,7 +91,10 @@
 	defer ticker.Stop()
 	defer c.background.Wait()
 	for {
-		c.step(ctx, time.Now())
+		began := time.Now()
+		c.step(ctx, began)
+		// Reports of waiting requests ask for plans faster than a large fleet can be planned.
+		sleep(ctx, planPauseFactor*time.Since(began))
 		select {
 		case <-ctx.Done():
 			return
@@ -161,7 +170,7 @@
 		if now.Sub(d.receivedAt) <= maxReportAge {
 			continue
 		}
-		delete(c.daemons, name)
+		c.setReport(name, nil)
 		for _, rate := range c.demand {
 			delete(rate.waiting, name)
 		}
@@ -171,16 +180,37 @@
 	}
 }
 
-// countRunning sums the requests in progress on each runner over all daemons.
-func (c *Coordinator) countRunning() {
-	total := map[uint32]int{}
-	for _, d := range c.daemons {
-		for index, w := range d.work {
-			total[index] += w.requests
+// setReport replaces the report of a daemon, nil removes it, and updates the sum over all daemons.
+func (c *Coordinator) setReport(daemon string, report *daemonReport) {
+	if old, ok := c.daemons[daemon]; ok {
+		for index, w := range old.work {
+			sum := c.totalWork[index]
+			sum.requests -= w.requests
+			sum.promptTokens -= w.promptTokens
+			if sum == (runnerWork{}) {
+				delete(c.totalWork, index)
+				continue
+			}
+			c.totalWork[index] = sum
 		}
+		delete(c.daemons, daemon)
+	}
+	if report == nil {
+		return
+	}
+	c.daemons[daemon] = report
+	for index, w := range report.work {
+		sum := c.totalWork[index]
+		sum.requests += w.requests
+		sum.promptTokens += w.promptTokens
+		c.totalWork[index] = sum
 	}
+}
+
+// countRunning sums the requests in progress on each runner over all daemons.
+func (c *Coordinator) countRunning() {
 	for _, r := range c.runners {
-		r.RunningRequests = total[r.index]
+		r.RunningRequests = c.totalWork[r.index].requests
 	}
 }
 
--- a/pkg/coordinator/plan_victim_test.go
+++ b/pkg/coordinator/plan_victim_test.go
@@ -45,10 +45,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	index := c.runners["one"].index
-	c.daemons["x"] = &daemonReport{work: map[uint32]runnerWork{index: {requests: 3}}}
-	c.daemons["y"] = &daemonReport{work: map[uint32]runnerWork{index: {requests: 4}}}
+	for _, report := range []struct {
+		daemon         string
+		requests, want int
+	}{{"x", 3, 3}, {"y", 4, 7}, {"x", 1, 5}, {"y", 0, 1}} {
+		c.setReport(report.daemon, &daemonReport{work: map[uint32]runnerWork{index: {requests: report.requests}}})
+		c.countRunning()
+		if got := c.runners["one"].RunningRequests; got != report.want {
+			t.Errorf("requests in progress on the runner after %d of %s: %d, want %d", report.requests, report.daemon, got, report.want)
+		}
+	}
+	c.setReport("x", nil)
 	c.countRunning()
-	if got := c.runners["one"].RunningRequests; got != 7 {
-		t.Errorf("requests in progress on the runner: %d, want 7", got)
+	if got := c.runners["one"].RunningRequests; got != 0 || len(c.peerWork("")) != 0 {
+		t.Errorf("requests in progress on the runner without reports: %d, want 0", got)
 	}
 }
--- a/pkg/coordinator/report.go
+++ b/pkg/coordinator/report.go
@@ -21,39 +21,72 @@
 		// Versions and indexes of another tenure are invalid here, even if this daemon held the lease then.
 		report.ViewVersion, report.ServersVersion, report.Work, report.Unreached = 0, 0, nil, nil
 	}
-	waiting, changed := c.applyReport(report, time.Now())
-	if waiting {
+	if wanted := c.applyReport(report, time.Now()); len(wanted) > 0 {
 		c.requestPlan()
-		timer := time.NewTimer(longPollTimeout)
-		defer timer.Stop()
+		c.awaitCopy(ctx, wanted)
+	}
+	return c.buildView(report, tenure), nil
+}
+
+// awaitCopy waits until a further runner has loaded one of the models and adapters, for at most longPollTimeout. Other
+// changes do not end the wait: under a shift of demand there are many every second, and each would have every daemon
+// with waiting requests report again.
+func (c *Coordinator) awaitCopy(ctx context.Context, wanted []adapterKey) {
+	timer := time.NewTimer(longPollTimeout)
+	defer timer.Stop()
+	known := -1
+	for {
+		c.mu.Lock()
+		copies, changed := c.countCopies(wanted), c.viewChanged
+		c.mu.Unlock()
+		if known >= 0 && copies > known {
+			return
+		}
+		known = copies
 		select {
 		case <-changed:
 		case <-timer.C:
+			return
 		case <-ctx.Done():
+			return
 		}
 	}
-	return c.buildView(report, tenure), nil
 }
 
-// applyReport applies a report. It returns true if requests wait at the daemon and its view is current, so that the
-// response should wait for a change, and a channel that is closed at the next change.
-func (c *Coordinator) applyReport(report *ferrypb.LoadReport, now time.Time) (bool, <-chan struct{}) {
+// countCopies returns the number of runners that have loaded one of the models, with its adapter unless that is empty,
+// summed over the models and adapters.
+func (c *Coordinator) countCopies(wanted []adapterKey) int {
+	n := 0
+	for _, r := range c.runners {
+		for _, w := range wanted {
+			if r.Server.Service == w.service && (r.HasAdapter(w.model, w.adapter) || (w.adapter == "" && r.HasModel(w.model))) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// applyReport applies a report. If the daemon's view is current, it returns the models and adapters that its requests
+// wait for, so that the response should wait for one of them.
+func (c *Coordinator) applyReport(report *ferrypb.LoadReport, now time.Time) []adapterKey {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	waiting := false
+	var wanted []adapterKey
 	for _, d := range report.Demand {
 		c.applyDemand(report.Daemon, d, now)
-		waiting = waiting || d.Waiting > 0
-	}
-	state := &daemonReport{receivedAt: now, work: map[uint32]runnerWork{}}
-	for _, w := range report.Work {
-		state.work[w.Runner] = runnerWork{requests: int(w.Requests), promptTokens: int(w.PromptTokens)}
+		if d.Waiting > 0 {
+			wanted = append(wanted, adapterKey{service: d.Service, model: d.Model, adapter: d.Adapter})
+		}
 	}
-	c.daemons[report.Daemon] = state
+	c.setReport(report.Daemon, &daemonReport{receivedAt: now, work: decodeWork(report.Work)})
 	for _, index := range report.Unreached {
 		c.requestRefresh(index, now)
 	}
-	return waiting && report.ViewVersion == c.viewVersion, c.viewChanged
+	if report.ViewVersion != c.viewVersion {
+		return nil
+	}
+	return wanted
 }
 
 func (c *Coordinator) applyDemand(daemon string, d *ferrypb.Demand, now time.Time) {
@@ -101,7 +134,7 @@
 	defer c.mu.Unlock()
 	out := &ferrypb.FleetView{Holder: true, Tenure: tenure, Version: c.viewVersion, Daemons: uint32(len(c.daemons)), LeasePosition: c.lease.Position()}
 	c.addHoldings(out, report.ViewVersion)
-	out.Work = c.sumPeerWork(report.Daemon)
+	out.Work = encodeWork(c.peerWork(report.Daemon))
 	addStoreState(out, c.fleet.View(), report, time.Now())
 	return out
 }
@@ -147,24 +180,18 @@
 	minPeerRequests = 8
 )
 
-// sumPeerWork sums the work in progress of all daemons except one, by runner.
-func (c *Coordinator) sumPeerWork(except string) []*ferrypb.RunnerWork {
-	total := map[uint32]runnerWork{}
-	for name, d := range c.daemons {
-		if name == except {
-			continue
-		}
-		for runner, w := range d.work {
-			sum := total[runner]
-			total[runner] = runnerWork{requests: sum.requests + w.requests, promptTokens: sum.promptTokens + w.promptTokens}
-		}
-	}
-	out := make([]*ferrypb.RunnerWork, 0, len(total))
-	for runner, w := range total {
-		if w.promptTokens < minPeerTokens && w.requests < minPeerRequests {
-			continue
+// peerWork returns the work in progress of all daemons except one, by runner.
+func (c *Coordinator) peerWork(except string) map[uint32]runnerWork {
+	var own map[uint32]runnerWork
+	if d, ok := c.daemons[except]; ok {
+		own = d.work
+	}
+	out := make(map[uint32]runnerWork, len(c.totalWork))
+	for index, sum := range c.totalWork {
+		w := runnerWork{requests: sum.requests - own[index].requests, promptTokens: sum.promptTokens - own[index].promptTokens}
+		if w.promptTokens >= minPeerTokens || w.requests >= minPeerRequests {
+			out[index] = w
 		}
-		out = append(out, &ferrypb.RunnerWork{Runner: runner, Requests: uint32(max(w.requests, 0)), PromptTokens: uint32(max(w.promptTokens, 0))})
 	}
 	return out
 }
--- a/pkg/coordinator/reporter.go
+++ b/pkg/coordinator/reporter.go
@@ -24,8 +24,10 @@
 	// more than about 500 reports per second at any size, and 350 at the target size, where they are its largest cost.
 	intervalPerDaemon   = 3 * time.Millisecond
 	baseIntervalDaemons = 30
-	// minReportInterval is the shortest time between two reports of a daemon with waiting requests.
-	minReportInterval = 25 * time.Millisecond
+	// minReportInterval is the shortest time between two reports of a daemon with waiting requests; it is longer by
+	// waitIntervalPerDaemon for each daemon, because after a shift of demand requests wait at most of them.
+	minReportInterval     = 25 * time.Millisecond
+	waitIntervalPerDaemon = 500 * time.Microsecond
 	// reportTimeout bounds one report, including the time for which the holder delays its response.
 	reportTimeout = 800 * time.Millisecond
 )
@@ -78,7 +80,7 @@
 func (r *Reporter) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if r.report(ctx) {
-			sleep(ctx, minReportInterval)
+			sleep(ctx, minReportInterval+time.Duration(r.daemons)*waitIntervalPerDaemon)
 			continue
 		}
 		period := time.NewTimer(r.reportInterval())
@@ -181,11 +183,13 @@
 			WorkMillis: uint32(count.Work.Milliseconds()), Waiting: uint32(count.Waiting),
 		})
 	}
+	work := map[uint32]runnerWork{}
 	r.tracker.EachActive(func(server string, requests, tokens int) {
 		if index, ok := r.view.indexes[server]; ok {
-			m.Work = append(m.Work, &ferrypb.RunnerWork{Runner: index, Requests: uint32(requests), PromptTokens: uint32(max(tokens, 0))})
+			work[index] = runnerWork{requests: requests, promptTokens: tokens}
 		}
 	})
+	m.Work = encodeWork(work)
 	r.tracker.EachUnreached(time.Now(), func(server string) {
 		if index, ok := r.view.indexes[server]; ok {
 			m.Unreached = append(m.Unreached, index)
--- a/pkg/coordinator/runner_view.go
+++ b/pkg/coordinator/runner_view.go
@@ -48,9 +48,9 @@
 func (v *runnerView) placement(view *ferrypb.FleetView) *gateway.Placement {
 	p := &gateway.Placement{Version: view.Version, Holdings: v.holdings, Daemons: int(view.Daemons),
 		PeerTokens: map[string]int{}, PeerRequests: map[string]int{}}
-	for _, w := range view.Work {
-		if name, ok := v.names[w.Runner]; ok {
-			p.PeerTokens[name], p.PeerRequests[name] = int(w.PromptTokens), int(w.Requests)
+	for index, w := range decodeWork(view.Work) {
+		if name, ok := v.names[index]; ok {
+			p.PeerTokens[name], p.PeerRequests[name] = w.promptTokens, w.requests
 		}
 	}
 	return p
--- a/pkg/gatewaydaemon/module.go
+++ b/pkg/gatewaydaemon/module.go
@@ -50,7 +50,7 @@
 	if s.FencingEnforced {
 		timing = lease.NewFencedTiming()
 	}
-	return lease.NewElector(clients.Lease, l, s.Host, s.PeerAddr, timing, ref)
+	return lease.NewElector(clients.Lease, l, s.Host, s.PeerAddr, s.Cores, timing, ref)
 }
 
 func newCoordinator(s *Settings, clients *Clients, control *gateway.Control, elector *lease.Elector, ref *coordinatorRef, l *eventlog.Logger) *coordinator.Coordinator {
--- a/pkg/lease/elector.go
+++ b/pkg/lease/elector.go
@@ -27,6 +27,8 @@
 	log   *eventlog.Logger
 	now   func() time.Duration
 	name  string
+	// cores is the processor capacity of the host; 0 if unknown.
+	cores float64
 
 	mu      sync.Mutex
 	machine *Machine
@@ -61,9 +63,10 @@
 	e.failures++
 }
 
-// NewElector returns an elector for the daemon of that name and address; the caller starts it with Run.
-func NewElector(store Store, log *eventlog.Logger, name, address string, timing Timing, handover StateHandover) *Elector {
-	return &Elector{store: store, log: log, now: Uptime, name: name,
+// NewElector returns an elector for the daemon of that name and address on a host with that many cores (0 if unknown);
+// the caller starts it with Run.
+func NewElector(store Store, log *eventlog.Logger, name, address string, cores float64, timing Timing, handover StateHandover) *Elector {
+	return &Elector{cores: cores, store: store, log: log, now: Uptime, name: name,
 		machine: NewMachine(name, address, timing), wake: make(chan struct{}, 1), handover: handover}
 }
 
@@ -96,7 +99,7 @@
 func (e *Elector) step(ctx context.Context) Step {
 	e.mu.Lock()
 	now := e.now()
-	e.machine.SetTakeoverDelay(takeoverDelay(e.daemons, e.name, e.machine.Position()))
+	e.machine.SetTakeoverDelay(takeoverDelay(e.daemons, e.cores, e.name, e.machine.Position()))
 	holderResponsive := e.hasContact && now-e.lastContact < holderContactTTL
 	next := e.machine.Next(now, holderResponsive)
 	if e.released || now < e.retryAt {
--- a/pkg/lease/herd_test.go
+++ b/pkg/lease/herd_test.go
@@ -119,7 +119,7 @@
 }
 
 func newMemoryElector(s Store, name string) *Elector {
-	return NewElector(s, eventlog.Discard(), name, name+":1", NewFencedTiming(), noState{})
+	return NewElector(s, eventlog.Discard(), name, name+":1", 0, NewFencedTiming(), noState{})
 }
 
 // waitForHolder waits until all electors agree on a holder other than first and returns the time that it took.
