Send only what differs after a hand-over

Cause: versions count within one tenure, so that a new holder sent a complete list and all holdings, 72 KB at 160 runners, to each of 103 daemons; some hosts have 20 Mbit/s.

Change: daemons keep the content over a hand-over and send 64 digests; the holder returns the buckets that differ. Indexes of runners are hashes, so that successive holders give the same ones.

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/fleet"
 )
@@ -41,11 +44,14 @@
 	loadLimiters map[string]*loadLimiter
 	viewVersion  uint64
 	// removed holds the runners that left the list, with the view version at which they left.
-	removed     map[string]removedRunner
-	lastIndex   uint32
-	viewChanged chan struct{}
-	wake        chan struct{}
-	background  sync.WaitGroup
+	removed    map[string]removedRunner
+	indexTaken map[uint32]bool
+	// digests holds the digests of the holdings at digestsVersion; nil until they are needed.
+	digests        *digests
+	digestsVersion uint64
+	viewChanged    chan struct{}
+	wake           chan struct{}
+	background     sync.WaitGroup
 }
 
 type modelKey struct{ service, model string }
@@ -83,6 +89,8 @@
 	c.totalWork = map[uint32]runnerWork{}
 	c.loadLimiters = map[string]*loadLimiter{}
 	c.removed = map[string]removedRunner{}
+	c.indexTaken = map[uint32]bool{}
+	c.digests = nil
 }
 
 // Run plans until ctx ends and then waits for the orders in progress.
@@ -147,9 +155,11 @@
 		}
 		r, ok := c.runners[id]
 		if !ok || r.Server.StartMillis != s.StartMillis {
-			c.lastIndex++
+			if ok {
+				delete(c.indexTaken, r.index)
+			}
 			delete(c.removed, id)
-			c.runners[id] = &Runner{id: id, index: c.lastIndex, Server: s, Region: c.config.RegionOf[s.FailureDomain], Models: s.Models,
+			c.runners[id] = &Runner{id: id, index: c.freeIndex(id, s.StartMillis), Server: s, Region: c.config.RegionOf[s.FailureDomain], Models: s.Models,
 				OnDisk: s.OnDisk, InMemory: s.InMemory, AdapterLastUsed: map[string]time.Time{}}
 			c.markChanged(c.runners[id])
 			continue
@@ -158,6 +168,7 @@
 	}
 	for id := range c.runners {
 		if _, ok := servers[id]; !ok {
+			delete(c.indexTaken, c.runners[id].index)
 			delete(c.runners, id)
 			c.markChanged(nil)
 			c.removed[id] = removedRunner{version: c.viewVersion}
@@ -165,6 +176,20 @@
 	}
 }
 
+// maxIndex bounds the indexes of runners.
+const maxIndex = 1 << 20
+
+// freeIndex reserves and returns an index for a runner that no other runner has. It is a hash, so that successive holders mostly give
+// a runner the same one and daemons keep theirs.
+func (c *Coordinator) freeIndex(id string, startMillis int64) uint32 {
+	index := uint32(xxhash.Sum64String(id+"/"+strconv.FormatInt(startMillis, 10)) % maxIndex)
+	for c.indexTaken[index] {
+		index = (index + 1) % maxIndex
+	}
+	c.indexTaken[index] = true
+	return index
+}
+
 func (c *Coordinator) expireDaemons(now time.Time) {
 	for name, d := range c.daemons {
 		if now.Sub(d.receivedAt) <= maxReportAge {
--- a/pkg/coordinator/report.go
+++ b/pkg/coordinator/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"trefoilferry.example/ferry/api/ferrypb"
@@ -17,6 +18,10 @@
 	if tenure == 0 {
 		return &ferrypb.FleetView{}, nil
 	}
+	if report.Tenure != tenure && report.Tenure != 0 && len(report.HoldingDigests) == 0 && c.isLarge() {
+		// The daemon has the content of an earlier tenure: its next report has the digests of it.
+		return &ferrypb.FleetView{Holder: true, Tenure: tenure, LeasePosition: c.lease.Position(), Daemons: c.daemonCount()}, nil
+	}
 	if report.Tenure != tenure {
 		// Versions and indexes of another tenure are invalid here, even if this daemon held the lease then.
 		report.ViewVersion, report.ServersVersion, report.Work, report.Unreached = 0, 0, nil, nil
@@ -67,6 +72,19 @@
 	return n
 }
 
+// isLarge reports whether digests are shorter than a complete view.
+func (c *Coordinator) isLarge() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.runners) >= digestBuckets
+}
+
+func (c *Coordinator) daemonCount() uint32 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return uint32(len(c.daemons))
+}
+
 // applyReport applies a report. If the daemon's view is current, it returns the models and adapters that its requests
 // wait for, so that the response should wait for one of them.
 func (c *Coordinator) applyReport(report *ferrypb.LoadReport, now time.Time) []adapterKey {
@@ -132,32 +150,58 @@
 func (c *Coordinator) buildView(report *ferrypb.LoadReport, tenure int64) *ferrypb.FleetView {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := &ferrypb.FleetView{Holder: true, Tenure: tenure, Version: c.viewVersion, Daemons: uint32(len(c.daemons)), LeasePosition: c.lease.Position()}
-	c.addHoldings(out, report.ViewVersion)
+	out := &ferrypb.FleetView{Holder: true, Tenure: tenure, Daemons: uint32(len(c.daemons)), LeasePosition: c.lease.Position()}
+	if len(c.runners) > 0 {
+		// A new holder knows no runners until its first plan; daemons keep what they have until then.
+		out.Version = c.viewVersion
+		c.addHoldings(out, report)
+	}
 	out.Work = encodeWork(c.peerWork(report.Daemon))
 	addStoreState(out, c.fleet.View(), report, time.Now())
 	return out
 }
 
-// addHoldings adds the runners that changed since the given view version, or all of them if the version is not one of
-// this holder's.
-func (c *Coordinator) addHoldings(out *ferrypb.FleetView, since uint64) {
-	out.HoldingsFull = since == 0 || since > c.viewVersion
+// addHoldings adds the runners that changed since the daemon's view version. If the version is not one of this holder's,
+// it adds those in the buckets that differ from the daemon's digests, or all of them to a daemon without digests.
+func (c *Coordinator) addHoldings(out *ferrypb.FleetView, report *ferrypb.LoadReport) {
+	since := report.ViewVersion
 	if since == c.viewVersion {
 		return
 	}
+	resync := since == 0 || since > c.viewVersion
+	if resync && len(report.HoldingDigests) > 0 {
+		out.HoldingBuckets = c.holdingDigests().differing(report.HoldingDigests)
+		for _, r := range c.runners {
+			if slices.Contains(out.HoldingBuckets, bucketOf(r.id)) {
+				out.Holdings = append(out.Holdings, holdingToProto(r))
+			}
+		}
+		return
+	}
+	out.HoldingsFull = resync
 	for _, r := range c.runners {
-		if out.HoldingsFull || r.version > since {
+		if resync || r.version > since {
 			out.Holdings = append(out.Holdings, holdingToProto(r))
 		}
 	}
 	for id, g := range c.removed {
-		if !out.HoldingsFull && g.version > since {
+		if !resync && g.version > since {
 			out.Holdings = append(out.Holdings, &ferrypb.Holding{Runner: id, Gone: true})
 		}
 	}
 }
 
+// holdingDigests returns the digests of all holdings, which are computed once for each view version.
+func (c *Coordinator) holdingDigests() *digests {
+	if c.digests == nil || c.digestsVersion != c.viewVersion {
+		c.digests, c.digestsVersion = &digests{}, c.viewVersion
+		for _, r := range c.runners {
+			c.digests.add(r.id, hashHolding(holdingToProto(r)))
+		}
+	}
+	return c.digests
+}
+
 func holdingToProto(r *Runner) *ferrypb.Holding {
 	h := &ferrypb.Holding{Runner: r.Server.ID, Index: r.index, BornMillis: r.Server.StartMillis, Loading: r.loadingModel()}
 	for i := range r.Models {
--- a/pkg/coordinator/reporter.go
+++ b/pkg/coordinator/reporter.go
@@ -105,7 +105,8 @@
 		return false
 	}
 	if source != r.source {
-		r.source, r.view = source, newRunnerView()
+		// The content is kept, so that the next holder only returns what differs.
+		r.source, r.view.tenure, r.view.version, r.view.serversVersion = source, 0, 0, 0
 	}
 	message, waiting := r.buildReport()
 	sent := time.Now()
@@ -175,6 +176,12 @@
 	if config := r.control.View().Config; config != nil {
 		m.ConfigVersion = config.Version
 	}
+	if m.ViewVersion == 0 {
+		m.HoldingDigests = r.view.digests()
+	}
+	if view := r.control.View(); m.ServersVersion == 0 && view.ServersKnown {
+		m.ServerDigests = serverDigests(view.Servers)[:]
+	}
 	waiting := false
 	for key, count := range r.demand.Take() {
 		waiting = waiting || count.Waiting > 0
@@ -213,11 +220,13 @@
 		r.control.SetRelayActive(false)
 		return
 	}
-	update, err := relayUpdate(view, sent)
-	if err != nil || view.ServersVersion == 0 {
-		if err != nil {
-			r.log.Log(eventlog.RecordRefused, "record", "relayed configuration", "reason", err)
-		}
+	if view.ServersVersion == 0 {
+		// The holder has not read the store yet or waits for digests. What was relayed before is used until it is too old.
+		return
+	}
+	update, err := relayUpdate(view, r.control.View().Servers, sent)
+	if err != nil {
+		r.log.Log(eventlog.RecordRefused, "record", "relayed configuration", "reason", err)
 		r.control.SetRelayActive(false)
 		return
 	}
--- a/pkg/coordinator/runner_view.go
+++ b/pkg/coordinator/runner_view.go
@@ -2,12 +2,14 @@
 
 import (
 	"maps"
+	"slices"
 
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/gateway"
 )
 
-// runnerView is the state of the runners as a daemon has received it during one tenure.
+// runnerView is the state of the runners as a daemon has received it. Versions belong to one tenure, the content outlives
+// it.
 type runnerView struct {
 	tenure         int64
 	version        uint64
@@ -15,10 +17,24 @@
 	holdings       map[string]gateway.Holding
 	indexes        map[string]uint32
 	names          map[uint32]string
+	// hashes holds the content hash of each holding, for the digests.
+	hashes map[string]uint32
 }
 
 func newRunnerView() *runnerView {
-	return &runnerView{holdings: map[string]gateway.Holding{}, indexes: map[string]uint32{}, names: map[uint32]string{}}
+	return &runnerView{holdings: map[string]gateway.Holding{}, indexes: map[string]uint32{}, names: map[uint32]string{}, hashes: map[string]uint32{}}
+}
+
+// digests returns the digests of the holdings; nil if there are none.
+func (v *runnerView) digests() []uint32 {
+	if len(v.hashes) == 0 {
+		return nil
+	}
+	out := &digests{}
+	for id, content := range v.hashes {
+		out.add(id, content)
+	}
+	return out[:]
 }
 
 // apply applies the changes in a view. It replaces the map of holdings, because readers keep the previous one.
@@ -29,20 +45,29 @@
 	if view.Tenure != v.tenure {
 		v.tenure, v.serversVersion = view.Tenure, 0
 	}
-	next := maps.Clone(v.holdings)
-	if view.HoldingsFull {
-		next = map[string]gateway.Holding{}
-		v.indexes, v.names = map[string]uint32{}, map[uint32]string{}
+	v.holdings, v.version = maps.Clone(v.holdings), view.Version
+	for id := range v.holdings {
+		if view.HoldingsFull || slices.Contains(view.HoldingBuckets, bucketOf(id)) {
+			v.remove(id)
+		}
 	}
 	for _, h := range view.Holdings {
+		v.remove(h.Runner)
 		if h.Gone {
-			delete(next, h.Runner)
 			continue
 		}
-		next[h.Runner] = holdingFromProto(h)
-		v.indexes[h.Runner], v.names[h.Index] = h.Index, h.Runner
+		v.holdings[h.Runner] = holdingFromProto(h)
+		v.indexes[h.Runner], v.names[h.Index], v.hashes[h.Runner] = h.Index, h.Runner, hashHolding(h)
+	}
+}
+
+func (v *runnerView) remove(id string) {
+	if index, ok := v.indexes[id]; ok && v.names[index] == id {
+		delete(v.names, index)
 	}
-	v.holdings, v.version = next, view.Version
+	delete(v.holdings, id)
+	delete(v.indexes, id)
+	delete(v.hashes, id)
 }
 
 func (v *runnerView) placement(view *ferrypb.FleetView) *gateway.Placement {
--- a/pkg/coordinator/store_relay.go
+++ b/pkg/coordinator/store_relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"trefoilferry.example/ferry/api/ferrypb"
@@ -24,7 +25,18 @@
 			out.Config = data
 		}
 	}
-	out.ServersFull = report.ServersVersion <= view.ServersForgotten || report.ServersVersion > view.ServersVersion
+	resync := report.ServersVersion <= view.ServersForgotten || report.ServersVersion > view.ServersVersion
+	if resync && len(report.ServerDigests) > 0 {
+		out.ServerBuckets = serverDigests(view.Servers).differing(report.ServerDigests)
+		for id := range view.Servers {
+			if slices.Contains(out.ServerBuckets, bucketOf(id)) {
+				s := view.Servers[id]
+				out.Servers = append(out.Servers, serverToProto(&s))
+			}
+		}
+		return
+	}
+	out.ServersFull = resync
 	for id := range view.Servers {
 		s := view.Servers[id]
 		if out.ServersFull || view.ServerChanged[id] > report.ServersVersion {
@@ -58,8 +70,9 @@
 	return s
 }
 
-// relayUpdate decodes the store state relayed by the holder. Ages are counted from when the report was sent.
-func relayUpdate(view *ferrypb.FleetView, sent time.Time) (*gateway.RelayUpdate, error) {
+// relayUpdate decodes the store state relayed by the holder. Ages are counted from when the report was sent. known are the
+// servers that the daemon knows.
+func relayUpdate(view *ferrypb.FleetView, known map[string]fleet.Server, sent time.Time) (*gateway.RelayUpdate, error) {
 	u := &gateway.RelayUpdate{
 		ServersAt: sent.Add(-time.Duration(view.ServersAgeMillis) * time.Millisecond),
 		ConfigAt:  sent.Add(-time.Duration(view.ConfigAgeMillis) * time.Millisecond),
@@ -77,5 +90,23 @@
 	for _, id := range view.Gone {
 		u.Servers.Changes = append(u.Servers.Changes, gateway.ServerChange{ID: id, Removed: true})
 	}
+	if len(view.ServerBuckets) > 0 {
+		u.Servers.Changes = append(u.Servers.Changes, missingServers(view, known)...)
+	}
 	return u, nil
 }
+
+// missingServers returns the removal of each known server that is missing in a bucket that the view holds completely.
+func missingServers(view *ferrypb.FleetView, known map[string]fleet.Server) []gateway.ServerChange {
+	listed := make(map[string]bool, len(view.Servers))
+	for _, m := range view.Servers {
+		listed[m.Id] = true
+	}
+	var out []gateway.ServerChange
+	for id := range known {
+		if !listed[id] && slices.Contains(view.ServerBuckets, bucketOf(id)) {
+			out = append(out, gateway.ServerChange{ID: id, Removed: true})
+		}
+	}
+	return out
+}
