--- a/pkg/coordinator/resync_test.go
+++ b/pkg/coordinator/resync_test.go
@@ -62,21 +62,13 @@
 type follower struct {
 	reporter *Reporter
 	control  *gateway.Control
-	lease    *switchingLease
-}
-
-// switchingLease is a followerLease whose holder changes.
-type switchingLease struct {
-	followerLease
-	current string
 }
 
 func newFollower(ctx context.Context) *follower {
 	control := gateway.NewControl(eventlog.Discard(), gateway.NewPollTiming(5*time.Second))
 	go control.Run(ctx)
-	l := &switchingLease{}
-	return &follower{control: control, lease: l,
-		reporter: NewReporter("d", l, nil, control, gateway.NewDemand(), gateway.NewTracker(), eventlog.Discard())}
+	return &follower{control: control,
+		reporter: NewReporter("d", followerLease{}, nil, control, gateway.NewDemand(), gateway.NewTracker(), eventlog.Discard())}
 }
 
 // reportTo sends reports to a holder until its view is applied and returns the bytes of the responses.
