A list older than the daemon's own read removes nothing

Cause, found by reading: a daemon that had read the store after the holder dropped a server that the holder did not know yet, and then took the holder's news of it, with the same sequence, for an old report. It did not use the server until its entry changed.

Change: removals that follow only from omission are skipped for a list that is older than the daemon's own.

Also: the step after an awaited lease record follows at once instead of at the next tick.

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -44,7 +44,8 @@
 	loadLimiters map[string]*loadLimiter
 	viewVersion  uint64
 	// removed holds the runners that left the list, with the view version at which they left.
-	removed    map[string]removedRunner
+	removed map[string]removedRunner
+	// indexTaken holds the indexes of the runners.
 	indexTaken map[uint32]bool
 	// digests holds the digests of the holdings at digestsVersion; nil until they are needed.
 	digests        *digests
@@ -179,7 +180,7 @@
 // maxIndex bounds the indexes of runners.
 const maxIndex = 1 << 20
 
-// freeIndex reserves and returns an index for a runner that no other runner has. It is a hash, so that successive holders mostly give
+// freeIndex reserves and returns an index that no other runner has. It is a hash, so that successive holders mostly give
 // a runner the same one and daemons keep theirs.
 func (c *Coordinator) freeIndex(id string, startMillis int64) uint32 {
 	index := uint32(xxhash.Sum64String(id+"/"+strconv.FormatInt(startMillis, 10)) % maxIndex)
--- a/pkg/coordinator/store_relay.go
+++ b/pkg/coordinator/store_relay.go
@@ -105,7 +105,7 @@
 	var out []gateway.ServerChange
 	for id := range known {
 		if !listed[id] && slices.Contains(view.ServerBuckets, bucketOf(id)) {
-			out = append(out, gateway.ServerChange{ID: id, Removed: true})
+			out = append(out, gateway.ServerChange{ID: id, Removed: true, Omitted: true})
 		}
 	}
 	return out
--- a/pkg/eventlog/catalog_gateway.go
+++ b/pkg/eventlog/catalog_gateway.go
@@ -18,7 +18,7 @@
 	LeaseReleased          = register(322, log.InfoLevel, "lease released", "The daemon released the lease before a planned stop.")
 	LeaseUnreadable        = register(323, log.WarnLevel, "lease unreadable", "The store did not respond; the last known lease holder is assumed.")
 	LeaseNotWritten        = register(324, log.WarnLevel, "lease not written", "A renewal or acquisition of the lease failed; the store is read before the next attempt.")
-	CoordinatorUnreachable = register(325, log.WarnLevel, "coordinator unreachable", "The lease holder does not respond; the backend servers' own reports are used.")
+	CoordinatorUnreachable = register(325, log.WarnLevel, "coordinator unreachable", "The lease holder does not respond, or it does not reach the store (reason). Without a response the backend servers' own reports are used after 1.5 s.")
 	CoordinatorReachable   = register(326, log.InfoLevel, "coordinator reachable", "The lease holder accepts reports again.")
 	ModelOrdered           = register(327, log.InfoLevel, "model ordered", "A backend server was ordered to load or unload; demand and copies are the deciding inputs.")
 	ModelOrderAnswered     = register(328, log.InfoLevel, "model order answered", "A backend server responded to an order.")
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -161,7 +161,11 @@
 	if u.Config != nil {
 		c.applyConfig(u.Config, u.ConfigAt)
 	}
-	c.applyServers(&serverEvent{changes: u.Servers, sentAt: u.ServersAt}, now)
+	changes := u.Servers
+	if u.ServersAt.Before(c.View().ServersAt) {
+		changes = changes.withoutOmissions()
+	}
+	c.applyServers(&serverEvent{changes: changes, sentAt: u.ServersAt}, now)
 	c.confirm(u.ServersAt, u.ConfigAt)
 }
 
--- a/pkg/gateway/server_changes.go
+++ b/pkg/gateway/server_changes.go
@@ -9,6 +9,19 @@
 	Changes []ServerChange
 }
 
+// withoutOmissions returns the changes without removals that follow only from omissions. A daemon that has read the store
+// after the holder may know servers that the holder does not know yet; it would drop them, and then take the holder's
+// later news of them for old reports.
+func (c *ServerChanges) withoutOmissions() ServerChanges {
+	out := ServerChanges{}
+	for i := range c.Changes {
+		if !c.Changes[i].Omitted {
+			out.Changes = append(out.Changes, c.Changes[i])
+		}
+	}
+	return out
+}
+
 // removals returns the number of removals.
 func (c *ServerChanges) removals() int {
 	n := 0
@@ -24,6 +37,8 @@
 type ServerChange struct {
 	ID      string
 	Removed bool
+	// Omitted is set for a removal that follows only from a list without the server.
+	Omitted bool
 	// Server is the zero value for a removal.
 	Server fleet.Server
 }
--- a/pkg/lease/elector.go
+++ b/pkg/lease/elector.go
@@ -82,9 +82,9 @@
 	ticker := time.NewTicker(stepInterval)
 	defer ticker.Stop()
 	for {
-		if e.step(ctx) == Read {
-			// A daemon that is to take a free lease waits for its turn and not for the next tick, when others may have taken it.
-			e.step(ctx)
+		for next := e.step(ctx); next == Read || next == Await; next = e.step(ctx) {
+			// The step after a read or a wait is due at once: at the next tick another daemon may have taken the lease.
+			continue
 		}
 		select {
 		case <-ctx.Done():
