Revert "Fetch shared prompt parts from their owner (try)"

Why most parts are read again all the same was not traced; that their owners no longer keep them, because running requests fill the memory, would explain it.

--- a/pkg/fleet/engine.go
+++ b/pkg/fleet/engine.go
@@ -6,10 +6,6 @@
 	BatchSlots int
 	// CacheTokens is the capacity of a runner's KV cache in tokens.
 	CacheTokens int
-	// CacheTokenBytes is the size of one token in the KV cache, and TransferMbps the rate in Mbit/s at which runners
-	// transfer parts of it to each other; 0 if they cannot.
-	CacheTokenBytes float64
-	TransferMbps    float64
 	// MemoryMB is the accelerator memory of a runner for weights and adapters.
 	MemoryMB float64
 	// AdapterSlots is the maximum number of adapters that can be resident on a runner.
--- a/pkg/gateway/attempt_meta.go
+++ b/pkg/gateway/attempt_meta.go
@@ -12,7 +12,4 @@
 	Priority int
 	// LastEventID asks the server to resume a stream after this event; empty for a new stream.
 	LastEventID string
-	// CacheSource is the address of a runner from which the server first fetches what that runner has cached of the prompt;
-	// empty for none.
-	CacheSource string
 }
--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -33,7 +33,7 @@
 		Target: j.target,
 		Host:   j.host,
 		Header: b.codec.AttemptHeader(j.header, AttemptMeta{
-			ServerID: c.server.ID, Remaining: j.remaining(time.Now()), Priority: -1, LastEventID: lastEvent, CacheSource: c.cacheSource,
+			ServerID: c.server.ID, Remaining: j.remaining(time.Now()), Priority: -1, LastEventID: lastEvent,
 		}),
 		Body:      j.body,
 		FreshConn: !j.route.Retryable(),
--- a/pkg/gateway/choice.go
+++ b/pkg/gateway/choice.go
@@ -15,8 +15,6 @@
 	predicted time.Duration
 	// prefill is the number of prompt tokens that the server is expected to process, without the cached ones.
 	prefill int
-	// cacheSource is the address of the runner from which the server fetches shared prompt parts; empty for none.
-	cacheSource string
 	// reportAge is the age of the server list that the choice used.
 	reportAge time.Duration
 }
--- a/pkg/gateway/chooser.go
+++ b/pkg/gateway/chooser.go
@@ -68,38 +68,23 @@
 		return choice{}, false
 	}
 	owner, second := c.cacheOwners(j, candidates)
-	transfer := cacheTransfer{}
-	if owner >= 0 {
-		transfer = planTransfer(j.service.Engine, j.sharedTokens(), candidates[owner].Runner)
-	}
 	scored := make([]routing.Scored, 0, len(candidates))
 	prefill := make(map[string]int, len(candidates))
-	// fetches holds the runners that fetch the shared parts from their owner.
-	fetches := map[string]bool{}
 	for i := range candidates {
 		cand := candidates[i]
 		if j.needsModel() {
 			prefill[cand.Runner] = c.uncachedTokens(j, cand.Runner, tracker, expectedCacheShare(i, owner, second))
-			extra := time.Duration(0)
-			if fetched := c.uncachedTokens(j, cand.Runner, tracker, transferredShare); i != owner && transfer.source != "" && fetched < prefill[cand.Runner] {
-				prefill[cand.Runner], extra, fetches[cand.Runner] = fetched, transfer.took, true
-			}
 			cand.Prediction = c.predictModel(view, tracker, cand.Runner, prefill[cand.Runner], now)
-			cand.Prediction.FirstToken += extra
 		} else {
 			cand.Prediction = c.predictPlain(view, tracker, cand.Runner, now)
 		}
 		scored = append(scored, routing.Scored{Candidate: cand, Score: policy.Score(query, cand)})
 	}
 	best := policy.Picker.Pick(query, scored)
-	out := choice{
+	return choice{
 		server: view.Servers[best.Runner], candidates: len(candidates), predicted: best.Prediction.FirstToken,
 		prefill: prefill[best.Runner], reportAge: now.Sub(view.ServersAt),
-	}
-	if fetches[best.Runner] {
-		out.cacheSource = view.Servers[transfer.source].Address
-	}
-	return out, true
+	}, true
 }
 
 // candidates returns the servers that can run the request as far as this daemon knows.
@@ -157,7 +142,11 @@
 // uncachedTokens returns the number of prompt tokens that the runner has to process. The owner of the shared parts is
 // assumed to have cached them, because the other daemons also send it requests with the same parts.
 func (c *chooser) uncachedTokens(j *job, runner string, tracker *Tracker, share float64) int {
-	cached := max(tracker.CachedTokens(runner, j.chain), int(share*float64(j.sharedTokens())))
+	shared := 0
+	for _, link := range j.chain {
+		shared += link.tokens
+	}
+	cached := max(tracker.CachedTokens(runner, j.chain), int(share*float64(shared)))
 	return max(j.meta.PromptTokens-cached, 0)
 }
 
--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -50,7 +50,7 @@
 	f.metrics.recordServed(j, time.Since(j.arrived), p.relay.firstEvent(j.arrived))
 	f.log.Log(eventlog.RequestServed, "request", j.meta.RequestID, "route", j.route.Name, "version", j.version,
 		"server", c.server.ID, "candidates", c.candidates, "predicted", c.predicted, "took", time.Since(j.arrived),
-		"first_event", p.relay.firstEvent(j.arrived), "longest_pause", p.relay.longestPause, "prefill", c.prefill, "cache_source", c.cacheSource,
+		"first_event", p.relay.firstEvent(j.arrived), "longest_pause", p.relay.longestPause, "prefill", c.prefill,
 		"sent", p.sent+1, "refused", p.refused, "unreached", p.unreached)
 }
 
--- a/pkg/gateway/job.go
+++ b/pkg/gateway/job.go
@@ -49,12 +49,3 @@
 
 // bufferResponse reports whether the response is read completely before it is written to the caller.
 func (j *job) bufferResponse() bool { return j.route.Kind != fleet.Streaming }
-
-// sharedTokens returns the number of prompt tokens in the parts that the request shares with others.
-func (j *job) sharedTokens() int {
-	n := 0
-	for _, link := range j.chain {
-		n += link.tokens
-	}
-	return n
-}
