test: wait for the control loop instead of some milliseconds

The tests now wait until the loop has applied everything that was sent to it; the checks are the same.

--- a/pkg/coordinator/cut_off_test.go
+++ b/pkg/coordinator/cut_off_test.go
@@ -52,15 +52,15 @@
 		l := countingLease{followerLease{strings.TrimPrefix(web.URL, "http://")}, lost}
 		reporter := NewReporter("d", l, nil, control, gateway.NewDemand(), gateway.NewTracker(), eventlog.Discard())
 		reporter.report(ctx)
-		deadline := time.Now().Add(2 * time.Second)
-		for control.View().Placement == nil && time.Now().Before(deadline) {
-			time.Sleep(5 * time.Millisecond)
+		waitUntil(t, 10*time.Second, func() bool { return control.View().Placement != nil })
+		if p := control.View().Placement; len(p.Holdings) != 1 {
+			t.Errorf("holder's state of age %v: placement %+v, want one runner", age, p)
 		}
-		time.Sleep(50 * time.Millisecond)
+		// The control loop applies events in their order: once it shows this placement, it has applied the others.
+		last := &gateway.Placement{}
+		control.SetPlacement(ctx, last)
+		waitUntil(t, 10*time.Second, func() bool { return control.View().Placement == last })
 		view := control.View()
-		if view.Placement == nil || len(view.Placement.Holdings) != 1 {
-			t.Errorf("holder's state of age %v: placement %+v, want one runner", age, view.Placement)
-		}
 		if known := len(view.Servers) == 1; known == cutOff {
 			t.Errorf("holder's state of age %v: server list used %v, want %v", age, known, !cutOff)
 		}
--- a/pkg/coordinator/resync_test.go
+++ b/pkg/coordinator/resync_test.go
@@ -88,7 +88,10 @@
 		bytes += proto.Size(view)
 		r.applyPlacement(t.Context(), view)
 		r.applyStoreState(t.Context(), view, time.Now())
-		time.Sleep(20 * time.Millisecond)
+		// The control loop applies events in their order: once it shows this placement, it has applied the others.
+		last := r.view.placement(view)
+		r.control.SetPlacement(t.Context(), last)
+		waitUntil(t, 10*time.Second, func() bool { return r.control.View().Placement == last })
 	}
 	return bytes
 }
