--- a/pkg/coordinator/digest.go
+++ b/pkg/coordinator/digest.go
@@ -12,8 +12,8 @@
 )
 
 // digestBuckets is the number of buckets into which ids are hashed. After a change of the holder a daemon gets the
-// content of the buckets that differ from its own, instead of everything: a complete view of 160 runners has 72 KB, and
-// some hundred of them at once would fill the link of the new holder for seconds.
+// content of the buckets that differ from its own, instead of everything: a complete view of 760 runners takes more than
+// 120 KB, and some hundred of them at once would fill the link of the new holder for seconds.
 const digestBuckets = 64
 
 // digests holds a digest for each bucket: the XOR of the content hashes of its members.
