--- a/pkg/lease/takeover.go
+++ b/pkg/lease/takeover.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// takeoverSpread is the time over which takeovers are spread for each daemon: a write reaches the store and its
-	// record the other daemons within some tens of milliseconds, and about five daemons write meanwhile.
+	// takeoverSpread is the time over which takeovers are spread for each daemon, so that most of them see the record of
+	// the first one, which takes some tens of milliseconds, before their own turn.
 	takeoverSpread = 10 * time.Millisecond
 	// maxTakeoverSpread bounds the delay when most of the daemons are lost together.
 	maxTakeoverSpread = time.Second
