gateway: log and count runners that crash, with the requests that were there

The logs could not tell a runner that ended from connections that broke, nor which requests it had when it ended, so that a crash by content, by load or by the host looked alike.

A daemon whose connections to a model runner break now checks whether the runner still listens. F0134 lists the requests without a response that the runner survived, with their shared prompt parts; F0135 is logged otherwise.

--- a/pkg/eventlog/catalog_gateway.go
+++ b/pkg/eventlog/catalog_gateway.go
@@ -10,6 +10,8 @@
 	ServerDraining         = register(131, log.InfoLevel, "backend server draining", "A backend server is finishing its requests and is sent no new ones.")
 	ServerGone             = register(132, log.InfoLevel, "backend server gone", "A backend server is no longer listed.")
 	ServerSuspected        = register(133, log.InfoLevel, "backend server suspected", "A backend server did not respond and is avoided until the given time.")
+	ServerCrashed          = register(134, log.WarnLevel, "backend server crashed", "Connections to a server broke and it refuses new ones. suspects are the requests without a response that a runner survived, as ID:PART+PART; * marks those whose response had begun.")
+	ConnectionsBroke       = register(135, log.InfoLevel, "connections broke", "Connections to a server broke, but it did not refuse new ones.")
 	RequestServed          = register(210, log.InfoLevel, "request served", "A caller received a complete response; candidates and predictions show why this server was chosen.")
 	RequestRefused         = register(211, log.InfoLevel, "request refused", "A request was refused without being run; reason says why and retry_after when the caller may retry.")
 	StreamResumed          = register(212, log.InfoLevel, "stream resumed", "A broken response stream continues at another backend server after the last delivered event.")
--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"trefoilferry.example/ferry/pkg/failure"
@@ -80,6 +82,19 @@
 	return newConn(c, address), nil
 }
 
+// Refuses reports whether the host at the address refuses connections, because no process listens there. A connection
+// that is accepted becomes idle.
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	c, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.opened.Add(1)
+	p.open.Add(1)
+	p.put(newConn(c, address), time.Now())
+	return false
+}
+
 // takeIdle returns the most recently used idle connection that is usable, and closes the unusable ones that it finds;
 // nil if there is none.
 func (p *Pool) takeIdle(address string, fresh bool, now time.Time) *conn {
--- a/pkg/gateway/forwarder.go
+++ b/pkg/gateway/forwarder.go
@@ -24,6 +24,7 @@
 	budgets *budgets
 	buffers bufferBudget
 	demand  *Demand
+	crashes *crashWatch
 	codec   Codec
 	log     *eventlog.Logger
 	metrics *Metrics
@@ -72,6 +73,7 @@
 	j.service = view.Config.Services[route.Service(j.routeHash())]
 	j.chain = prefixChain(&j.meta)
 	j.setDeadline()
+	j.parts = sharedParts(&j.meta)
 	body, fail := readBody(w, r, view.Config.Limits)
 	j.body = body
 	return j, fail
--- a/pkg/gateway/forwarder_config.go
+++ b/pkg/gateway/forwarder_config.go
@@ -29,6 +29,7 @@
 		backend: &backend{pool: p.Pool, codec: p.Codec, tracker: p.Tracker},
 		chooser: newChooser(p.Region, p.RegionOf),
 		budgets: newBudgets(p.Budget),
+		crashes: newCrashWatch(p.Pool, p.Log, p.Metrics),
 		demand:  p.Demand, codec: p.Codec, log: p.Log, metrics: p.Metrics,
 		draining: &atomic.Bool{},
 	}
--- a/pkg/gateway/job.go
+++ b/pkg/gateway/job.go
@@ -29,6 +29,8 @@
 	callerDeadline time.Time
 	// chain holds the prompt parts that the request shares with others.
 	chain []prefixLink
+	// parts holds the ids of the prompt parts that other requests may have as well.
+	parts []string
 	// tried holds the ids of the servers that failed the request.
 	tried map[string]bool
 }
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -15,6 +15,8 @@
 	attempts   *prometheus.CounterVec
 	durations  *prometheus.HistogramVec
 	firstEvent prometheus.Histogram
+	crashes    prometheus.Counter
+	suspects   prometheus.Histogram
 }
 
 // latencyBuckets are bucket bounds in seconds, from plain responses of some milliseconds to long streams.
@@ -29,7 +31,9 @@
 		durations: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "ferry_gateway_request_seconds", Help: "Time of served requests.", Buckets: latencyBuckets}, []string{"kind"}),
 	}
 	m.firstEvent = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "ferry_gateway_first_event_seconds", Help: "Time to the first event of served streams.", Buckets: latencyBuckets})
-	registry.MustRegister(m.requests, m.results, m.attempts, m.durations, m.firstEvent)
+	m.crashes = prometheus.NewCounter(prometheus.CounterOpts{Name: "ferry_gateway_server_crashes_total", Help: "Servers that ended with requests of this daemon in progress."})
+	m.suspects = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "ferry_gateway_crash_suspects", Help: "Requests at a server that crashed without a response that it survived.", Buckets: prometheus.ExponentialBuckets(1, 2, 7)})
+	registry.MustRegister(m.requests, m.results, m.attempts, m.durations, m.firstEvent, m.crashes, m.suspects)
 	return m
 }
 
@@ -54,3 +58,8 @@
 func (m *Metrics) recordAttemptFailure(fail *failure.Failure) {
 	m.attempts.WithLabelValues(string(fail.Code), string(fail.Outcome)).Inc()
 }
+
+func (m *Metrics) recordCrash(suspects int) {
+	m.crashes.Inc()
+	m.suspects.Observe(float64(suspects))
+}
--- a/pkg/gateway/run_attempt.go
+++ b/pkg/gateway/run_attempt.go
@@ -26,7 +26,9 @@
 	tokens := c.prefill
 	f.backend.tracker.BeginAttempt(c.server.ID, tokens)
 	defer func() { f.backend.tracker.EndAttempt(c.server.ID, tokens) }()
+	prompt := &promptWatch{id: j.meta.RequestID, parts: j.parts}
 	first := func() {
+		prompt.recordFirstEvent(time.Now())
 		f.backend.tracker.RecordFirstToken(c.server.ID, tokens)
 		tokens = 0
 	}
@@ -45,15 +47,16 @@
 		if fail.Code == failure.WrongIncarnation {
 			f.backend.tracker.RecordNotLoaded(c.server.ID, j.meta.Model, j.meta.Adapter, time.Now())
 		}
-		return attemptResult{fail: f.classifyFailure(ctx, c, fail)}
+		return attemptResult{fail: f.classifyFailure(ctx, j, c, prompt, fail)}
 	}
+	prompt.begun = true
 	f.backend.tracker.RecordResponse(c.server.ID)
 	if j.bufferResponse() || resp.Status != 200 || !respMeta.Signed {
 		a := readFullResponse(resp, respMeta, &f.buffers)
 		p.reserved += a.reserved
 		stopTimeout()
 		if a.fail != nil {
-			a.fail = f.classifyFailure(ctx, c, a.fail)
+			a.fail = f.classifyFailure(ctx, j, c, prompt, a.fail)
 		}
 		if p.relay.started && a.fail == nil {
 			a.fail = failure.New(failure.EngineFailed, failure.Ran, "the server did not resume the stream after event "+lastEvent)
@@ -64,7 +67,7 @@
 	fail = p.relay.run(ctx, cancel, resp, stallTimeout(j), func() { stopTimeout(); first() })
 	stopTimeout()
 	if fail != nil {
-		return attemptResult{fail: f.classifyFailure(ctx, c, fail), delivered: p.relay.started}
+		return attemptResult{fail: f.classifyFailure(ctx, j, c, prompt, fail), delivered: p.relay.started}
 	}
 	return attemptResult{delivered: true}
 }
@@ -93,8 +96,11 @@
 }
 
 // classifyFailure turns a cancellation by the response timeout into ConnectionLost, and records servers that could not
-// be reached or did not respond.
-func (f *Forwarder) classifyFailure(ctx context.Context, c *choice, fail *failure.Failure) *failure.Failure {
+// be reached, did not respond or broke the connection.
+func (f *Forwarder) classifyFailure(ctx context.Context, j *job, c *choice, prompt *promptWatch, fail *failure.Failure) *failure.Failure {
+	if j.needsModel() && ctx.Err() == nil && f.inService(c.server.ID) && (fail.Code == failure.ConnectionLost || fail.Code == failure.Truncated) {
+		f.crashes.recordBroken(&c.server, prompt.suspect(time.Now()))
+	}
 	if fail.Code == failure.ClientCancelled && context.Cause(ctx) == errStalled {
 		fail = failure.Wrap(failure.ConnectionLost, fail.Outcome, "server "+c.server.ID+" did not respond in time", fail)
 	}
@@ -111,3 +117,9 @@
 	}
 	return fail
 }
+
+// inService reports whether a server is listed and not leaving. One that leaves ends its connections as planned.
+func (f *Forwarder) inService(id string) bool {
+	s, ok := f.control.View().Servers[id]
+	return ok && !s.Draining
+}
