Hold back requests with a prompt part that crashes runners

Cause: a failed attempt was only evidence against the server. Class: failures that a request carries with it, blamed on the place where they show.

Change: pkg/quarantine judges crashes, without clock or network: the parts of the requests without a response that the runner survived are suspect; what runners survive afterwards is cleared; a part that explains two crashes with a begun response (three otherwise) is barred for ten minutes. Parts that only ever come together are barred together only, so that sound requests that share one of them are served. Crashes within 100 ms count as one, as when a failure domain is lost. The lease holder decides from all daemons' evidence and sends the list with each view; it is part of the lease record, for the next holder and for daemons that start; each daemon repeats its evidence to a new holder, and goes by its own while it has no view. Barred requests get 503 at once with the time until the entry ends; those that wait at a runner are withdrawn. A request that may have crashed its server is sent again only if runners have survived all its parts.

Weighed: evidence by way of the store (a long poll of each daemon; calls are the largest price of the large site) and a decision by each daemon alone (each sees a fifth of the crashes at 5 daemons, a hundredth at 103); the reports to the lease holder carry it at no further call.

--- a/pkg/coordinator/config.go
+++ b/pkg/coordinator/config.go
@@ -1,5 +1,7 @@
 package coordinator
 
+import "trefoilferry.example/ferry/pkg/quarantine"
+
 // Config holds the settings of a coordinator.
 type Config struct {
 	// Holder is the name of this host in orders.
@@ -7,4 +9,6 @@
 	// RegionOf maps failure domains to regions.
 	RegionOf   map[string]string
 	LoadLimits LoadLimits
+	// Board is the quarantine in force at this daemon.
+	Board *quarantine.Board
 }
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -10,6 +10,7 @@
 
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/fleet"
+	"trefoilferry.example/ferry/pkg/quarantine"
 )
 
 const (
@@ -42,7 +43,9 @@
 	// totalWork is the sum over the reports in daemons, by runner index.
 	totalWork    map[uint32]runnerWork
 	loadLimiters map[string]*loadLimiter
-	viewVersion  uint64
+	// judge decides which requests crash runners.
+	judge       *quarantine.Judge
+	viewVersion uint64
 	// removed holds the runners that left the list, with the view version at which they left.
 	removed map[string]removedRunner
 	// indexTaken holds the indexes of the runners.
@@ -75,6 +78,9 @@
 
 // New returns a coordinator; the caller starts it with Run.
 func New(config Config, source FleetSource, lease LeaseView, client RunnerClient, log *eventlog.Logger) *Coordinator {
+	if config.Board == nil {
+		config.Board = quarantine.NewBoard()
+	}
 	c := &Coordinator{config: config, fleet: source, lease: lease, client: client, log: log,
 		viewChanged: make(chan struct{}), wake: make(chan struct{}, 1)}
 	c.reset()
@@ -92,6 +98,7 @@
 	c.removed = map[string]removedRunner{}
 	c.indexTaken = map[uint32]bool{}
 	c.digests = nil
+	c.judge = quarantine.NewJudge()
 }
 
 // Run plans until ctx ends and then waits for the orders in progress.
@@ -125,6 +132,7 @@
 		return
 	}
 	c.active = true
+	c.judgeCrashes(now)
 	view := c.fleet.View()
 	config := view.Config
 	if config == nil {
--- a/pkg/coordinator/cut_off_test.go
+++ b/pkg/coordinator/cut_off_test.go
@@ -12,6 +12,7 @@
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/fleet"
 	"trefoilferry.example/ferry/pkg/gateway"
+	"trefoilferry.example/ferry/pkg/quarantine"
 )
 
 // cutOffFleet is the state of a holder that last reached the store that long ago.
@@ -50,7 +51,7 @@
 		go control.Run(ctx)
 		lost := &atomic.Int32{}
 		l := countingLease{followerLease{strings.TrimPrefix(web.URL, "http://")}, lost}
-		reporter := NewReporter("d", l, nil, control, gateway.NewDemand(), gateway.NewTracker(), eventlog.Discard())
+		reporter := NewReporter("d", l, nil, control, gateway.NewDemand(), gateway.NewTracker(), quarantine.NewBoard(), eventlog.Discard())
 		reporter.report(ctx)
 		waitUntil(t, 10*time.Second, func() bool { return control.View().Placement != nil })
 		if p := control.View().Placement; len(p.Holdings) != 1 {
--- a/pkg/coordinator/handover.go
+++ b/pkg/coordinator/handover.go
@@ -5,12 +5,39 @@
 	"time"
 
 	"trefoilferry.example/ferry/pkg/eventlog"
+	"trefoilferry.example/ferry/pkg/quarantine"
 )
 
 // handoverState is the state that the next holder needs: the ages in milliseconds of recent loads from the weight
 // store, by service. Without them two holders together would exceed the store's rate.
 type handoverState struct {
 	LoadAges map[string][]int64 `json:"load_ages"`
+	// Barred holds the requests that crash runners.
+	Barred []barredPrompt `json:"barred,omitempty"`
+}
+
+// barredPrompt is an entry of the quarantine; times are in milliseconds from the export.
+type barredPrompt struct {
+	Parts     []string `json:"parts"`
+	Age       int64    `json:"age"`
+	Remaining int64    `json:"remaining"`
+}
+
+func exportBarred(entries []quarantine.Entry, now time.Time) []barredPrompt {
+	out := make([]barredPrompt, 0, len(entries))
+	for _, e := range entries {
+		out = append(out, barredPrompt{Parts: e.Parts, Age: now.Sub(e.Since).Milliseconds(), Remaining: e.Until.Sub(now).Milliseconds()})
+	}
+	return out
+}
+
+func (s *handoverState) barredEntries(now time.Time) []quarantine.Entry {
+	out := make([]quarantine.Entry, 0, len(s.Barred))
+	for _, b := range s.Barred {
+		out = append(out, quarantine.Entry{Parts: b.Parts, Since: now.Add(-time.Duration(b.Age) * time.Millisecond),
+			Until: now.Add(time.Duration(b.Remaining) * time.Millisecond)})
+	}
+	return out
 }
 
 // ExportState implements lease.StateHandover.
@@ -18,7 +45,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	state := handoverState{LoadAges: map[string][]int64{}}
+	state := handoverState{LoadAges: map[string][]int64{}, Barred: exportBarred(c.judge.List.Entries(now), now)}
 	for service, limiter := range c.loadLimiters {
 		for _, t := range limiter.recent(now) {
 			state.LoadAges[service] = append(state.LoadAges[service], now.Sub(t).Milliseconds())
@@ -34,16 +61,13 @@
 // ImportState implements lease.StateHandover. The ages are counted from now, which is later than when they were
 // written, so that loads are counted for too long rather than too short a time.
 func (c *Coordinator) ImportState(text string) {
-	var state handoverState
-	if text != "" {
-		if err := json.Unmarshal([]byte(text), &state); err != nil {
-			c.log.Log(eventlog.RecordRefused, "record", "lease", "reason", err)
-		}
-	}
+	state := c.decodeState(text)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reset()
 	now := time.Now()
+	// The record may be older than the view of the previous holder.
+	c.judge.Merge(append(state.barredEntries(now), c.config.Board.Entries(now)...))
 	for service, ages := range state.LoadAges {
 		limiter := &loadLimiter{limits: c.config.LoadLimits}
 		for _, age := range ages {
@@ -52,3 +76,24 @@
 		c.loadLimiters[service] = limiter
 	}
 }
+
+// ObserveState implements lease.StateHandover. A daemon that has just started, or that does not reach the holder, learns
+// from the store which requests crash runners.
+func (c *Coordinator) ObserveState(text string) {
+	state := c.decodeState(text)
+	now := time.Now()
+	c.config.Board.Merge(state.barredEntries(now), now)
+}
+
+// decodeState decodes what a holder has exported; an unreadable text is an empty state.
+func (c *Coordinator) decodeState(text string) *handoverState {
+	state := &handoverState{}
+	if text == "" {
+		return state
+	}
+	if err := json.Unmarshal([]byte(text), state); err != nil {
+		c.log.Log(eventlog.RecordRefused, "record", "lease", "reason", err)
+		return &handoverState{}
+	}
+	return state
+}
--- a/pkg/coordinator/report.go
+++ b/pkg/coordinator/report.go
@@ -98,6 +98,7 @@
 		}
 	}
 	c.setReport(report.Daemon, &daemonReport{receivedAt: now, work: decodeWork(report.Work)})
+	c.applyEvidence(report, now)
 	for _, index := range report.Unreached {
 		c.requestRefresh(index, now)
 	}
@@ -157,7 +158,9 @@
 		c.addHoldings(out, report)
 	}
 	out.Work = encodeWork(c.peerWork(report.Daemon))
-	addStoreState(out, c.fleet.View(), report, time.Now())
+	now := time.Now()
+	c.addQuarantine(out, now)
+	addStoreState(out, c.fleet.View(), report, now)
 	return out
 }
 
--- a/pkg/coordinator/resync_test.go
+++ b/pkg/coordinator/resync_test.go
@@ -13,6 +13,7 @@
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/fleet"
 	"trefoilferry.example/ferry/pkg/gateway"
+	"trefoilferry.example/ferry/pkg/quarantine"
 )
 
 func randomServers(random *rand.Rand, n int) map[string]fleet.Server {
@@ -68,7 +69,7 @@
 	control := gateway.NewControl(eventlog.Discard(), gateway.NewPollTiming(5*time.Second))
 	go control.Run(ctx)
 	return &follower{control: control,
-		reporter: NewReporter("d", followerLease{}, nil, control, gateway.NewDemand(), gateway.NewTracker(), eventlog.Discard())}
+		reporter: NewReporter("d", followerLease{}, nil, control, gateway.NewDemand(), gateway.NewTracker(), quarantine.NewBoard(), eventlog.Discard())}
 }
 
 // reportTo sends reports to a holder until its view is applied and returns the bytes of the responses.
--- a/pkg/coordinator/tenure_test.go
+++ b/pkg/coordinator/tenure_test.go
@@ -14,6 +14,7 @@
 	"trefoilferry.example/ferry/pkg/fleet"
 	"trefoilferry.example/ferry/pkg/gateway"
 	"trefoilferry.example/ferry/pkg/lease"
+	"trefoilferry.example/ferry/pkg/quarantine"
 )
 
 // versionedFleet is a fixed list of servers with a version.
@@ -75,7 +76,7 @@
 	defer cancel()
 	control := gateway.NewControl(eventlog.Discard(), gateway.NewPollTiming(4*time.Second))
 	go control.Run(ctx)
-	reporter := NewReporter("d", followerLease{strings.TrimPrefix(holder.URL, "http://")}, nil, control, gateway.NewDemand(), gateway.NewTracker(), eventlog.Discard())
+	reporter := NewReporter("d", followerLease{strings.TrimPrefix(holder.URL, "http://")}, nil, control, gateway.NewDemand(), gateway.NewTracker(), quarantine.NewBoard(), eventlog.Discard())
 
 	wantServers := func(n int) {
 		t.Helper()
--- a/pkg/coordinator/two_holders_test.go
+++ b/pkg/coordinator/two_holders_test.go
@@ -15,6 +15,7 @@
 	"trefoilferry.example/ferry/pkg/fleet"
 	"trefoilferry.example/ferry/pkg/gateway"
 	"trefoilferry.example/ferry/pkg/lease"
+	"trefoilferry.example/ferry/pkg/quarantine"
 )
 
 // listStore is a store with a list of servers that leave one after the other.
@@ -135,7 +136,7 @@
 		if self > 0 {
 			clients[holderName(self)] = local
 		}
-		reporter := NewReporter(fmt.Sprint("d", self), l, local, control, gateway.NewDemand(), gateway.NewTracker(), eventlog.Discard())
+		reporter := NewReporter(fmt.Sprint("d", self), l, local, control, gateway.NewDemand(), gateway.NewTracker(), quarantine.NewBoard(), eventlog.Discard())
 		reporter.clients = clients
 		reporters = append(reporters, reporter)
 		time.AfterFunc(firstCut, func() { source.hangs.Store(1) })
--- a/pkg/failure/code.go
+++ b/pkg/failure/code.go
@@ -39,6 +39,7 @@
 	LogUnavailable       Code = "log_unavailable"
 	NotReady             Code = "not_ready"
 	RetryBudgetExhausted Code = "retry_budget_exhausted"
+	PromptQuarantined    Code = "prompt_quarantined"
 )
 
 // Codes of configuration, orders and internal work.
@@ -95,6 +96,7 @@
 	LogUnavailable:       http.StatusServiceUnavailable,
 	NotReady:             http.StatusServiceUnavailable,
 	RetryBudgetExhausted: http.StatusServiceUnavailable,
+	PromptQuarantined:    http.StatusServiceUnavailable,
 }
 
 // statusClientClosedRequest marks a request that the caller cancelled; it appears in metrics only.
--- a/pkg/gateway/attempt_result.go
+++ b/pkg/gateway/attempt_result.go
@@ -15,6 +15,9 @@
 	response *bufferedResponse
 	// delivered is set once a part of a stream has been written to the caller.
 	delivered bool
+	// suspect is set if the connection broke soon after the response had begun, so that the prompt may have crashed the
+	// server.
+	suspect bool
 	// reserved is what response, or an attempt to read one, holds of the buffer budget, in bytes.
 	reserved int64
 }
--- a/pkg/gateway/crash_watch.go
+++ b/pkg/gateway/crash_watch.go
@@ -30,6 +30,7 @@
 // safe for concurrent use.
 type crashWatch struct {
 	checker connectionChecker
+	board   *quarantine.Board
 	log     *eventlog.Logger
 	metrics *Metrics
 
@@ -45,23 +46,24 @@
 
 // brokenServer collects the attempts that broke at one server.
 type brokenServer struct {
+	at       time.Time
 	attempts int
 	suspects []quarantine.Suspect
 }
 
-func newCrashWatch(checker connectionChecker, log *eventlog.Logger, metrics *Metrics) *crashWatch {
-	return &crashWatch{checker: checker, log: log, metrics: metrics, broken: map[serverIncarnation]*brokenServer{}}
+func newCrashWatch(checker connectionChecker, board *quarantine.Board, log *eventlog.Logger, metrics *Metrics) *crashWatch {
+	return &crashWatch{checker: checker, board: board, log: log, metrics: metrics, broken: map[serverIncarnation]*brokenServer{}}
 }
 
 // recordBroken records that the connection of an attempt broke before the response was complete. suspect is nil if the
 // runner had survived the prompt of the request.
-func (w *crashWatch) recordBroken(server *fleet.Server, suspect *quarantine.Suspect) {
+func (w *crashWatch) recordBroken(server *fleet.Server, suspect *quarantine.Suspect, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	key := serverIncarnation{id: server.ID, startMillis: server.StartMillis}
 	b, ok := w.broken[key]
 	if !ok {
-		b = &brokenServer{}
+		b = &brokenServer{at: now}
 		w.broken[key] = b
 		address := server.Address
 		time.AfterFunc(crashCollectTime, func() { w.check(key, address) })
@@ -87,6 +89,7 @@
 	}
 	w.metrics.recordCrash(len(b.suspects))
 	w.log.Log(eventlog.ServerCrashed, "server", key.id, "born", key.startMillis, "attempts", b.attempts, "suspects", describeSuspects(b.suspects))
+	w.board.AddCrash(&quarantine.Crash{Server: key.id, StartMillis: key.startMillis, At: b.at, Requests: b.suspects})
 }
 
 // describeSuspects lists requests as ID:PART+PART, with an asterisk after the id if the response had begun.
--- a/pkg/gateway/forwarder.go
+++ b/pkg/gateway/forwarder.go
@@ -11,6 +11,7 @@
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/fleet"
+	"trefoilferry.example/ferry/pkg/quarantine"
 )
 
 // responseMargin is the time that a response takes to reach the caller.
@@ -24,6 +25,7 @@
 	budgets *budgets
 	buffers bufferBudget
 	demand  *Demand
+	board   *quarantine.Board
 	crashes *crashWatch
 	codec   Codec
 	log     *eventlog.Logger
@@ -76,6 +78,9 @@
 	j.parts = sharedParts(&j.meta)
 	body, fail := readBody(w, r, view.Config.Limits)
 	j.body = body
+	if fail == nil {
+		fail = f.barred(j, arrived)
+	}
 	return j, fail
 }
 
--- a/pkg/gateway/forwarder_config.go
+++ b/pkg/gateway/forwarder_config.go
@@ -5,6 +5,7 @@
 
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/exchange"
+	"trefoilferry.example/ferry/pkg/quarantine"
 )
 
 // ForwarderConfig holds the dependencies and settings of a Forwarder.
@@ -13,6 +14,7 @@
 	Pool    *exchange.Pool
 	Tracker *Tracker
 	Demand  *Demand
+	Board   *quarantine.Board
 	Codec   Codec
 	Log     *eventlog.Logger
 	Metrics *Metrics
@@ -29,7 +31,8 @@
 		backend: &backend{pool: p.Pool, codec: p.Codec, tracker: p.Tracker},
 		chooser: newChooser(p.Region, p.RegionOf),
 		budgets: newBudgets(p.Budget),
-		crashes: newCrashWatch(p.Pool, p.Log, p.Metrics),
+		board:   p.Board,
+		crashes: newCrashWatch(p.Pool, p.Board, p.Log, p.Metrics),
 		demand:  p.Demand, codec: p.Codec, log: p.Log, metrics: p.Metrics,
 		draining: &atomic.Bool{},
 	}
--- a/pkg/gateway/prompt_watch.go
+++ b/pkg/gateway/prompt_watch.go
@@ -8,16 +8,29 @@
 
 // promptWatch follows one attempt to see whether the runner survives the prompt.
 type promptWatch struct {
+	board *quarantine.Board
 	id    string
 	parts []string
 	// begun is set once the head of the response has arrived.
 	begun   bool
 	firstAt time.Time
+	timer   *time.Timer
 }
 
 // recordFirstEvent records the first event of the stream.
 func (p *promptWatch) recordFirstEvent(now time.Time) {
 	p.firstAt = now
+	p.timer = time.AfterFunc(survivedTime, func() { p.board.AddSound(p.parts, time.Now()) })
+}
+
+// end ends the attempt; complete is set if the whole response arrived.
+func (p *promptWatch) end(complete bool) {
+	if p.timer != nil {
+		p.timer.Stop()
+	}
+	if complete {
+		p.board.AddSound(p.parts, time.Now())
+	}
 }
 
 // suspect returns the request as a possible cause of a crash; nil if the runner had survived the prompt.
--- a/pkg/gateway/run_attempt.go
+++ b/pkg/gateway/run_attempt.go
@@ -26,9 +26,14 @@
 	tokens := c.prefill
 	f.backend.tracker.BeginAttempt(c.server.ID, tokens)
 	defer func() { f.backend.tracker.EndAttempt(c.server.ID, tokens) }()
-	prompt := &promptWatch{id: j.meta.RequestID, parts: j.parts}
+	prompt := &promptWatch{board: f.board, id: j.meta.RequestID, parts: j.parts}
+	complete := false
+	defer func() { prompt.end(complete) }()
+	stopWatch := f.board.Watch(j.parts, func() { cancel(errBarred) })
+	defer stopWatch()
 	first := func() {
 		prompt.recordFirstEvent(time.Now())
+		stopWatch()
 		f.backend.tracker.RecordFirstToken(c.server.ID, tokens)
 		tokens = 0
 	}
@@ -58,6 +63,7 @@
 		if a.fail != nil {
 			a.fail = f.classifyFailure(ctx, j, c, prompt, a.fail)
 		}
+		complete = a.fail == nil
 		if p.relay.started && a.fail == nil {
 			a.fail = failure.New(failure.EngineFailed, failure.Ran, "the server did not resume the stream after event "+lastEvent)
 		}
@@ -67,8 +73,10 @@
 	fail = p.relay.run(ctx, cancel, resp, stallTimeout(j), func() { stopTimeout(); first() })
 	stopTimeout()
 	if fail != nil {
-		return attemptResult{fail: f.classifyFailure(ctx, j, c, prompt, fail), delivered: p.relay.started}
+		suspect := ctx.Err() == nil && prompt.suspect(time.Now()) != nil
+		return attemptResult{fail: f.classifyFailure(ctx, j, c, prompt, fail), delivered: p.relay.started, suspect: suspect}
 	}
+	complete = true
 	return attemptResult{delivered: true}
 }
 
@@ -98,8 +106,12 @@
 // classifyFailure turns a cancellation by the response timeout into ConnectionLost, and records servers that could not
 // be reached, did not respond or broke the connection.
 func (f *Forwarder) classifyFailure(ctx context.Context, j *job, c *choice, prompt *promptWatch, fail *failure.Failure) *failure.Failure {
+	if fail.Code == failure.ClientCancelled && context.Cause(ctx) == errBarred {
+		return failure.Wrap(failure.PromptQuarantined, fail.Outcome, "the request was withdrawn from server "+c.server.ID, fail)
+	}
 	if j.needsModel() && ctx.Err() == nil && f.inService(c.server.ID) && (fail.Code == failure.ConnectionLost || fail.Code == failure.Truncated) {
-		f.crashes.recordBroken(&c.server, prompt.suspect(time.Now()))
+		now := time.Now()
+		f.crashes.recordBroken(&c.server, prompt.suspect(now), now)
 	}
 	if fail.Code == failure.ClientCancelled && context.Cause(ctx) == errStalled {
 		fail = failure.Wrap(failure.ConnectionLost, fail.Outcome, "server "+c.server.ID+" did not respond in time", fail)
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -34,6 +34,8 @@
 	// failureResponse is the last complete error response of a server; nil if none.
 	failureResponse *bufferedResponse
 	relay           *streamRelay
+	// suspect is set once an attempt may have crashed its server by the prompt of the request.
+	suspect bool
 	// reserved is what the responses of all attempts hold of the buffer budget, in bytes.
 	reserved int64
 }
@@ -71,6 +73,7 @@
 func (p *progress) record(a attemptResult) {
 	p.outcome = retry.CombineOutcomes(p.outcome, a.fail.Outcome)
 	p.last = a.fail
+	p.suspect = p.suspect || a.suspect
 	if a.response != nil {
 		p.failureResponse = a.response
 	}
@@ -89,7 +92,8 @@
 	return fail.Code == failure.ConnectFailed && fail.Outcome == failure.NotRun
 }
 
-// allowRetry reports whether the request may be sent again, and spends the retry budget for it. The budget bounds
+// allowRetry reports whether the request may be sent again. A request that may have crashed a server is sent again only
+// if servers have survived all of its prompt parts. allowRetry spends the retry budget for it. The budget bounds
 // arrivals at servers, so the retry of an attempt that reached no server spends none.
 func (f *Forwarder) allowRetry(j *job, p *progress, fail *failure.Failure) bool {
 	now := time.Now()
@@ -97,6 +101,9 @@
 		Now: now, Attempts: p.sent, MaxAttempts: j.route.MaxAttempts,
 		Delivered: p.relay.started, Resumable: j.route.Resumable,
 	}
+	if p.suspect && !f.board.Survived(j.parts) {
+		return false
+	}
 	if p.refused > maxRefusals || p.unreached > maxUnreachedAttempts {
 		return false
 	}
@@ -127,6 +134,9 @@
 		return nil, failure.New(failure.TargetMissed, failure.NotRun, "no server can begin the response in time: predicted after "+c.predicted.String()+
 			" with "+remaining.String()+" left").WithRetryAfter(c.predicted / 2)
 	}
+	if fail := f.barred(j, time.Now()); fail != nil {
+		return nil, fail
+	}
 	return &c, nil
 }
 
--- a/pkg/gatewaydaemon/module.go
+++ b/pkg/gatewaydaemon/module.go
@@ -11,6 +11,7 @@
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/gateway"
 	"trefoilferry.example/ferry/pkg/lease"
+	"trefoilferry.example/ferry/pkg/quarantine"
 )
 
 // NewApp returns the daemon as an fx application that logs to w. Check the application's Err before running it.
@@ -30,6 +31,7 @@
 			},
 			gateway.NewTracker,
 			gateway.NewDemand,
+			quarantine.NewBoard,
 			newCoordinatorRef,
 			newElector,
 			newCoordinator,
@@ -53,8 +55,8 @@
 	return lease.NewElector(clients.Lease, l, s.Host, s.PeerAddr, s.Cores, timing, ref)
 }
 
-func newCoordinator(s *Settings, clients *Clients, control *gateway.Control, elector *lease.Elector, ref *coordinatorRef, l *eventlog.Logger) *coordinator.Coordinator {
-	config := coordinator.Config{Holder: s.Host, RegionOf: s.RegionOf, LoadLimits: s.Loads}
+func newCoordinator(s *Settings, clients *Clients, control *gateway.Control, elector *lease.Elector, board *quarantine.Board, ref *coordinatorRef, l *eventlog.Logger) *coordinator.Coordinator {
+	config := coordinator.Config{Holder: s.Host, RegionOf: s.RegionOf, LoadLimits: s.Loads, Board: board}
 	c := coordinator.New(config, control, elector, clients.Runners, l)
 	ref.StateHandover = c
 	return c
@@ -66,13 +68,13 @@
 
 func newCoordinatorRef() *coordinatorRef { return &coordinatorRef{} }
 
-func newReporter(s *Settings, elector *lease.Elector, c *coordinator.Coordinator, control *gateway.Control, d *gateway.Demand, t *gateway.Tracker, l *eventlog.Logger) *coordinator.Reporter {
-	return coordinator.NewReporter(s.Host, elector, c, control, d, t, l)
+func newReporter(s *Settings, elector *lease.Elector, c *coordinator.Coordinator, control *gateway.Control, d *gateway.Demand, t *gateway.Tracker, board *quarantine.Board, l *eventlog.Logger) *coordinator.Reporter {
+	return coordinator.NewReporter(s.Host, elector, c, control, d, t, board, l)
 }
 
-func newForwarder(s *Settings, clients *Clients, control *gateway.Control, d *gateway.Demand, t *gateway.Tracker, m *gateway.Metrics, l *eventlog.Logger) *gateway.Forwarder {
+func newForwarder(s *Settings, clients *Clients, control *gateway.Control, d *gateway.Demand, t *gateway.Tracker, board *quarantine.Board, m *gateway.Metrics, l *eventlog.Logger) *gateway.Forwarder {
 	return gateway.NewForwarder(gateway.ForwarderConfig{
-		Control: control, Pool: clients.Pool, Tracker: t, Demand: d, Codec: clients.Codec, Log: l, Metrics: m,
+		Control: control, Pool: clients.Pool, Tracker: t, Demand: d, Board: board, Codec: clients.Codec, Log: l, Metrics: m,
 		Region: s.Region, RegionOf: s.RegionOf, Budget: s.Budget,
 	})
 }
--- a/pkg/lease/elector.go
+++ b/pkg/lease/elector.go
@@ -44,6 +44,8 @@
 	// failures counts consecutive failed calls to the store; retryAt is the earliest time of the next call.
 	failures int
 	retryAt  time.Duration
+	// observed is the last state that was passed to ObserveState.
+	observed string
 }
 
 const (
@@ -129,6 +131,9 @@
 	if err != nil {
 		e.log.Log(eventlog.LeaseUnreadable, "reason", err)
 	}
+	if err == nil && found {
+		e.observe(rec)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.recordStoreCall(err == nil)
@@ -149,6 +154,8 @@
 	rec, position, err := e.store.Load(ctx)
 	if err != nil {
 		e.log.Log(eventlog.LeaseUnreadable, "reason", err)
+	} else {
+		e.observe(rec)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -163,6 +170,15 @@
 	}
 }
 
+// observe passes on the state of a holder that has not been seen before.
+func (e *Elector) observe(rec Record) {
+	if rec.Holder == e.name || rec.HandoverState == e.observed {
+		return
+	}
+	e.observed = rec.HandoverState
+	e.handover.ObserveState(rec.HandoverState)
+}
+
 func (e *Elector) write(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
--- a/pkg/lease/handover.go
+++ b/pkg/lease/handover.go
@@ -6,4 +6,6 @@
 	ExportState() string
 	// ImportState replaces the local state by the state of the previous holder.
 	ImportState(state string)
+	// ObserveState tells a daemon that does not hold the lease the state that the holder has written.
+	ObserveState(state string)
 }
--- a/pkg/lease/herd_test.go
+++ b/pkg/lease/herd_test.go
@@ -78,6 +78,7 @@
 
 func (noState) ExportState() string { return "" }
 func (noState) ImportState(string)  {}
+func (noState) ObserveState(string) {}
 
 // Load pattern: the holder of the lease is lost at once for 103 daemons. Guards against daemons that poll the store
 // until one of them has taken the lease and the others have seen it: with a read each 300 ms a hand-over took about ten
--- a/pkg/quarantine/crash.go
+++ b/pkg/quarantine/crash.go
@@ -1,5 +1,17 @@
 package quarantine
 
+import "time"
+
+// Crash is the end of a runner, with the requests that may have caused it. Several daemons can report the same crash,
+// each with its own requests.
+type Crash struct {
+	// Server and StartMillis identify the incarnation of the runner.
+	Server      string
+	StartMillis int64
+	At          time.Time
+	Requests    []Suspect
+}
+
 // Suspect is a request to which a runner had not responded for long, if at all, when it crashed.
 type Suspect struct {
 	RequestID string
@@ -8,6 +20,3 @@
 	// Begun is set if the head of the response had arrived.
 	Begun bool
 }
-
-// MaxRequests bounds the requests of one crash; runners run fewer at once.
-const MaxRequests = 128
--- /dev/null
+++ b/pkg/quarantine/culprits.go
@@ -0,0 +1,132 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// minBegunCrashes is the number of crashes after which a part counts as their cause if no runner has ever survived it
+	// and the response to a request with it had begun each time.
+	minBegunCrashes = 2
+	// minCrashes is that number for all other parts.
+	minCrashes = 3
+	// tieCrashes is the number from which several parts that explain the crashes equally well all count as their cause.
+	tieCrashes = 5
+	// sameMoment is the time within which crashes count as one, because one fault can end many runners.
+	sameMoment = 100 * time.Millisecond
+	// entryTime is how long requests with a part are barred. After that they may crash as many runners again as it takes
+	// to find the part.
+	entryTime = 10 * time.Minute
+)
+
+// record is what the crashes tell about one part.
+type record struct {
+	part string
+	// crashes counts the moments at which runners crashed on requests with the part, begun those at which the response to
+	// such a request had begun.
+	crashes int
+	begun   int
+	last    time.Time
+	// lastBegun is the last moment counted in begun.
+	lastBegun time.Time
+	// requests identifies the requests with the part.
+	requests []string
+}
+
+// Culprits returns the entries for the parts that the crashes without an entry point to.
+func (e *Evidence) Culprits(list *List, now time.Time) []Entry {
+	records := e.records(list, now)
+	var best []*record
+	for _, part := range slices.Sorted(maps.Keys(records)) {
+		r := records[part]
+		if !e.enough(r) {
+			continue
+		}
+		if len(best) > 0 {
+			if order := compareRecords(r, best[0]); order < 0 {
+				continue
+			} else if order > 0 {
+				best = nil
+			}
+		}
+		best = append(best, r)
+	}
+	groups := groupByRequests(best)
+	if len(groups) > 1 && best[0].crashes < tieCrashes {
+		// The next crash tells them apart.
+		return nil
+	}
+	out := make([]Entry, 0, len(groups))
+	for _, parts := range groups {
+		out = append(out, Entry{Parts: parts, Since: now, Until: now.Add(entryTime)})
+	}
+	return out
+}
+
+// records returns a record for each part that no runner has survived since a crash.
+func (e *Evidence) records(list *List, now time.Time) map[string]*record {
+	out := map[string]*record{}
+	for n, c := range e.settled(list, now) {
+		for i := range c.Requests {
+			request := &c.Requests[i]
+			for _, part := range request.Parts {
+				if e.sound.at(part).After(c.At) {
+					continue
+				}
+				r, ok := out[part]
+				if !ok {
+					r = &record{part: part}
+					out[part] = r
+				}
+				r.add(c.At, request, n)
+			}
+		}
+	}
+	return out
+}
+
+// add adds a request of the nth crash; crashes are added in the order of their times.
+func (r *record) add(at time.Time, request *Suspect, n int) {
+	if r.crashes == 0 || at.Sub(r.last) >= sameMoment {
+		r.crashes, r.last = r.crashes+1, at
+	}
+	if request.Begun && (r.begun == 0 || at.Sub(r.lastBegun) >= sameMoment) {
+		r.begun, r.lastBegun = r.begun+1, at
+	}
+	r.requests = append(r.requests, strconv.Itoa(n)+"/"+request.RequestID)
+}
+
+// enough reports whether a part may be taken for the cause.
+func (e *Evidence) enough(r *record) bool {
+	if r.crashes >= minCrashes {
+		return true
+	}
+	return r.begun >= minBegunCrashes && e.sound.at(r.part).IsZero()
+}
+
+// compareRecords is positive if a explains the crashes better than b.
+func compareRecords(a, b *record) int {
+	if a.crashes != b.crashes {
+		return a.crashes - b.crashes
+	}
+	return a.begun - b.begun
+}
+
+// groupByRequests groups the parts that came in exactly the same requests.
+func groupByRequests(records []*record) [][]string {
+	groups := map[string][]string{}
+	for _, r := range records {
+		requests := slices.Compact(slices.Sorted(slices.Values(r.requests)))
+		key := strings.Join(requests, ",")
+		groups[key] = append(groups[key], r.part)
+	}
+	var out [][]string
+	for _, key := range slices.Sorted(maps.Keys(groups)) {
+		out = append(out, groups[key])
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/quarantine/entry.go
@@ -0,0 +1,28 @@
+package quarantine
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Entry bars the requests that have all of its parts.
+type Entry struct {
+	// Parts are in ascending order. There are several only if they have always come together.
+	Parts []string
+	// Since is when the entry was made, Until when it expires.
+	Since time.Time
+	Until time.Time
+}
+
+// covers reports whether a request with the given parts is barred.
+func (e *Entry) covers(parts []string) bool {
+	for _, part := range e.Parts {
+		if !slices.Contains(parts, part) {
+			return false
+		}
+	}
+	return len(e.Parts) > 0
+}
+
+func (e *Entry) key() string { return strings.Join(e.Parts, ",") }
--- /dev/null
+++ b/pkg/quarantine/evidence.go
@@ -0,0 +1,96 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// evidenceTime is how long crashes count.
+	evidenceTime = time.Minute
+	// settleTime is the age from which a crash counts. Within it other daemons report which of its parts runners have
+	// survived meanwhile; the largest fleets report about every 300 ms.
+	settleTime = 500 * time.Millisecond
+	// maxCrashes bounds the crashes that are remembered; a failure domain holds fewer runners.
+	maxCrashes = 256
+	// MaxRequests bounds the requests of one crash; runners run fewer at once.
+	MaxRequests = 128
+)
+
+// crashKey identifies the crash of one incarnation of a runner.
+type crashKey struct {
+	server      string
+	startMillis int64
+}
+
+// Evidence collects crashes and the parts that runners have survived. It is not safe for concurrent use.
+type Evidence struct {
+	crashes map[crashKey]*Crash
+	sound   *soundParts
+}
+
+// NewEvidence returns an Evidence without crashes.
+func NewEvidence() *Evidence {
+	return &Evidence{crashes: map[crashKey]*Crash{}, sound: newSoundParts()}
+}
+
+// AddCrash adds a crash, or further requests to a known one. Reports without requests are ignored.
+func (e *Evidence) AddCrash(c *Crash) {
+	if len(c.Requests) == 0 {
+		return
+	}
+	key := crashKey{server: c.Server, startMillis: c.StartMillis}
+	known, ok := e.crashes[key]
+	if !ok {
+		if len(e.crashes) >= maxCrashes {
+			return
+		}
+		known = &Crash{Server: c.Server, StartMillis: c.StartMillis, At: c.At}
+		e.crashes[key] = known
+	}
+	for _, request := range c.Requests {
+		same := func(s Suspect) bool { return s.RequestID == request.RequestID }
+		if len(known.Requests) < MaxRequests && !slices.ContainsFunc(known.Requests, same) {
+			known.Requests = append(known.Requests, request)
+		}
+	}
+}
+
+// AddSound records that a runner had survived the part by the given time.
+func (e *Evidence) AddSound(part string, at time.Time) { e.sound.add(part, at) }
+
+// SoundAt returns when a runner was last known to have survived the part; the zero time if never.
+func (e *Evidence) SoundAt(part string) time.Time { return e.sound.at(part) }
+
+// Expire drops the crashes that are too old to count.
+func (e *Evidence) Expire(now time.Time) {
+	maps.DeleteFunc(e.crashes, func(_ crashKey, c *Crash) bool { return now.Sub(c.At) > evidenceTime })
+}
+
+// Suspects returns the parts that no runner is known to have survived since a crash, in ascending order.
+func (e *Evidence) Suspects() []string {
+	parts := map[string]bool{}
+	for _, c := range e.crashes {
+		for i := range c.Requests {
+			for _, part := range c.Requests[i].Parts {
+				if !e.sound.at(part).After(c.At) {
+					parts[part] = true
+				}
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(parts))
+}
+
+// settled returns the crashes that count now and that no entry of the list explains, oldest first.
+func (e *Evidence) settled(list *List, now time.Time) []*Crash {
+	var out []*Crash
+	for _, c := range e.crashes {
+		if now.Sub(c.At) >= settleTime && !list.explains(c) {
+			out = append(out, c)
+		}
+	}
+	slices.SortFunc(out, func(a, b *Crash) int { return a.At.Compare(b.At) })
+	return out
+}
--- /dev/null
+++ b/pkg/quarantine/judge_test.go
@@ -0,0 +1,158 @@
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// crash returns the crash of server n with the given requests, each a list of parts; all of their responses had begun.
+func crash(n int, when time.Duration, requests ...[]string) *Crash {
+	c := &Crash{Server: fmt.Sprint("r", n), StartMillis: 1, At: at(when)}
+	for i, parts := range requests {
+		c.Requests = append(c.Requests, Suspect{RequestID: fmt.Sprint("q", n, "-", i), Parts: parts, Begun: true})
+	}
+	return c
+}
+
+// waiting marks the responses of all requests of a crash as not begun.
+func waiting(c *Crash) *Crash {
+	for i := range c.Requests {
+		c.Requests[i].Begun = false
+	}
+	return c
+}
+
+func barredParts(j *Judge) []string {
+	var out []string
+	for i := range j.List.entries {
+		out = append(out, j.List.entries[i].key())
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Load pattern: requests with one part crash a runner every half second while sound requests share their other parts.
+// Guards against a part that is found too late, and against a companion that is barred with it.
+func TestCrashingPartIsFoundAmongSoundOnes(t *testing.T) {
+	for _, begun := range []bool{true, false} {
+		j, crashes := NewJudge(), 0
+		for n := 0; len(j.List.entries) == 0; n++ {
+			if n > 20 {
+				t.Fatalf("begun %v: part not found after %d crashes", begun, crashes)
+			}
+			when := time.Duration(n) * 500 * time.Millisecond
+			c := crash(n, when, []string{"first", "second", "deadly"}, []string{"other", fmt.Sprint("own", n)})
+			if !begun {
+				waiting(c)
+			}
+			j.Evidence.AddCrash(c)
+			crashes++
+			for _, part := range []string{"first", "second", "other"} {
+				j.Evidence.AddSound(part, at(when+200*time.Millisecond))
+			}
+			j.Step(at(when + settleTime))
+		}
+		if got := barredParts(j); !slices.Equal(got, []string{"deadly"}) || crashes > minCrashes {
+			t.Errorf("begun %v: barred %v after %d crashes, want the deadly part after at most %d", begun, got, crashes, minCrashes)
+		}
+	}
+}
+
+// Guards against sound requests that are refused because they share a part with requests that crash runners, when no
+// runner has been seen to survive that part yet.
+func TestPartsThatAlwaysComeTogetherAreBarredTogetherOnly(t *testing.T) {
+	j := NewJudge()
+	for n := range 2 {
+		j.Evidence.AddCrash(crash(n, time.Duration(n)*time.Second, []string{"first", "deadly"}))
+	}
+	j.Step(at(2 * time.Second))
+	now := at(2 * time.Second)
+	if j.List.Match([]string{"deadly", "first"}, now) == nil {
+		t.Fatalf("barred: %v, want requests with both parts", barredParts(j))
+	}
+	for _, parts := range [][]string{{"first"}, {"first", "sound"}, {"deadly"}} {
+		if j.List.Match(parts, now) != nil {
+			t.Errorf("request with %v is barred, want only requests with both parts", parts)
+		}
+	}
+	for n := range 3 {
+		j.Evidence.AddCrash(crash(10+n, time.Duration(3+n)*time.Second, []string{fmt.Sprint("first", n), "deadly"}))
+	}
+	j.Step(at(6 * time.Second))
+	if j.List.Match([]string{"deadly", "any"}, at(6*time.Second)) == nil {
+		t.Errorf("barred: %v, want the deadly part in any company after it came in another", barredParts(j))
+	}
+}
+
+// Load pattern: a failure domain with 40 runners is lost at once, with requests for shared parts on all of them. Guards
+// against sound parts that are barred because many runners end on them.
+func TestLossOfManyRunnersBarsNothing(t *testing.T) {
+	j := NewJudge()
+	for n := range 40 {
+		j.Evidence.AddCrash(crash(n, time.Duration(n)*time.Millisecond, []string{"system", "dossier"}, []string{"system", fmt.Sprint("session", n%7)}))
+	}
+	for step := range 20 {
+		now := at(time.Duration(step) * 100 * time.Millisecond)
+		if j.Step(now); len(j.List.entries) > 0 {
+			t.Fatalf("barred after %v: %v, want nothing", now.Sub(start), barredParts(j))
+		}
+	}
+}
+
+// Guards against a part that is barred although runners have survived it since, and against one that stays barred when
+// they survive it later.
+func TestPartsThatRunnersSurviveAreAllowed(t *testing.T) {
+	j := NewJudge()
+	for n := range 6 {
+		when := time.Duration(n) * time.Second
+		j.Evidence.AddCrash(crash(n, when, []string{"shared"}))
+		j.Evidence.AddSound("shared", at(when+settleTime/2))
+		j.Step(at(when + settleTime))
+	}
+	if len(j.List.entries) > 0 {
+		t.Fatalf("barred: %v, want nothing: a runner survived the part after each crash", barredParts(j))
+	}
+	for n := range 3 {
+		j.Evidence.AddCrash(crash(10+n, time.Duration(10+n)*time.Second, []string{"shared"}))
+	}
+	if j.Step(at(13 * time.Second)); len(j.List.entries) != 1 {
+		t.Fatalf("barred after three crashes in a row: %v, want the part", barredParts(j))
+	}
+	j.Evidence.AddSound("shared", at(14*time.Second))
+	if _, lifted := j.Step(at(14 * time.Second)); len(lifted) != 1 || len(j.List.entries) != 0 {
+		t.Errorf("lifted %v, still barred %v, want the entry lifted", lifted, barredParts(j))
+	}
+}
+
+// Guards against one crash that counts several times because several daemons report it, and against memory that grows
+// with the number of crashes or parts.
+func TestEvidenceIsMergedAndBounded(t *testing.T) {
+	j := NewJudge()
+	for range 5 {
+		j.Evidence.AddCrash(crash(1, 0, []string{"p"}))
+	}
+	if j.Step(at(time.Second)); len(j.List.entries) > 0 {
+		t.Errorf("barred after one crash: %v, want nothing", barredParts(j))
+	}
+	for n := range 3 * maxCrashes {
+		j.Evidence.AddCrash(crash(100+n, 0, []string{"p"}))
+	}
+	for n := range 5 * soundGeneration {
+		j.Evidence.AddSound(fmt.Sprint("s", n), at(time.Duration(n)))
+	}
+	if n := len(j.Evidence.crashes); n > maxCrashes {
+		t.Errorf("crashes kept: %d, want at most %d", n, maxCrashes)
+	}
+	if n := len(j.Evidence.sound.recent) + len(j.Evidence.sound.older); n > 2*soundGeneration {
+		t.Errorf("parts kept: %d, want at most %d", n, 2*soundGeneration)
+	}
+	if j.Step(at(evidenceTime + time.Second)); len(j.Evidence.crashes) != 0 {
+		t.Errorf("crashes kept after %v: %d, want none", evidenceTime, len(j.Evidence.crashes))
+	}
+}
--- a/pkg/retry/next.go
+++ b/pkg/retry/next.go
@@ -21,6 +21,7 @@
 	failure.DeadlineExceeded:     true,
 	failure.LogUnavailable:       true,
 	failure.RetryBudgetExhausted: true,
+	failure.PromptQuarantined:    true,
 }
 
 // awaitsBackend lists the failures that end once a runner becomes available.
