quarantine: a new lease holder asks before it decides

Cause: a new holder got eight crashes of the last ten seconds at once and took them for settled by their age, before any daemon had told it that runners had survived the shared part since. The entry stayed, because only what runners survived after it was made could lift it, and nothing is sent on a barred part.

Change: a crash counts from half a second after the decider first heard of it, and an entry is lifted by a survival after the last crash that it rests on.

--- a/pkg/coordinator/handover.go
+++ b/pkg/coordinator/handover.go
@@ -16,7 +16,7 @@
 	Barred []barredPrompt `json:"barred,omitempty"`
 }
 
-// barredPrompt is an entry of the quarantine; times are in milliseconds from the export.
+// barredPrompt is an entry of the quarantine; times are in milliseconds before and after the export.
 type barredPrompt struct {
 	Parts     []string `json:"parts"`
 	Age       int64    `json:"age"`
@@ -26,7 +26,7 @@
 func exportBarred(entries []quarantine.Entry, now time.Time) []barredPrompt {
 	out := make([]barredPrompt, 0, len(entries))
 	for _, e := range entries {
-		out = append(out, barredPrompt{Parts: e.Parts, Age: now.Sub(e.Since).Milliseconds(), Remaining: e.Until.Sub(now).Milliseconds()})
+		out = append(out, barredPrompt{Parts: e.Parts, Age: now.Sub(e.LastCrash).Milliseconds(), Remaining: e.Until.Sub(now).Milliseconds()})
 	}
 	return out
 }
@@ -34,7 +34,7 @@
 func (s *handoverState) barredEntries(now time.Time) []quarantine.Entry {
 	out := make([]quarantine.Entry, 0, len(s.Barred))
 	for _, b := range s.Barred {
-		out = append(out, quarantine.Entry{Parts: b.Parts, Since: now.Add(-time.Duration(b.Age) * time.Millisecond),
+		out = append(out, quarantine.Entry{Parts: b.Parts, LastCrash: now.Add(-time.Duration(b.Age) * time.Millisecond),
 			Until: now.Add(time.Duration(b.Remaining) * time.Millisecond)})
 	}
 	return out
--- a/pkg/coordinator/quarantine.go
+++ b/pkg/coordinator/quarantine.go
@@ -17,7 +17,7 @@
 func (c *Coordinator) applyEvidence(report *ferrypb.LoadReport, now time.Time) {
 	for _, m := range report.Crashes {
 		crash := crashFromProto(m, now)
-		c.judge.Evidence.AddCrash(&crash)
+		c.judge.Evidence.AddCrash(&crash, now)
 	}
 	for _, s := range report.SoundParts {
 		c.judge.Evidence.AddSound(s.Part, now.Add(-millis(s.AgeMillis)))
@@ -40,7 +40,7 @@
 func (c *Coordinator) addQuarantine(out *ferrypb.FleetView, now time.Time) {
 	out.QuarantineKnown = true
 	for _, e := range c.judge.List.Entries(now) {
-		out.Quarantine = append(out.Quarantine, &ferrypb.QuarantineEntry{Parts: e.Parts, AgeMillis: ageMillis(e.Since, now), RemainingMillis: ageMillis(now, e.Until)})
+		out.Quarantine = append(out.Quarantine, &ferrypb.QuarantineEntry{Parts: e.Parts, AgeMillis: ageMillis(e.LastCrash, now), RemainingMillis: ageMillis(now, e.Until)})
 	}
 	parts := c.judge.Evidence.Suspects()
 	out.SuspectParts = parts[:min(len(parts), maxSuspectParts)]
@@ -49,7 +49,7 @@
 func quarantineFromProto(list []*ferrypb.QuarantineEntry, now time.Time) []quarantine.Entry {
 	out := make([]quarantine.Entry, 0, len(list))
 	for _, m := range list {
-		out = append(out, quarantine.Entry{Parts: slices.Clone(m.Parts), Since: now.Add(-millis(m.AgeMillis)), Until: now.Add(millis(m.RemainingMillis))})
+		out = append(out, quarantine.Entry{Parts: slices.Clone(m.Parts), LastCrash: now.Add(-millis(m.AgeMillis)), Until: now.Add(millis(m.RemainingMillis))})
 	}
 	return out
 }
--- a/pkg/quarantine/board.go
+++ b/pkg/quarantine/board.go
@@ -115,7 +115,7 @@
 func (b *Board) AddCrash(c *Crash) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.own.Evidence.AddCrash(c)
+	b.own.Evidence.AddCrash(c, c.At)
 	b.sequence++
 	b.crashes = append(b.crashes, numberedCrash{sequence: b.sequence, crash: *c})
 }
--- a/pkg/quarantine/crash.go
+++ b/pkg/quarantine/crash.go
@@ -10,6 +10,8 @@
 	StartMillis int64
 	At          time.Time
 	Requests    []Suspect
+	// reportedAt is when the evidence first heard of it.
+	reportedAt time.Time
 }
 
 // Suspect is a request to which a runner had not responded for long, if at all, when it crashed.
--- a/pkg/quarantine/culprits.go
+++ b/pkg/quarantine/culprits.go
@@ -27,12 +27,12 @@
 type record struct {
 	part string
 	// crashes counts the moments at which runners crashed on requests with the part, begun those at which the response to
-	// such a request had begun.
-	crashes int
-	begun   int
-	last    time.Time
-	// lastBegun is the last moment counted in begun.
-	lastBegun time.Time
+	// such a request had begun. counted and countedBegun are the last moments counted, last is the last crash.
+	crashes      int
+	begun        int
+	counted      time.Time
+	countedBegun time.Time
+	last         time.Time
 	// requests identifies the requests with the part.
 	requests []string
 }
@@ -55,6 +55,10 @@
 		}
 		best = append(best, r)
 	}
+	lastCrash := time.Time{}
+	for _, r := range best {
+		lastCrash = latest(lastCrash, r.last)
+	}
 	groups := groupByRequests(best)
 	if len(groups) > 1 && best[0].crashes < tieCrashes {
 		// The next crash tells them apart.
@@ -62,7 +66,7 @@
 	}
 	out := make([]Entry, 0, len(groups))
 	for _, parts := range groups {
-		out = append(out, Entry{Parts: parts, Since: now, Until: now.Add(entryTime)})
+		out = append(out, Entry{Parts: parts, LastCrash: lastCrash, Until: now.Add(entryTime)})
 	}
 	return out
 }
@@ -91,11 +95,12 @@
 
 // add adds a request of the nth crash; crashes are added in the order of their times.
 func (r *record) add(at time.Time, request *Suspect, n int) {
-	if r.crashes == 0 || at.Sub(r.last) >= sameMoment {
-		r.crashes, r.last = r.crashes+1, at
+	r.last = at
+	if r.crashes == 0 || at.Sub(r.counted) >= sameMoment {
+		r.crashes, r.counted = r.crashes+1, at
 	}
-	if request.Begun && (r.begun == 0 || at.Sub(r.lastBegun) >= sameMoment) {
-		r.begun, r.lastBegun = r.begun+1, at
+	if request.Begun && (r.begun == 0 || at.Sub(r.countedBegun) >= sameMoment) {
+		r.begun, r.countedBegun = r.begun+1, at
 	}
 	r.requests = append(r.requests, strconv.Itoa(n)+"/"+request.RequestID)
 }
@@ -130,3 +135,10 @@
 	}
 	return out
 }
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/pkg/quarantine/entry.go
+++ b/pkg/quarantine/entry.go
@@ -10,9 +10,9 @@
 type Entry struct {
 	// Parts are in ascending order. There are several only if they have always come together.
 	Parts []string
-	// Since is when the entry was made, Until when it expires.
-	Since time.Time
-	Until time.Time
+	// LastCrash is when a runner last crashed on such a request as far as the decider knew, Until when the entry expires.
+	LastCrash time.Time
+	Until     time.Time
 }
 
 // covers reports whether a request with the given parts is barred.
--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -9,8 +9,8 @@
 const (
 	// evidenceTime is how long crashes count.
 	evidenceTime = time.Minute
-	// settleTime is the age from which a crash counts. Within it other daemons report which of its parts runners have
-	// survived meanwhile; the largest fleets report about every 300 ms.
+	// settleTime is the time from the first report of a crash until it counts. Within it other daemons report which of its
+	// parts runners have survived since; the largest fleets report about every 300 ms.
 	settleTime = 500 * time.Millisecond
 	// maxCrashes bounds the crashes that are remembered; a failure domain holds fewer runners.
 	maxCrashes = 256
@@ -35,8 +35,9 @@
 	return &Evidence{crashes: map[crashKey]*Crash{}, sound: newSoundParts()}
 }
 
-// AddCrash adds a crash, or further requests to a known one. Reports without requests are ignored.
-func (e *Evidence) AddCrash(c *Crash) {
+// AddCrash adds a crash that was reported at the given time, or further requests to a known one. Reports without requests
+// are ignored.
+func (e *Evidence) AddCrash(c *Crash, reportedAt time.Time) {
 	if len(c.Requests) == 0 {
 		return
 	}
@@ -46,7 +47,7 @@
 		if len(e.crashes) >= maxCrashes {
 			return
 		}
-		known = &Crash{Server: c.Server, StartMillis: c.StartMillis, At: c.At}
+		known = &Crash{Server: c.Server, StartMillis: c.StartMillis, At: c.At, reportedAt: reportedAt}
 		e.crashes[key] = known
 	}
 	for _, request := range c.Requests {
@@ -87,7 +88,7 @@
 func (e *Evidence) settled(list *List, now time.Time) []*Crash {
 	var out []*Crash
 	for _, c := range e.crashes {
-		if now.Sub(c.At) >= settleTime && !list.explains(c) {
+		if now.Sub(c.reportedAt) >= settleTime && !list.explains(c) {
 			out = append(out, c)
 		}
 	}
