quarantine: decide sooner on a prompt part that no runner ever survived

Change: a crash that is reported promptly counts after 120 ms for parts that no reporting daemon has seen survived; daemons report at once when a runner crashes, with what they have seen survived of its parts.

--- a/pkg/coordinator/evidence_reporter.go
+++ b/pkg/coordinator/evidence_reporter.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -44,7 +45,12 @@
 	for i := range crashes {
 		m.Crashes = append(m.Crashes, crashToProto(&crashes[i], now))
 	}
-	for part, at := range r.board.SoundAt(r.suspects) {
+	// The holder may not ask about the parts of these crashes yet.
+	parts := r.suspects
+	for i := range crashes {
+		parts = append(slices.Clip(parts), crashes[i].Parts()...)
+	}
+	for part, at := range r.board.SoundAt(parts) {
 		if at.After(r.reported[part]) {
 			m.SoundParts = append(m.SoundParts, &ferrypb.SoundPart{Part: part, AgeMillis: ageMillis(at, now)})
 		}
--- a/pkg/coordinator/reporter.go
+++ b/pkg/coordinator/reporter.go
@@ -90,6 +90,7 @@
 		case <-ctx.Done():
 		case <-period.C:
 		case <-r.demand.WaitStarted():
+		case <-r.evidence.board.Crashed():
 		}
 		period.Stop()
 	}
--- a/pkg/quarantine/board.go
+++ b/pkg/quarantine/board.go
@@ -24,6 +24,8 @@
 	// crashes are this daemon's crashes in the order of their sequence numbers.
 	crashes  []numberedCrash
 	sequence uint64
+	// crashed has capacity 1: it signals that a crash was added.
+	crashed chan struct{}
 	// watchers cancel requests in progress that an entry comes to bar.
 	watchers map[*watcher]struct{}
 }
@@ -40,7 +42,7 @@
 
 // NewBoard returns a board without entries.
 func NewBoard() *Board {
-	return &Board{list: &List{}, own: NewJudge(), watchers: map[*watcher]struct{}{}}
+	return &Board{list: &List{}, own: NewJudge(), crashed: make(chan struct{}, 1), watchers: map[*watcher]struct{}{}}
 }
 
 // Match returns the entry that bars a request with the given parts; nil if there is none.
@@ -118,8 +120,15 @@
 	b.own.Evidence.AddCrash(c, c.At)
 	b.sequence++
 	b.crashes = append(b.crashes, numberedCrash{sequence: b.sequence, crash: *c})
+	select {
+	case b.crashed <- struct{}{}:
+	default:
+	}
 }
 
+// Crashed returns a channel that receives after AddCrash.
+func (b *Board) Crashed() <-chan struct{} { return b.crashed }
+
 // AddSound records that a runner has survived the parts of a request.
 func (b *Board) AddSound(parts []string, now time.Time) {
 	if len(parts) == 0 {
--- a/pkg/quarantine/crash.go
+++ b/pkg/quarantine/crash.go
@@ -22,3 +22,12 @@
 	// Begun is set if the head of the response had arrived.
 	Begun bool
 }
+
+// Parts returns the parts of all requests; some may repeat.
+func (c *Crash) Parts() []string {
+	var out []string
+	for i := range c.Requests {
+		out = append(out, c.Requests[i].Parts...)
+	}
+	return out
+}
--- a/pkg/quarantine/culprits.go
+++ b/pkg/quarantine/culprits.go
@@ -74,11 +74,11 @@
 // records returns a record for each part that no runner has survived since a crash.
 func (e *Evidence) records(list *List, now time.Time) map[string]*record {
 	out := map[string]*record{}
-	for n, c := range e.settled(list, now) {
+	for n, c := range e.unexplained(list) {
 		for i := range c.Requests {
 			request := &c.Requests[i]
 			for _, part := range request.Parts {
-				if e.sound.at(part).After(c.At) {
+				if e.sound.at(part).After(c.At) || now.Sub(c.reportedAt) < e.settleTime(c, part) {
 					continue
 				}
 				r, ok := out[part]
@@ -105,6 +105,15 @@
 	r.requests = append(r.requests, strconv.Itoa(n)+"/"+request.RequestID)
 }
 
+// settleTime returns the time after which a crash counts for a part. A late report is one to a new decider, which knows
+// little of what runners have survived.
+func (e *Evidence) settleTime(c *Crash, part string) time.Duration {
+	if e.sound.at(part).IsZero() && c.reportedAt.Sub(c.At) < settleTime {
+		return newPartSettleTime
+	}
+	return settleTime
+}
+
 // enough reports whether a part may be taken for the cause.
 func (e *Evidence) enough(r *record) bool {
 	if r.crashes >= minCrashes {
--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -12,6 +12,9 @@
 	// settleTime is the time from the first report of a crash until it counts. Within it other daemons report which of its
 	// parts runners have survived since; the largest fleets report about every 300 ms.
 	settleTime = 500 * time.Millisecond
+	// newPartSettleTime is that time for parts that no daemon which reported a crash has seen survived: it covers reports of
+	// the same crash by other daemons.
+	newPartSettleTime = 120 * time.Millisecond
 	// maxCrashes bounds the crashes that are remembered; a failure domain holds fewer runners.
 	maxCrashes = 256
 	// MaxRequests bounds the requests of one crash; runners run fewer at once.
@@ -84,11 +87,11 @@
 	return slices.Sorted(maps.Keys(parts))
 }
 
-// settled returns the crashes that count now and that no entry of the list explains, oldest first.
-func (e *Evidence) settled(list *List, now time.Time) []*Crash {
+// unexplained returns the crashes that no entry of the list explains, oldest first.
+func (e *Evidence) unexplained(list *List) []*Crash {
 	var out []*Crash
 	for _, c := range e.crashes {
-		if now.Sub(c.reportedAt) >= settleTime && !list.explains(c) {
+		if !list.explains(c) {
 			out = append(out, c)
 		}
 	}
--- a/pkg/quarantine/judge_test.go
+++ b/pkg/quarantine/judge_test.go
@@ -186,3 +186,24 @@
 		}
 	}
 }
+
+// Load pattern: a short prompt crashes fifteen runners a second. Guards against a decision that comes only after most
+// runners of a small fleet have ended.
+func TestNewPartIsBarredAfterTwoCrashesInARow(t *testing.T) {
+	j := NewJudge()
+	for _, part := range []string{"first", "second"} {
+		j.Evidence.AddSound(part, at(-time.Second))
+	}
+	const interval = 65 * time.Millisecond
+	for n := 0; len(j.List.entries) == 0; n++ {
+		if n == 6 {
+			t.Fatalf("not barred after %d crashes in %v", n, time.Duration(n)*interval)
+		}
+		when := time.Duration(n) * interval
+		addCrash(j, crash(n, when, []string{"first", "second", "deadly"}, []string{"first", fmt.Sprint("own", n)}))
+		j.Step(at(when + interval/2))
+	}
+	if got := barredParts(j); !slices.Equal(got, []string{"deadly"}) {
+		t.Errorf("barred %v, want the deadly part alone", got)
+	}
+}
