gateway: read and log the limits that servers name

F0138 tells when a response names another limit than the one before, and ferry_gateway_limited_servers counts the servers that name one.

--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -7,8 +7,10 @@
 	"strconv"
 	"time"
 
+	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/exchange"
 	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/serverlimit"
 )
 
 // maxBufferedBytes bounds a response body that is buffered, and a request body when the configuration sets no limit.
@@ -23,6 +25,8 @@
 	pool    *exchange.Pool
 	codec   Codec
 	tracker *Tracker
+	limits  *serverlimit.Table
+	log     *eventlog.Logger
 }
 
 // send sends the request to the chosen server and returns the response with its decoded header. A response that
@@ -47,7 +51,9 @@
 		return nil, ResponseMeta{}, failure.From(err)
 	}
 	meta := b.codec.DecodeResponse(resp.Status, resp.Header)
-	b.tracker.RecordLoad(c.server.ID, meta.Load, time.Now())
+	now := time.Now()
+	b.tracker.RecordLoad(c.server.ID, meta.Load, now)
+	b.recordLimit(c.server.ID, meta.Limit, now)
 	if meta.NotRun {
 		defer resp.Close()
 		if resp.Length >= 0 && resp.Length <= maxRefusalBytes {
@@ -59,6 +65,13 @@
 	return resp, meta, nil
 }
 
+// recordLimit records the limit in a response of a server, 0 for none.
+func (b *backend) recordLimit(server string, limit float64, now time.Time) {
+	if changed, before := b.limits.Observe(server, serverlimit.Observation{Rate: limit, At: now}); changed {
+		b.log.Log(eventlog.ServerLimitChanged, "server", server, "limit", limit, "before", before)
+	}
+}
+
 // refusalFailure returns the failure for the status of a request that the server did not execute.
 func refusalFailure(status int) *failure.Failure {
 	if status == http.StatusMisdirectedRequest {
--- a/pkg/gateway/forwarder_config.go
+++ b/pkg/gateway/forwarder_config.go
@@ -6,6 +6,7 @@
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/exchange"
 	"trefoilferry.example/ferry/pkg/quarantine"
+	"trefoilferry.example/ferry/pkg/serverlimit"
 )
 
 // ForwarderConfig holds the dependencies and settings of a Forwarder.
@@ -15,6 +16,7 @@
 	Tracker *Tracker
 	Demand  *Demand
 	Board   *quarantine.Board
+	Limits  *serverlimit.Table
 	Codec   Codec
 	Log     *eventlog.Logger
 	Metrics *Metrics
@@ -28,7 +30,7 @@
 func NewForwarder(p ForwarderConfig) *Forwarder {
 	return &Forwarder{
 		control: p.Control,
-		backend: &backend{pool: p.Pool, codec: p.Codec, tracker: p.Tracker},
+		backend: &backend{pool: p.Pool, codec: p.Codec, tracker: p.Tracker, limits: p.Limits, log: p.Log},
 		chooser: newChooser(p.Region, p.RegionOf),
 		budgets: newBudgets(p.Budget),
 		board:   p.Board,
--- a/pkg/gateway/response_meta.go
+++ b/pkg/gateway/response_meta.go
@@ -10,4 +10,6 @@
 	// NotRun is set when the server declares that it did not execute the request.
 	NotRun bool
 	Load   Load
+	// Limit is the number of requests per second that the server takes from all daemons together; 0 for no limit.
+	Limit float64
 }
--- a/pkg/gatewaydaemon/module.go
+++ b/pkg/gatewaydaemon/module.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/prometheus/client_golang/prometheus"
@@ -12,6 +13,7 @@
 	"trefoilferry.example/ferry/pkg/gateway"
 	"trefoilferry.example/ferry/pkg/lease"
 	"trefoilferry.example/ferry/pkg/quarantine"
+	"trefoilferry.example/ferry/pkg/serverlimit"
 )
 
 // NewApp returns the daemon as an fx application that logs to w. Check the application's Err before running it.
@@ -26,6 +28,7 @@
 			},
 			prometheus.NewRegistry,
 			newMetrics,
+			serverlimit.NewTable,
 			func(l *eventlog.Logger) *gateway.Control {
 				return gateway.NewControl(l, gateway.NewPollTiming(settings.MaxChangeDelay))
 			},
@@ -45,7 +48,11 @@
 	)
 }
 
-func newMetrics(r *prometheus.Registry) *gateway.Metrics { return gateway.NewMetrics(r) }
+func newMetrics(r *prometheus.Registry, limits *serverlimit.Table) *gateway.Metrics {
+	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "ferry_gateway_limited_servers", Help: "Servers that name a limit of requests per second."},
+		func() float64 { return float64(limits.Limited(time.Now())) }))
+	return gateway.NewMetrics(r)
+}
 
 func newElector(s *Settings, clients *Clients, ref *coordinatorRef, l *eventlog.Logger) *lease.Elector {
 	timing := lease.NewTiming(s.HolderGap)
@@ -72,9 +79,9 @@
 	return coordinator.NewReporter(s.Host, elector, c, control, d, t, board, l)
 }
 
-func newForwarder(s *Settings, clients *Clients, control *gateway.Control, d *gateway.Demand, t *gateway.Tracker, board *quarantine.Board, m *gateway.Metrics, l *eventlog.Logger) *gateway.Forwarder {
+func newForwarder(s *Settings, clients *Clients, control *gateway.Control, d *gateway.Demand, t *gateway.Tracker, board *quarantine.Board, limits *serverlimit.Table, m *gateway.Metrics, l *eventlog.Logger) *gateway.Forwarder {
 	return gateway.NewForwarder(gateway.ForwarderConfig{
-		Control: control, Pool: clients.Pool, Tracker: t, Demand: d, Board: board, Codec: clients.Codec, Log: l, Metrics: m,
+		Control: control, Pool: clients.Pool, Tracker: t, Demand: d, Board: board, Limits: limits, Codec: clients.Codec, Log: l, Metrics: m,
 		Region: s.Region, RegionOf: s.RegionOf, Budget: s.Budget,
 	})
 }
