Keep the limits that servers name, all daemons together

Cause: no code read the limit, and routing had no way to bound what all daemons together send to one server: work is shared as a view for predictions, not as a right to send. Class: a bound on a sum, with each part deciding alone (the retry budget is the one bound of this kind that the daemons shared so far).

Change: pkg/serverlimit. Daemons report their requests to servers that name a limit to the lease holder and get the total of the last two seconds back. A request is sent while the total leaves room and nothing waits; otherwise it is held, reported, and sent when the holder grants it, so that a crowd that waits at many daemons does not take the same free part of a limit. Without a total, and for 1.2 s after a change of the holder, each daemon keeps to an equal share, whose fraction of a request is drawn by lot. Servers without a limit go first while others can run the request. What would wait too long is refused at once with the time that it would wait.

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -11,6 +11,7 @@
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/fleet"
 	"trefoilferry.example/ferry/pkg/quarantine"
+	"trefoilferry.example/ferry/pkg/serverlimit"
 )
 
 const (
@@ -44,7 +45,9 @@
 	totalWork    map[uint32]runnerWork
 	loadLimiters map[string]*loadLimiter
 	// judge decides which requests crash runners.
-	judge       *quarantine.Judge
+	judge *quarantine.Judge
+	// limits holds the requests to servers that name a limit.
+	limits      *serverlimit.Totals
 	viewVersion uint64
 	// removed holds the runners that left the list, with the view version at which they left.
 	removed map[string]removedRunner
@@ -99,6 +102,7 @@
 	c.indexTaken = map[uint32]bool{}
 	c.digests = nil
 	c.judge = quarantine.NewJudge()
+	c.limits = serverlimit.NewTotals()
 }
 
 // Run plans until ctx ends and then waits for the orders in progress.
--- a/pkg/coordinator/cut_off_test.go
+++ b/pkg/coordinator/cut_off_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"trefoilferry.example/ferry/pkg/fleet"
 	"trefoilferry.example/ferry/pkg/gateway"
 	"trefoilferry.example/ferry/pkg/quarantine"
+	"trefoilferry.example/ferry/pkg/serverlimit"
 )
 
 // cutOffFleet is the state of a holder that last reached the store that long ago.
@@ -51,7 +53,7 @@
 		go control.Run(ctx)
 		lost := &atomic.Int32{}
 		l := countingLease{followerLease{strings.TrimPrefix(web.URL, "http://")}, lost}
-		reporter := NewReporter("d", l, nil, control, gateway.NewDemand(), gateway.NewTracker(), quarantine.NewBoard(), eventlog.Discard())
+		reporter := NewReporter("d", l, nil, control, gateway.NewDemand(), gateway.NewTracker(), quarantine.NewBoard(), serverlimit.NewTable(rand.Float64), eventlog.Discard())
 		reporter.report(ctx)
 		waitUntil(t, 10*time.Second, func() bool { return control.View().Placement != nil })
 		if p := control.View().Placement; len(p.Holdings) != 1 {
--- a/pkg/coordinator/evidence_reporter.go
+++ b/pkg/coordinator/evidence_reporter.go
@@ -59,7 +59,7 @@
 
 // apply applies the holder's view, which responds to the last report.
 func (r *evidenceReporter) apply(view *ferrypb.FleetView, report *ferrypb.LoadReport, now time.Time) {
-	if !view.QuarantineKnown {
+	if !view.ReportsTaken {
 		return
 	}
 	if view.Tenure != r.tenure {
--- a/pkg/coordinator/quarantine.go
+++ b/pkg/coordinator/quarantine.go
@@ -38,7 +38,7 @@
 
 // addQuarantine adds the quarantine to a view.
 func (c *Coordinator) addQuarantine(out *ferrypb.FleetView, now time.Time) {
-	out.QuarantineKnown = true
+	out.ReportsTaken = true
 	for _, e := range c.judge.List.Entries(now) {
 		out.Quarantine = append(out.Quarantine, &ferrypb.QuarantineEntry{Parts: e.Parts, AgeMillis: ageMillis(e.LastCrash, now), RemainingMillis: ageMillis(now, e.Until)})
 	}
--- a/pkg/coordinator/report.go
+++ b/pkg/coordinator/report.go
@@ -99,6 +99,7 @@
 	}
 	c.setReport(report.Daemon, &daemonReport{receivedAt: now, work: decodeWork(report.Work)})
 	c.applyEvidence(report, now)
+	c.applyLimits(report, now)
 	for _, index := range report.Unreached {
 		c.requestRefresh(index, now)
 	}
@@ -160,6 +161,7 @@
 	out.Work = encodeWork(c.peerWork(report.Daemon))
 	now := time.Now()
 	c.addQuarantine(out, now)
+	c.addLimits(out, report.Daemon, now)
 	addStoreState(out, c.fleet.View(), report, now)
 	return out
 }
--- a/pkg/coordinator/reporter.go
+++ b/pkg/coordinator/reporter.go
@@ -13,6 +13,7 @@
 	"trefoilferry.example/ferry/pkg/lease"
 	"trefoilferry.example/ferry/pkg/oncehttp"
 	"trefoilferry.example/ferry/pkg/quarantine"
+	"trefoilferry.example/ferry/pkg/serverlimit"
 )
 
 const (
@@ -66,16 +67,17 @@
 	clients    map[string]ferrypb.Coordinator
 	view       *runnerView
 	evidence   *evidenceReporter
+	limits     *limitReporter
 	source     string
 	holderLost bool
 }
 
 // NewReporter returns a reporter for the named daemon; local is the coordinator of this process.
-func NewReporter(name string, l Lease, local *Coordinator, control *gateway.Control, demand *gateway.Demand, tracker *gateway.Tracker, board *quarantine.Board, log *eventlog.Logger) *Reporter {
+func NewReporter(name string, l Lease, local *Coordinator, control *gateway.Control, demand *gateway.Demand, tracker *gateway.Tracker, board *quarantine.Board, limits *serverlimit.Table, log *eventlog.Logger) *Reporter {
 	return &Reporter{name: name, lease: l, local: local, demand: demand, tracker: tracker, control: control, log: log,
 		client: &http.Client{Timeout: reportTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true,
 			IdleConnTimeout: 5 * time.Second, MaxResponseHeaderBytes: oncehttp.MaxHeaderBytes}},
-		clients: map[string]ferrypb.Coordinator{}, view: newRunnerView(), evidence: newEvidenceReporter(board, log)}
+		clients: map[string]ferrypb.Coordinator{}, view: newRunnerView(), evidence: newEvidenceReporter(board, log), limits: &limitReporter{table: limits}}
 }
 
 // Run sends reports until ctx ends.
@@ -114,6 +116,7 @@
 	message, waiting := r.buildReport()
 	sent := time.Now()
 	r.evidence.addTo(message, sent)
+	r.limits.addTo(message, sent)
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	view, err := target.Report(ctx, message)
@@ -131,6 +134,7 @@
 	r.recordResult(err, source, view.LeasePosition)
 	r.applyPlacement(ctx, view)
 	r.evidence.apply(view, message, sent)
+	r.limits.apply(view, time.Now())
 	if !cutOff {
 		r.applyStoreState(ctx, view, sent)
 	}
--- a/pkg/coordinator/tenure_test.go
+++ b/pkg/coordinator/tenure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -15,6 +16,7 @@
 	"trefoilferry.example/ferry/pkg/gateway"
 	"trefoilferry.example/ferry/pkg/lease"
 	"trefoilferry.example/ferry/pkg/quarantine"
+	"trefoilferry.example/ferry/pkg/serverlimit"
 )
 
 // versionedFleet is a fixed list of servers with a version.
@@ -76,7 +78,7 @@
 	defer cancel()
 	control := gateway.NewControl(eventlog.Discard(), gateway.NewPollTiming(4*time.Second))
 	go control.Run(ctx)
-	reporter := NewReporter("d", followerLease{strings.TrimPrefix(holder.URL, "http://")}, nil, control, gateway.NewDemand(), gateway.NewTracker(), quarantine.NewBoard(), eventlog.Discard())
+	reporter := NewReporter("d", followerLease{strings.TrimPrefix(holder.URL, "http://")}, nil, control, gateway.NewDemand(), gateway.NewTracker(), quarantine.NewBoard(), serverlimit.NewTable(rand.Float64), eventlog.Discard())
 
 	wantServers := func(n int) {
 		t.Helper()
--- a/pkg/coordinator/two_holders_test.go
+++ b/pkg/coordinator/two_holders_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -16,6 +17,7 @@
 	"trefoilferry.example/ferry/pkg/gateway"
 	"trefoilferry.example/ferry/pkg/lease"
 	"trefoilferry.example/ferry/pkg/quarantine"
+	"trefoilferry.example/ferry/pkg/serverlimit"
 )
 
 // listStore is a store with a list of servers that leave one after the other.
@@ -136,7 +138,7 @@
 		if self > 0 {
 			clients[holderName(self)] = local
 		}
-		reporter := NewReporter(fmt.Sprint("d", self), l, local, control, gateway.NewDemand(), gateway.NewTracker(), quarantine.NewBoard(), eventlog.Discard())
+		reporter := NewReporter(fmt.Sprint("d", self), l, local, control, gateway.NewDemand(), gateway.NewTracker(), quarantine.NewBoard(), serverlimit.NewTable(rand.Float64), eventlog.Discard())
 		reporter.clients = clients
 		reporters = append(reporters, reporter)
 		time.AfterFunc(firstCut, func() { source.hangs.Store(1) })
--- a/pkg/gateway/choice.go
+++ b/pkg/gateway/choice.go
@@ -17,4 +17,8 @@
 	prefill int
 	// reportAge is the age of the server list that the choice used.
 	reportAge time.Duration
+	// limited is set, without a server, if the only servers that can run the request take no more requests now.
+	limited bool
+	// limitWait is how long the request will then wait for one of them.
+	limitWait time.Duration
 }
--- a/pkg/gateway/chooser.go
+++ b/pkg/gateway/chooser.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"trefoilferry.example/ferry/pkg/routing"
+	"trefoilferry.example/ferry/pkg/serverlimit"
 )
 
 const (
@@ -21,6 +22,8 @@
 	// busy model they lower the share of late questions from 0.18 to 0.17 at 31 entry hosts and from 0.11 to 0.10 at 5.
 	backlogCost      = 1500 * time.Microsecond
 	backlogPerStream = 0.3
+	// limitCost is about what a request waits at a server with a limit once that is used up.
+	limitCost = 1500 * time.Millisecond
 	// plainServiceTime is the usual duration of a request at a plain service.
 	plainServiceTime = 60 * time.Millisecond
 )
@@ -33,6 +36,8 @@
 	// models and plain are the policies for requests to a model and to a plain service.
 	models *routing.Policy
 	plain  *routing.Policy
+	// limits keeps the requests within the limits that servers name; nil for none.
+	limits *serverlimit.Table
 }
 
 func newChooser(region string, regionOf map[string]string) *chooser {
@@ -43,7 +48,7 @@
 func newPolicy(regionPenalty time.Duration, further ...routing.Scorer) *routing.Policy {
 	return &routing.Policy{
 		Filters: []routing.Filter{routing.DrainingFilter{}, routing.TriedFilter{}, routing.SuspectFilter{}},
-		Scorers: append([]routing.Scorer{routing.RegionCostScorer{Cost: regionPenalty}, routing.FirstTokenScorer{}}, further...),
+		Scorers: append([]routing.Scorer{routing.RegionCostScorer{Cost: regionPenalty}, routing.LimitScorer{Cost: limitCost}, routing.FirstTokenScorer{}}, further...),
 		Picker:  routing.LowestPicker{},
 	}
 }
@@ -67,6 +72,10 @@
 	if len(candidates) == 0 {
 		return choice{}, false
 	}
+	candidates, limitWait := c.withinLimits(candidates, j.held, now)
+	if len(candidates) == 0 {
+		return choice{limited: true, limitWait: limitWait}, false
+	}
 	owner, second := c.cacheOwners(j, candidates)
 	scored := make([]routing.Scored, 0, len(candidates))
 	prefill := make(map[string]int, len(candidates))
@@ -103,6 +112,28 @@
 	return out
 }
 
+// withinLimits returns the candidates that may get another request now. If there are none, the request counts as held back
+// at all of them, and withinLimits returns how long it will wait.
+func (c *chooser) withinLimits(candidates []routing.Candidate, held bool, now time.Time) ([]routing.Candidate, time.Duration) {
+	if c.limits == nil {
+		return candidates, 0
+	}
+	allowed := make([]routing.Candidate, 0, len(candidates))
+	var refused []string
+	for i := range candidates {
+		if c.limits.Allows(candidates[i].Runner, held, now) {
+			candidates[i].LimitUsed = c.limits.Used(candidates[i].Runner, now)
+			allowed = append(allowed, candidates[i])
+		} else {
+			refused = append(refused, candidates[i].Runner)
+		}
+	}
+	if len(allowed) == 0 {
+		return nil, c.limits.RecordHeld(refused, now)
+	}
+	return allowed, 0
+}
+
 // cacheOwners returns the indexes of the two candidates that rendezvous hashing ranks highest for the shared prompt
 // parts, so that all daemons prefer the same runners; -1 for none.
 func (c *chooser) cacheOwners(j *job, candidates []routing.Candidate) (first, second int) {
--- a/pkg/gateway/endless_test.go
+++ b/pkg/gateway/endless_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -12,8 +13,10 @@
 	"testing"
 	"time"
 
+	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/exchange"
 	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/serverlimit"
 )
 
 // repeatReader returns the same bytes without end.
@@ -111,7 +114,7 @@
 	j.deadline = time.Now().Add(5 * time.Second)
 	j.method, j.target, j.host, j.header = "POST", "/x", "h", http.Header{}
 	c.server.ID, c.server.Address = "r0", address
-	b := &backend{pool: exchange.NewPool(), codec: refusingCodec{}, tracker: NewTracker()}
+	b := &backend{pool: exchange.NewPool(), codec: refusingCodec{}, tracker: NewTracker(), limits: serverlimit.NewTable(rand.Float64), log: eventlog.Discard()}
 	began = time.Now()
 	_, _, fail := b.send(ctx, j, c, "")
 	if fail == nil || fail.Outcome != failure.NotRun || time.Since(began) > time.Second {
--- a/pkg/gateway/forwarder_config.go
+++ b/pkg/gateway/forwarder_config.go
@@ -28,10 +28,12 @@
 
 // NewForwarder returns a forwarder.
 func NewForwarder(p ForwarderConfig) *Forwarder {
+	chooser := newChooser(p.Region, p.RegionOf)
+	chooser.limits = p.Limits
 	return &Forwarder{
 		control: p.Control,
 		backend: &backend{pool: p.Pool, codec: p.Codec, tracker: p.Tracker, limits: p.Limits, log: p.Log},
-		chooser: newChooser(p.Region, p.RegionOf),
+		chooser: chooser,
 		budgets: newBudgets(p.Budget),
 		board:   p.Board,
 		crashes: newCrashWatch(p.Pool, p.Board, p.Log, p.Metrics),
--- a/pkg/gateway/retry_test.go
+++ b/pkg/gateway/retry_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/serverlimit"
 )
 
 // Load pattern: a quarter of the runners crash under load. Guards against requests that are refused because the retry
@@ -60,7 +62,7 @@
 	control := NewControl(eventlog.Discard(), NewPollTiming(time.Second))
 	control.view.Store(view)
 	view.Changed = make(chan struct{})
-	f := &Forwarder{control: control, log: eventlog.Discard(), chooser: testChooser(), demand: NewDemand(), backend: &backend{tracker: work}}
+	f := &Forwarder{control: control, log: eventlog.Discard(), chooser: testChooser(), demand: NewDemand(), backend: &backend{tracker: work, limits: serverlimit.NewTable(rand.Float64)}}
 	j, p := modelJob("id", "a0", 10, 10), &progress{outcome: failure.NotRun, relay: &streamRelay{}}
 	j.deadline = time.Now().Add(4 * time.Second)
 	p.record(attemptResult{fail: failure.New(failure.ConnectFailed, failure.NotRun, "test")})
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -121,13 +121,17 @@
 // executed. It fails with TargetMissed if the chosen server is predicted to be too late.
 func (f *Forwarder) pickServer(ctx context.Context, j *job, p *progress) (*choice, *failure.Failure) {
 	c, ok := f.chooser.choose(j, f.control.View(), f.backend.tracker, time.Now())
-	if !ok && j.needsModel() && p.sent == 0 {
-		c, ok = f.waitForModel(ctx, j)
+	if !ok && (j.needsModel() || c.limited) && p.sent == 0 && c.limitWait < modelWaitLimit(j, time.Now()) {
+		c, ok = f.waitForServer(ctx, j)
 	}
 	if !ok {
 		if f := contextFailure(ctx); f != nil {
 			return nil, f
 		}
+		if c.limited {
+			return nil, failure.New(failure.Overloaded, failure.NotRun, "the servers of service "+j.service.Name+" that can run the request take no more requests now").
+				WithRetryAfter(max(c.limitWait, limitedRetryAfter))
+		}
 		return nil, failure.New(failure.NoBackend, failure.NotRun, "no server of service "+j.service.Name+" can run the request").WithRetryAfter(noBackendRetryAfter)
 	}
 	if remaining := j.remaining(time.Now()); remaining > 0 && !p.relay.started && float64(c.predicted) > maxPredictedShare*float64(remaining) {
@@ -137,26 +141,34 @@
 	if fail := f.barred(j, time.Now()); fail != nil {
 		return nil, fail
 	}
+	f.backend.limits.RecordSend(c.server.ID, time.Now())
 	return &c, nil
 }
 
-// waitForModel waits until a server that has loaded the model and adapter can be chosen; false after modelWaitLimit.
-func (f *Forwarder) waitForModel(ctx context.Context, j *job) (choice, bool) {
-	f.demand.addWaiting(demandKey(j), 1)
-	defer f.demand.addWaiting(demandKey(j), -1)
+// waitForServer waits until a server that has loaded the model and adapter and may get another request can be chosen;
+// false after modelWaitLimit.
+func (f *Forwarder) waitForServer(ctx context.Context, j *job) (choice, bool) {
+	if j.needsModel() {
+		// For servers that take no more requests, too, the remedy is another one with the model.
+		f.demand.addWaiting(demandKey(j), 1)
+		defer f.demand.addWaiting(demandKey(j), -1)
+	}
+	j.held = true
+	defer func() { j.held = false }()
 	limit := time.NewTimer(modelWaitLimit(j, time.Now()))
 	defer limit.Stop()
 	for {
 		view := f.control.View()
-		if c, ok := f.chooser.choose(j, view, f.backend.tracker, time.Now()); ok {
+		c, ok := f.chooser.choose(j, view, f.backend.tracker, time.Now())
+		if ok {
 			return c, true
 		}
 		select {
 		case <-view.Changed:
 		case <-limit.C:
-			return choice{}, false
+			return c, false
 		case <-ctx.Done():
-			return choice{}, false
+			return c, false
 		}
 	}
 }
@@ -164,6 +176,8 @@
 const (
 	// modelWaitShare is the share of the remaining time that a request may wait for its model; the rest is for running it.
 	modelWaitShare = 0.6
+	// limitedRetryAfter is the least time to wait for a server that takes no more requests now.
+	limitedRetryAfter = time.Second
 	// maxModelWait covers a load from the store that is queued behind another one.
 	maxModelWait = 3500 * time.Millisecond
 )
--- a/pkg/gatewaydaemon/module.go
+++ b/pkg/gatewaydaemon/module.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -28,7 +29,7 @@
 			},
 			prometheus.NewRegistry,
 			newMetrics,
-			serverlimit.NewTable,
+			func() *serverlimit.Table { return serverlimit.NewTable(rand.Float64) },
 			func(l *eventlog.Logger) *gateway.Control {
 				return gateway.NewControl(l, gateway.NewPollTiming(settings.MaxChangeDelay))
 			},
@@ -75,8 +76,8 @@
 
 func newCoordinatorRef() *coordinatorRef { return &coordinatorRef{} }
 
-func newReporter(s *Settings, elector *lease.Elector, c *coordinator.Coordinator, control *gateway.Control, d *gateway.Demand, t *gateway.Tracker, board *quarantine.Board, l *eventlog.Logger) *coordinator.Reporter {
-	return coordinator.NewReporter(s.Host, elector, c, control, d, t, board, l)
+func newReporter(s *Settings, elector *lease.Elector, c *coordinator.Coordinator, control *gateway.Control, d *gateway.Demand, t *gateway.Tracker, board *quarantine.Board, limits *serverlimit.Table, l *eventlog.Logger) *coordinator.Reporter {
+	return coordinator.NewReporter(s.Host, elector, c, control, d, t, board, limits, l)
 }
 
 func newForwarder(s *Settings, clients *Clients, control *gateway.Control, d *gateway.Demand, t *gateway.Tracker, board *quarantine.Board, limits *serverlimit.Table, m *gateway.Metrics, l *eventlog.Logger) *gateway.Forwarder {
--- a/pkg/serverlimit/observation.go
+++ b/pkg/serverlimit/observation.go
@@ -18,3 +18,10 @@
 func (o *Observation) limits(now time.Time) bool {
 	return o.Rate > 0 && now.Sub(o.At) < observationTime
 }
+
+// burst is the number of requests within Span beyond the limit, as of a token bucket; it lets a server with a very low
+// limit get any.
+const burst = 1
+
+// perSpan returns the number of requests that the server takes within Span.
+func (o *Observation) perSpan() float64 { return o.Rate*Span.Seconds() + burst }
