exchange: idle connections within a daemon's share of what a server accepts

The number of connections that a server accepts from all callers (max_connections) was read from the configuration and used nowhere; each daemon kept up to 24 idle ones to a server. After a burst at 103 daemons these are up to 2,472 where 680 are accepted, and the server resets further ones.

A daemon now keeps its share of half of them idle, at least one.

--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -41,11 +41,13 @@
 	// keepAlive is how long the server keeps the connection open while it is idle.
 	keepAlive time.Duration
 	idleSince time.Time
+	// maxIdle bounds the idle connections to the server, this one included.
+	maxIdle int
 }
 
 func newConn(c net.Conn, address string) *conn {
 	head := &headLimiter{in: c}
-	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, keepAlive: defaultKeepAlive}
+	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, keepAlive: defaultKeepAlive, maxIdle: DefaultMaxIdle}
 }
 
 // roundTrip sends the request and reads the head of its response, skipping responses that req.Matches rejects. ctx
--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -18,8 +18,8 @@
 	dialTimeout = 250 * time.Millisecond
 	// maxFreshIdle is the idle time up to which a connection can be used for a request with FreshConn set.
 	maxFreshIdle = 700 * time.Millisecond
-	// maxIdlePerServer bounds the idle connections to one backend server.
-	maxIdlePerServer = 24
+	// DefaultMaxIdle bounds the idle connections to one backend server.
+	DefaultMaxIdle = 24
 )
 
 // Pool keeps idle connections to backend servers. It is safe for concurrent use.
@@ -52,6 +52,10 @@
 	if err != nil {
 		return nil, err
 	}
+	c.maxIdle = DefaultMaxIdle
+	if req.MaxIdle > 0 {
+		c.maxIdle = min(req.MaxIdle, DefaultMaxIdle)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	a, err := c.roundTrip(ctx, req)
 	if err != nil {
@@ -114,12 +118,12 @@
 	return nil
 }
 
-// put makes a connection idle, or closes it if the server has maxIdlePerServer idle connections.
+// put makes a connection idle, or closes it if the server has c.maxIdle idle connections or more.
 func (p *Pool) put(c *conn, now time.Time) {
 	c.idleSince = now
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[c.address]) >= maxIdlePerServer {
+	if len(p.idle[c.address]) >= c.maxIdle {
 		_ = c.Close()
 		p.countClosed()
 		return
--- a/pkg/exchange/pool_test.go
+++ b/pkg/exchange/pool_test.go
@@ -262,3 +262,45 @@
 		t.Errorf("open connections after 2.5 s of a keep-alive timeout of 3 s: %d, want 0", p.OpenConns())
 	}
 }
+
+// Guards against a pool that keeps more idle connections to a server than this daemon's share of those that the server
+// accepts.
+func TestIdleConnectionsAreBoundedByRequest(t *testing.T) {
+	const burst, maxIdle = 10, 3
+	together := make(chan struct{}, burst)
+	release := make(chan struct{})
+	step := func(c net.Conn, _ *bufio.Reader) {
+		together <- struct{}{}
+		<-release
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}
+	steps := make([]func(net.Conn, *bufio.Reader), burst)
+	for i := range steps {
+		steps[i] = step
+	}
+	address := serveScript(t, steps...)
+	pool := NewPool()
+	done := make(chan error, burst)
+	for range burst {
+		go func() {
+			resp, err := pool.Send(t.Context(), address, &Request{Method: http.MethodGet, Target: "/", Host: "h", MaxIdle: maxIdle})
+			if err == nil {
+				_, err = io.Copy(io.Discard, resp)
+				resp.Close()
+			}
+			done <- err
+		}()
+	}
+	for range burst {
+		<-together
+	}
+	close(release)
+	for range burst {
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := pool.OpenConns(); n != maxIdle {
+		t.Errorf("connections kept after %d requests at once: %d, want %d", burst, n, maxIdle)
+	}
+}
--- a/pkg/exchange/request.go
+++ b/pkg/exchange/request.go
@@ -19,6 +19,8 @@
 	// FreshConn requires a connection that is new or was used within maxFreshIdle: a server may drop an idle connection
 	// without notice, and then it is unknown whether the request was executed.
 	FreshConn bool
+	// MaxIdle bounds the idle connections to the server that are kept when the response is complete; 0 for the default.
+	MaxIdle int
 }
 
 // encode returns the bytes of the request.
--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -41,6 +41,7 @@
 		}),
 		Body:      j.body,
 		FreshConn: !j.route.Retryable(),
+		MaxIdle:   j.maxIdle,
 		Matches: func(h http.Header) bool {
 			id := b.codec.DecodeResponse(http.StatusOK, h).RequestID
 			return id == "" || id == j.meta.RequestID
--- a/pkg/gateway/forwarder.go
+++ b/pkg/gateway/forwarder.go
@@ -73,6 +73,7 @@
 	}
 	j.route, j.version = route, view.Config.Version
 	j.service = view.Config.Services[route.Service(j.routeHash())]
+	j.maxIdle = idleShare(j.service.MaxConnections, f.control.daemonCount())
 	j.chain = prefixChain(&j.meta)
 	j.setDeadline()
 	j.parts = sharedParts(&j.meta)
--- a/pkg/gateway/job.go
+++ b/pkg/gateway/job.go
@@ -31,6 +31,8 @@
 	chain []prefixLink
 	// parts holds the ids of the prompt parts that other requests may have as well.
 	parts []string
+	// maxIdle bounds the idle connections to the server that are kept after the request.
+	maxIdle int
 	// held is set while the request waits for a server.
 	held bool
 	// tried holds the ids of the servers that failed the request.
