quarantine: a daemon without a lease holder bars only parts that are new to it

Cause: a daemon sees a part of the crashes and of what runners survive, and took the crashes of other daemons' requests for unexplained.

Change: a daemon decides only while it has no list of a holder, goes by that holder's last list as well, and bars only parts that it has never seen survived and that were begun at three crashes. The holder's return ends its own entries.

--- a/pkg/quarantine/board.go
+++ b/pkg/quarantine/board.go
@@ -42,7 +42,7 @@
 
 // NewBoard returns a board without entries.
 func NewBoard() *Board {
-	return &Board{list: &List{}, own: NewJudge(), crashed: make(chan struct{}, 1), watchers: map[*watcher]struct{}{}}
+	return &Board{list: &List{}, own: newCautiousJudge(), crashed: make(chan struct{}, 1), watchers: map[*watcher]struct{}{}}
 }
 
 // Match returns the entry that bars a request with the given parts; nil if there is none.
@@ -86,6 +86,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.list, b.listAt = NewList(entries), now
+	b.own.List, b.own.Known = &List{}, b.list
 	b.cancelBarred(now)
 }
 
@@ -153,13 +154,17 @@
 	return true
 }
 
-// Step updates this daemon's own list, and drops what is too old to be reported. It returns the entries that were added.
+// Step drops what is too old to be reported. While there is no list of the lease holder it also updates this daemon's own
+// list, and returns the entries that were added.
 func (b *Board) Step(now time.Time) []Entry {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for len(b.crashes) > 0 && now.Sub(b.crashes[0].crash.At) > crashReportTime {
 		b.crashes = b.crashes[1:]
 	}
+	if now.Sub(b.listAt) < holderViewTime {
+		return nil
+	}
 	added, _ := b.own.Step(now)
 	b.cancelBarred(now)
 	return added
--- a/pkg/quarantine/culprits.go
+++ b/pkg/quarantine/culprits.go
@@ -37,13 +37,13 @@
 	requests []string
 }
 
-// Culprits returns the entries for the parts that the crashes without an entry point to.
-func (e *Evidence) Culprits(list *List, now time.Time) []Entry {
-	records := e.records(list, now)
+// culprits returns the entries for the parts that the crashes without an entry point to.
+func (j *Judge) culprits(now time.Time) []Entry {
+	records := j.records(now)
 	var best []*record
 	for _, part := range slices.Sorted(maps.Keys(records)) {
 		r := records[part]
-		if !e.enough(r) {
+		if !j.enough(r) {
 			continue
 		}
 		if len(best) > 0 {
@@ -72,9 +72,9 @@
 }
 
 // records returns a record for each part that no runner has survived since a crash.
-func (e *Evidence) records(list *List, now time.Time) map[string]*record {
-	out := map[string]*record{}
-	for n, c := range e.unexplained(list) {
+func (j *Judge) records(now time.Time) map[string]*record {
+	e, out := j.Evidence, map[string]*record{}
+	for n, c := range j.unexplained() {
 		for i := range c.Requests {
 			request := &c.Requests[i]
 			for _, part := range request.Parts {
@@ -115,11 +115,12 @@
 }
 
 // enough reports whether a part may be taken for the cause.
-func (e *Evidence) enough(r *record) bool {
-	if r.crashes >= minCrashes {
-		return true
+func (j *Judge) enough(r *record) bool {
+	isNew := j.Evidence.sound.at(r.part).IsZero()
+	if j.cautious {
+		return isNew && r.begun >= minCrashes
 	}
-	return r.begun >= minBegunCrashes && e.sound.at(r.part).IsZero()
+	return r.crashes >= minCrashes || (isNew && r.begun >= minBegunCrashes)
 }
 
 // compareRecords is positive if a explains the crashes better than b.
--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -86,15 +86,3 @@
 	}
 	return slices.Sorted(maps.Keys(parts))
 }
-
-// unexplained returns the crashes that no entry of the list explains, oldest first.
-func (e *Evidence) unexplained(list *List) []*Crash {
-	var out []*Crash
-	for _, c := range e.crashes {
-		if !list.explains(c) {
-			out = append(out, c)
-		}
-	}
-	slices.SortFunc(out, func(a, b *Crash) int { return a.At.Compare(b.At) })
-	return out
-}
--- a/pkg/quarantine/judge.go
+++ b/pkg/quarantine/judge.go
@@ -1,15 +1,30 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Judge keeps the list of one decider up to date with its evidence. It is not safe for concurrent use.
 type Judge struct {
 	Evidence *Evidence
 	List     *List
+	// Known holds entries of another decider, which explain crashes as well.
+	Known *List
+	// cautious is set for a judge that sees only a part of the crashes and of what runners survive.
+	cautious bool
 }
 
 // NewJudge returns a judge without evidence or entries.
-func NewJudge() *Judge { return &Judge{Evidence: NewEvidence(), List: &List{}} }
+func NewJudge() *Judge { return &Judge{Evidence: NewEvidence(), List: &List{}, Known: &List{}} }
+
+// newCautiousJudge returns a judge for the evidence of one daemon: it bars only parts that this daemon has never seen
+// survived and that were in begun requests at minCrashes crashes.
+func newCautiousJudge() *Judge {
+	j := NewJudge()
+	j.cautious = true
+	return j
+}
 
 // Merge adds entries of an earlier decider.
 func (j *Judge) Merge(entries []Entry) {
@@ -30,7 +45,7 @@
 		lifted = append(lifted, *e)
 		return true
 	})
-	added = j.Evidence.Culprits(j.List, now)
+	added = j.culprits(now)
 	if len(added) > 0 {
 		j.List = NewList(append(added, j.List.entries...))
 	}
@@ -45,3 +60,15 @@
 	}
 	return true
 }
+
+// unexplained returns the crashes that no entry explains, oldest first.
+func (j *Judge) unexplained() []*Crash {
+	var out []*Crash
+	for _, c := range j.Evidence.crashes {
+		if !j.List.explains(c) && !j.Known.explains(c) {
+			out = append(out, c)
+		}
+	}
+	slices.SortFunc(out, func(a, b *Crash) int { return a.At.Compare(b.At) })
+	return out
+}
