quarantine: hold a new part off after its first crash

Cause: requests with the part went on until a second or third crash had been reported and had settled; crashes within 100 ms counted as one whatever they had in common.

Change: requests with a part that no runner has survived wait for up to a second after a first crash with it, at the daemon that saw the crash at once, at the others with the next view. They are then sent one after the other. A new part is barred after two crashes if it was at most of the crashes of that time and these are not closer than the runners that one fault ends. The holder decides as reports come in, at most every 20 ms.

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -46,6 +46,8 @@
 	loadLimiters map[string]*loadLimiter
 	// judge decides which requests crash runners.
 	judge *quarantine.Judge
+	// judgedAt is when it last decided.
+	judgedAt time.Time
 	// limits holds the requests to servers that name a limit.
 	limits      *serverlimit.Totals
 	viewVersion uint64
--- a/pkg/coordinator/quarantine.go
+++ b/pkg/coordinator/quarantine.go
@@ -10,6 +10,10 @@
 	"trefoilferry.example/ferry/pkg/quarantine"
 )
 
+// minJudgeInterval is the shortest time between two decisions about crashes: reports of a large fleet come every few
+// milliseconds.
+const minJudgeInterval = 20 * time.Millisecond
+
 // maxSuspectParts bounds the prompt parts about which the holder asks the daemons.
 const maxSuspectParts = 512
 
@@ -26,6 +30,7 @@
 
 // judgeCrashes updates the quarantine and puts it in force at this daemon.
 func (c *Coordinator) judgeCrashes(now time.Time) {
+	c.judgedAt = now
 	added, lifted := c.judge.Step(now)
 	for i := range added {
 		c.log.Log(eventlog.PromptBarred, "parts", strings.Join(added[i].Parts, "+"), "source", c.config.Holder, "until", added[i].Until.Sub(now))
@@ -33,14 +38,14 @@
 	for i := range lifted {
 		c.log.Log(eventlog.PromptAllowed, "parts", strings.Join(lifted[i].Parts, "+"))
 	}
-	c.config.Board.Replace(c.judge.List.Entries(now), now)
+	c.config.Board.Replace(c.judge.Entries(now), now)
 }
 
 // addQuarantine adds the quarantine to a view.
 func (c *Coordinator) addQuarantine(out *ferrypb.FleetView, now time.Time) {
 	out.ReportsTaken = true
-	for _, e := range c.judge.List.Entries(now) {
-		out.Quarantine = append(out.Quarantine, &ferrypb.QuarantineEntry{Parts: e.Parts, AgeMillis: ageMillis(e.LastCrash, now), RemainingMillis: ageMillis(now, e.Until)})
+	for _, e := range c.judge.Entries(now) {
+		out.Quarantine = append(out.Quarantine, &ferrypb.QuarantineEntry{Parts: e.Parts, AgeMillis: ageMillis(e.LastCrash, now), RemainingMillis: ageMillis(now, e.Until), Provisional: e.Provisional})
 	}
 	parts := c.judge.Evidence.Suspects()
 	out.SuspectParts = parts[:min(len(parts), maxSuspectParts)]
@@ -49,7 +54,7 @@
 func quarantineFromProto(list []*ferrypb.QuarantineEntry, now time.Time) []quarantine.Entry {
 	out := make([]quarantine.Entry, 0, len(list))
 	for _, m := range list {
-		out = append(out, quarantine.Entry{Parts: slices.Clone(m.Parts), LastCrash: now.Add(-millis(m.AgeMillis)), Until: now.Add(millis(m.RemainingMillis))})
+		out = append(out, quarantine.Entry{Parts: slices.Clone(m.Parts), LastCrash: now.Add(-millis(m.AgeMillis)), Until: now.Add(millis(m.RemainingMillis)), Provisional: m.Provisional})
 	}
 	return out
 }
--- a/pkg/coordinator/report.go
+++ b/pkg/coordinator/report.go
@@ -100,6 +100,9 @@
 	c.setReport(report.Daemon, &daemonReport{receivedAt: now, work: decodeWork(report.Work)})
 	c.applyEvidence(report, now)
 	c.applyLimits(report, now)
+	if now.Sub(c.judgedAt) >= minJudgeInterval && c.judge.Pending(now) {
+		c.judgeCrashes(now)
+	}
 	for _, index := range report.Unreached {
 		c.requestRefresh(index, now)
 	}
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -138,7 +138,7 @@
 		return nil, failure.New(failure.TargetMissed, failure.NotRun, "no server can begin the response in time: predicted after "+c.predicted.String()+
 			" with "+remaining.String()+" left").WithRetryAfter(c.predicted / 2)
 	}
-	if fail := f.barred(j, time.Now()); fail != nil {
+	if fail := f.awaitVerdict(ctx, j); fail != nil {
 		return nil, fail
 	}
 	f.backend.limits.RecordSend(c.server.ID, time.Now())
--- a/pkg/quarantine/board.go
+++ b/pkg/quarantine/board.go
@@ -21,6 +21,8 @@
 	list   *List
 	listAt time.Time
 	own    *Judge
+	// provisional holds the provisional entries of this daemon's own crashes, before the lease holder knows of them.
+	provisional *List
 	// crashes are this daemon's crashes in the order of their sequence numbers.
 	crashes  []numberedCrash
 	sequence uint64
@@ -42,7 +44,7 @@
 
 // NewBoard returns a board without entries.
 func NewBoard() *Board {
-	return &Board{list: &List{}, own: newCautiousJudge(), crashed: make(chan struct{}, 1), watchers: map[*watcher]struct{}{}}
+	return &Board{list: &List{}, own: newCautiousJudge(), provisional: &List{}, crashed: make(chan struct{}, 1), watchers: map[*watcher]struct{}{}}
 }
 
 // Match returns the entry that bars a request with the given parts; nil if there is none.
@@ -59,6 +61,9 @@
 	if e := b.list.Match(parts, now); e != nil {
 		return e
 	}
+	if e := b.provisional.Match(parts, now); e != nil {
+		return e
+	}
 	if now.Sub(b.listAt) < holderViewTime {
 		return nil
 	}
@@ -86,7 +91,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.list, b.listAt = NewList(entries), now
-	b.own.List, b.own.Known = &List{}, b.list
+	b.own.List, b.own.Known = &List{}, b.list.without(isProvisional)
 	b.cancelBarred(now)
 }
 
@@ -100,18 +105,18 @@
 
 func (b *Board) cancelBarred(now time.Time) {
 	for w := range b.watchers {
-		if b.match(w.parts, now) != nil {
+		if e := b.match(w.parts, now); e != nil && !e.Provisional {
 			delete(b.watchers, w)
 			w.cancel()
 		}
 	}
 }
 
-// Entries returns the entries of the lease holder's list that have not expired.
+// Entries returns the entries of the lease holder's list that have not expired, without provisional ones.
 func (b *Board) Entries(now time.Time) []Entry {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.list.Entries(now)
+	return b.list.without(isProvisional).Entries(now)
 }
 
 // AddCrash records a crash that this daemon saw.
@@ -119,6 +124,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.own.Evidence.AddCrash(c, c.At)
+	b.provisional = NewList(b.own.Evidence.provisional(c.At))
 	b.sequence++
 	b.crashes = append(b.crashes, numberedCrash{sequence: b.sequence, crash: *c})
 	select {
@@ -140,6 +146,9 @@
 	for _, part := range parts {
 		b.own.Evidence.AddSound(part, now)
 	}
+	if len(b.provisional.entries) > 0 {
+		b.provisional = NewList(b.own.Evidence.provisional(now))
+	}
 }
 
 // Survived reports whether this daemon has seen runners survive each of the parts.
--- a/pkg/quarantine/culprits.go
+++ b/pkg/quarantine/culprits.go
@@ -9,15 +9,20 @@
 )
 
 const (
-	// minBegunCrashes is the number of crashes after which a part counts as their cause if no runner has ever survived it
-	// and the response to a request with it had begun each time.
+	// minBegunCrashes is the number of crashes, at whatever moments, after which a part counts as their cause if no runner
+	// has ever survived it, the response to a request with it had begun each time and it was at most crashes of that time.
 	minBegunCrashes = 2
-	// minCrashes is that number for all other parts.
+	// minCrashes is the number of moments with crashes after which any part does.
 	minCrashes = 3
 	// tieCrashes is the number from which several parts that explain the crashes equally well all count as their cause.
 	tieCrashes = 5
 	// sameMoment is the time within which crashes count as one, because one fault can end many runners.
 	sameMoment = 100 * time.Millisecond
+	// minSpacing is the mean time between crashes from which each may be caused by a request of its own; runners that one
+	// fault ends are closer.
+	minSpacing = 10 * time.Millisecond
+	// minShare is the least share of a new part in the crashes between its first and its last one.
+	minShare = 0.6
 	// entryTime is how long requests with a part are barred. After that they may crash as many runners again as it takes
 	// to find the part.
 	entryTime = 10 * time.Minute
@@ -26,13 +31,17 @@
 // record is what the crashes tell about one part.
 type record struct {
 	part string
-	// crashes counts the moments at which runners crashed on requests with the part, begun those at which the response to
-	// such a request had begun. counted and countedBegun are the last moments counted, last is the last crash.
-	crashes      int
-	begun        int
-	counted      time.Time
-	countedBegun time.Time
-	last         time.Time
+	// crashes counts the moments at which runners crashed on requests with the part; counted is the last of them.
+	crashes int
+	counted time.Time
+	// begun counts the crashes at which the response to such a request had begun; firstBegun and lastBegun are the first
+	// and the last of them.
+	begun      int
+	firstBegun time.Time
+	lastBegun  time.Time
+	// last is the last crash, begun or not, and lastNumber the last begun one that was counted.
+	last       time.Time
+	lastNumber int
 	// requests identifies the requests with the part.
 	requests []string
 }
@@ -74,9 +83,9 @@
 // records returns a record for each part that no runner has survived since a crash.
 func (j *Judge) records(now time.Time) map[string]*record {
 	e, out := j.Evidence, map[string]*record{}
-	for n, c := range j.unexplained() {
-		for i := range c.Requests {
-			request := &c.Requests[i]
+	for i, c := range j.unexplained() {
+		for k := range c.Requests {
+			request := &c.Requests[k]
 			for _, part := range request.Parts {
 				if e.sound.at(part).After(c.At) || now.Sub(c.reportedAt) < e.settleTime(c, part) {
 					continue
@@ -86,21 +95,24 @@
 					r = &record{part: part}
 					out[part] = r
 				}
-				r.add(c.At, request, n)
+				r.add(c.At, request, i+1)
 			}
 		}
 	}
 	return out
 }
 
-// add adds a request of the nth crash; crashes are added in the order of their times.
+// add adds a request of the nth crash; crashes are added in the order of their times, from number 1.
 func (r *record) add(at time.Time, request *Suspect, n int) {
 	r.last = at
 	if r.crashes == 0 || at.Sub(r.counted) >= sameMoment {
 		r.crashes, r.counted = r.crashes+1, at
 	}
-	if request.Begun && (r.begun == 0 || at.Sub(r.countedBegun) >= sameMoment) {
-		r.begun, r.countedBegun = r.begun+1, at
+	if request.Begun && r.lastNumber != n {
+		if r.begun == 0 {
+			r.firstBegun = at
+		}
+		r.begun, r.lastBegun, r.lastNumber = r.begun+1, at, n
 	}
 	r.requests = append(r.requests, strconv.Itoa(n)+"/"+request.RequestID)
 }
@@ -118,9 +130,24 @@
 func (j *Judge) enough(r *record) bool {
 	isNew := j.Evidence.sound.at(r.part).IsZero()
 	if j.cautious {
-		return isNew && r.begun >= minCrashes
+		return isNew && r.begun >= minCrashes && r.crashes >= minCrashes
+	}
+	return r.crashes >= minCrashes || (isNew && r.begun >= minBegunCrashes && j.standsOut(r))
+}
+
+// standsOut reports whether a part was at most of the crashes of its time, and these came one by one.
+func (j *Judge) standsOut(r *record) bool {
+	span := r.lastBegun.Sub(r.firstBegun)
+	if span < minSpacing*time.Duration(r.begun-1) {
+		return false
+	}
+	all := 0
+	for _, c := range j.unexplained() {
+		if !c.At.Before(r.firstBegun) && !c.At.After(r.lastBegun) {
+			all++
+		}
 	}
-	return r.crashes >= minCrashes || (isNew && r.begun >= minBegunCrashes)
+	return float64(r.begun) >= minShare*float64(all)
 }
 
 // compareRecords is positive if a explains the crashes better than b.
--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -14,7 +14,7 @@
 	settleTime = 500 * time.Millisecond
 	// newPartSettleTime is that time for parts that no daemon which reported a crash has seen survived: it covers reports of
 	// the same crash by other daemons.
-	newPartSettleTime = 120 * time.Millisecond
+	newPartSettleTime = 60 * time.Millisecond
 	// maxCrashes bounds the crashes that are remembered; a failure domain holds fewer runners.
 	maxCrashes = 256
 	// MaxRequests bounds the requests of one crash; runners run fewer at once.
--- a/pkg/quarantine/judge.go
+++ b/pkg/quarantine/judge.go
@@ -31,6 +31,11 @@
 	j.List = NewList(append(entries, j.List.entries...))
 }
 
+// Entries returns the entries in force, and the provisional ones.
+func (j *Judge) Entries(now time.Time) []Entry {
+	return append(j.List.Entries(now), j.Evidence.provisional(now)...)
+}
+
 // Step updates the list. It returns the entries that were added and those that were lifted, because runners have
 // survived all of their parts since the last crash.
 func (j *Judge) Step(now time.Time) (added, lifted []Entry) {
@@ -72,3 +77,16 @@
 	slices.SortFunc(out, func(a, b *Crash) int { return a.At.Compare(b.At) })
 	return out
 }
+
+// pendingTime is how long after a crash the next report may bring the verdict.
+const pendingTime = 2 * time.Second
+
+// Pending reports whether a verdict on a recent crash is due.
+func (j *Judge) Pending(now time.Time) bool {
+	for _, c := range j.Evidence.crashes {
+		if now.Sub(c.reportedAt) < pendingTime && !j.List.explains(c) {
+			return true
+		}
+	}
+	return false
+}
