gateway: a server that returns under its id starts without records

A runner may return under the id that it had. It was then avoided for what its predecessors did, twice as long with each crash and up to half a minute, and requests were sent to it for prompts that these had cached. docs/platform.md said that nothing known of an earlier incarnation counts; the tracker did not keep to it.

Change: records belong to an incarnation by its start time.

--- a/pkg/gateway/tracker.go
+++ b/pkg/gateway/tracker.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"maps"
 	"sync"
 	"time"
 
+	"trefoilferry.example/ferry/pkg/fleet"
 	"trefoilferry.example/ferry/pkg/routing"
 )
 
@@ -19,6 +21,8 @@
 	notLoadedUntil map[string]time.Time
 	// unreachedAt holds when a connection to a server last failed.
 	unreachedAt map[string]time.Time
+	// started holds the start times of the incarnations to which the records belong, in Unix milliseconds.
+	started map[string]int64
 }
 
 // unreachedReportTime is how long a failed connection is reported to the coordinator; it covers several reports,
@@ -84,7 +88,7 @@
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker {
 	return &Tracker{servers: map[string]*serverWork{}, suspects: routing.NewSuspects(), caches: map[string]*prefixCache{},
-		notLoadedUntil: map[string]time.Time{}, unreachedAt: map[string]time.Time{}}
+		notLoadedUntil: map[string]time.Time{}, unreachedAt: map[string]time.Time{}, started: map[string]int64{}}
 }
 
 func (t *Tracker) work(server string) *serverWork {
@@ -185,21 +189,35 @@
 	cache.add(chain)
 }
 
-// Retain removes what is recorded of servers for which known returns false, except their requests in flight.
-func (t *Tracker) Retain(known func(server string) bool) {
+// Retain removes what is recorded of servers that are not listed, and of earlier incarnations of those that are, except
+// their requests in flight.
+func (t *Tracker) Retain(servers map[string]fleet.Server) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for id := range servers {
+		born := servers[id].StartMillis
+		if before, ok := t.started[id]; ok && before != born {
+			t.forget(id)
+		}
+		t.started[id] = born
+	}
+	known := func(id string) bool { _, ok := servers[id]; return ok }
 	t.suspects.Retain(known)
 	for id, w := range t.servers {
 		if !known(id) && w.requests == 0 {
 			delete(t.servers, id)
 		}
 	}
-	for id := range t.caches {
-		if !known(id) {
-			delete(t.caches, id)
-		}
-	}
+	maps.DeleteFunc(t.caches, func(id string, _ *prefixCache) bool { return !known(id) })
+	maps.DeleteFunc(t.started, func(id string, _ int64) bool { return !known(id) })
+}
+
+// forget removes what is recorded of an earlier incarnation of a server.
+func (t *Tracker) forget(id string) {
+	t.suspects.Clear(id)
+	delete(t.caches, id)
+	delete(t.unreachedAt, id)
+	t.work(id).load = Load{}
 }
 
 // EachActive calls f for every server with requests in flight.
--- a/pkg/gatewaydaemon/daemon.go
+++ b/pkg/gatewaydaemon/daemon.go
@@ -158,7 +158,7 @@
 				readyLogged = true
 				d.log.Log(eventlog.ProcessReady, "version", view.Config.Version, "servers", len(view.Servers))
 			}
-			d.tracker.Retain(func(server string) bool { _, ok := view.Servers[server]; return ok })
+			d.tracker.Retain(view.Servers)
 		}
 	}
 }
