--- a/pkg/gateway/barred.go
+++ b/pkg/gateway/barred.go
@@ -31,6 +31,9 @@
 
 // awaitVerdict waits while a prompt part of the request is held off, and returns the failure if it is barred then.
 func (f *Forwarder) awaitVerdict(ctx context.Context, j *job) *failure.Failure {
+	if len(j.parts) == 0 {
+		return nil
+	}
 	limit := time.Now().Add(modelWaitLimit(j, time.Now()))
 	var release time.Time
 	for {
