quarantine, serverlimit: views count for 1.5 s

At the target size daemons report about once a second (60 ms and 3 ms for each daemon beyond 30), so that a view or a sum was taken for lost just before the next one came, and daemons went by their own evidence and share for some milliseconds of each second.

--- a/pkg/quarantine/board.go
+++ b/pkg/quarantine/board.go
@@ -10,8 +10,8 @@
 	// cause have led to an entry.
 	crashReportTime = 30 * time.Second
 	// holderViewTime is the age up to which the list of the lease holder is used alone. Without it the daemon also goes by
-	// its own evidence.
-	holderViewTime = time.Second
+	// its own evidence. The largest fleets report about once a second.
+	holderViewTime = 1500 * time.Millisecond
 )
 
 // Board is what one daemon knows: the list in force and its own evidence. It is safe for concurrent use.
--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -10,7 +10,7 @@
 	// evidenceTime is how long crashes count.
 	evidenceTime = time.Minute
 	// settleTime is the time from the first report of a crash until it counts. Within it other daemons report which of its
-	// parts runners have survived since; the largest fleets report about every 300 ms.
+	// parts runners have survived since: a fleet of 100 reports about every 300 ms. What comes later lifts the entry.
 	settleTime = 500 * time.Millisecond
 	// newPartSettleTime is that time for parts that no daemon which reported a crash has seen survived: it covers reports of
 	// the same crash by other daemons.
--- a/pkg/serverlimit/server.go
+++ b/pkg/serverlimit/server.go
@@ -26,10 +26,10 @@
 }
 
 const (
-	// totalTime is the age up to which the total of all daemons is used. Without it each daemon keeps to an equal share.
-	totalTime = time.Second
-	// settleTime is how long a new lease holder may not know the requests of all daemons; the largest fleets report about
-	// once a second.
+	// totalTime is the age up to which the total of all daemons is used. Without it each daemon keeps to an equal share. The
+	// largest fleets report about once a second.
+	totalTime = 1500 * time.Millisecond
+	// settleTime is how long a new lease holder may not know the requests of all daemons.
 	settleTime = 1200 * time.Millisecond
 )
 
