gateway: a stream without a length that ends before its first event is broken off

Callers: a stream that its server sends with neither a length nor chunks got status 200 with an empty, complete-looking body when the server closed the connection before the first event, as one that crashes there does. The same response counted as survived, so that the prompt part behind the crash would have been cleared.

Cause: the end of the connection was taken for the end of the stream, whatever had come before.

Change: exchange.Response tells whether only the end of the connection ends the body; a stream that ends so without an event has been broken off.

Evidence: TestUnframedStreamWithoutEventsIsBrokenOff failed before (status 200 with no event, and with a comment only); whole streams without a length still pass. What such a stream loses after an event can't be told on the wire.

--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -64,7 +64,7 @@
 		return nil, err
 	}
 	return &Response{
-		Status: a.status, Header: a.header, Length: a.length,
+		Status: a.status, Header: a.header, Length: a.length, Unframed: a.unframed,
 		ctx: ctx, pool: p, conn: c, body: a.body, stopCancel: stop, reusable: !a.closesConn,
 	}, nil
 }
--- a/pkg/exchange/response.go
+++ b/pkg/exchange/response.go
@@ -16,6 +16,8 @@
 	Header http.Header
 	// Length is the length of the body in bytes; -1 if the response does not state it.
 	Length int64
+	// Unframed is set if only the end of the connection ends the body: a server that crashes may end it the same way.
+	Unframed bool
 
 	ctx  context.Context
 	pool *Pool
--- a/pkg/exchange/response_head.go
+++ b/pkg/exchange/response_head.go
@@ -15,11 +15,14 @@
 	body   io.Reader
 	// closesConn is set if the connection cannot be reused after the response.
 	closesConn bool
+	// unframed is set if the body has neither a length nor chunks, so that only the end of the connection ends it.
+	unframed bool
 }
 
 func newResponseHead(resp *http.Response) *responseHead {
 	return &responseHead{
 		status: resp.StatusCode, header: resp.Header, length: resp.ContentLength, body: resp.Body,
+		unframed:   resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
 		closesConn: resp.Close || !resp.ProtoAtLeast(1, 1) || resp.StatusCode == http.StatusSwitchingProtocols,
 	}
 }
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -76,6 +76,9 @@
 	first := true
 	for {
 		events, err := reader.next()
+		if errors.Is(err, io.EOF) && first && resp.Unframed {
+			return failure.New(failure.Truncated, failure.Unknown, "the connection ended before the first event of the stream")
+		}
 		if errors.Is(err, io.EOF) {
 			r.start(resp)
 			return nil
