gateway: log why a failed request is not retried, count aborted responses

F0200 shows that a stream stalled, not whether attempts, the retry budget or its prompt kept it from another server, and nothing counts connections of callers that are closed before a whole response.

--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -71,6 +71,7 @@
 	f.metrics.recordFailure(j, fail)
 	f.logFailure(j, p, fail)
 	if p.relay.started {
+		f.metrics.recordAborted(fail)
 		// The response header has been sent, so only an aborted connection shows the caller that the stream is incomplete.
 		panic(http.ErrAbortHandler)
 	}
@@ -91,7 +92,8 @@
 	}
 	f.log.Log(event, "request", j.meta.RequestID, "route", j.route.Name, "version", j.version, "model", j.meta.Model,
 		"adapter", j.meta.Adapter, "code", fail.Code, "outcome", p.outcome, "took", time.Since(j.arrived),
-		"sent", p.sent, "refused", p.refused, "unreached", p.unreached, "retry_after", fail.RetryAfter, "reason", fail)
+		"sent", p.sent, "refused", p.refused, "unreached", p.unreached, "retry_after", fail.RetryAfter,
+		"not_retried", p.obstacle, "aborted", p.relay.started, "reason", fail)
 }
 
 // rejectRequest responds to a request that failed before its first attempt.
@@ -100,6 +102,7 @@
 		"version", f.control.configVersion(), "reason", fail)
 	f.metrics.recordRefusal(fail)
 	if fail.Code == failure.ClientCancelled {
+		f.metrics.recordAborted(fail)
 		panic(http.ErrAbortHandler)
 	}
 	f.writeFailure(w, fail)
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -15,6 +15,7 @@
 	attempts   *prometheus.CounterVec
 	durations  *prometheus.HistogramVec
 	firstEvent prometheus.Histogram
+	aborted    *prometheus.CounterVec
 	crashes    prometheus.Counter
 	suspects   prometheus.Histogram
 }
@@ -31,9 +32,10 @@
 		durations: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "ferry_gateway_request_seconds", Help: "Time of served requests.", Buckets: latencyBuckets}, []string{"kind"}),
 	}
 	m.firstEvent = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "ferry_gateway_first_event_seconds", Help: "Time to the first event of served streams.", Buckets: latencyBuckets})
+	m.aborted = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_aborted_responses_total", Help: "Connections of callers closed before a complete response, by code."}, []string{"code"})
 	m.crashes = prometheus.NewCounter(prometheus.CounterOpts{Name: "ferry_gateway_server_crashes_total", Help: "Servers that ended with requests of this daemon in progress."})
 	m.suspects = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "ferry_gateway_crash_suspects", Help: "Requests at a server that crashed without a response that it survived.", Buckets: prometheus.ExponentialBuckets(1, 2, 7)})
-	registry.MustRegister(m.requests, m.results, m.attempts, m.durations, m.firstEvent, m.crashes, m.suspects)
+	registry.MustRegister(m.requests, m.results, m.attempts, m.durations, m.firstEvent, m.aborted, m.crashes, m.suspects)
 	return m
 }
 
@@ -55,6 +57,10 @@
 	m.results.WithLabelValues("none", string(fail.Code)).Inc()
 }
 
+func (m *Metrics) recordAborted(fail *failure.Failure) {
+	m.aborted.WithLabelValues(string(fail.Code)).Inc()
+}
+
 func (m *Metrics) recordAttemptFailure(fail *failure.Failure) {
 	m.attempts.WithLabelValues(string(fail.Code), string(fail.Outcome)).Inc()
 }
--- /dev/null
+++ b/pkg/gateway/obstacle.go
@@ -0,0 +1,15 @@
+package gateway
+
+// obstacle is why a request is not sent to another server.
+type obstacle string
+
+const (
+	// obstacleAttempts means that the request was sent or refused as often as is permitted.
+	obstacleAttempts obstacle = "attempts"
+	// obstacleBudget means that the retry budget of the service is spent.
+	obstacleBudget obstacle = "retry_budget"
+	// obstaclePrompt means that the prompt of the request may crash servers.
+	obstaclePrompt obstacle = "prompt"
+	// obstacleFinal means that another attempt can't remedy the failure or would repeat work that must not be repeated.
+	obstacleFinal obstacle = "final"
+)
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -38,6 +38,8 @@
 	suspect bool
 	// reserved is what the responses of all attempts hold of the buffer budget, in bytes.
 	reserved int64
+	// obstacle is why the request was not sent again; empty before its last attempt has failed.
+	obstacle obstacle
 }
 
 // serve makes attempts until the request is served or may not be retried.
@@ -92,29 +94,37 @@
 	return fail.Code == failure.ConnectFailed && fail.Outcome == failure.NotRun
 }
 
-// allowRetry reports whether the request may be sent again. A request that may have crashed a server is sent again only
-// if servers have survived all of its prompt parts. allowRetry spends the retry budget for it. The budget bounds
-// arrivals at servers, so the retry of an attempt that reached no server spends none.
+// allowRetry reports whether the request may be sent again, and records in p why not. It spends the retry budget for it.
+// The budget bounds arrivals at servers, so the retry of an attempt that reached no server spends none.
 func (f *Forwarder) allowRetry(j *job, p *progress, fail *failure.Failure) bool {
 	now := time.Now()
-	state := retry.State{
-		Now: now, Attempts: p.sent, MaxAttempts: j.route.MaxAttempts,
-		Delivered: p.relay.started, Resumable: j.route.Resumable,
-	}
-	if p.suspect && !f.board.Survived(j.parts) {
-		return false
-	}
-	if p.refused > maxRefusals || p.unreached > maxUnreachedAttempts {
-		return false
-	}
-	if retry.Next(state, fail, j.route.Retryable(), j.deadline).Action == retry.GiveUp {
+	if p.obstacle = f.retryObstacle(j, p, fail, now); p.obstacle != "" {
 		return false
 	}
 	if !neverReachedServer(fail) && !f.budgets.take(j.service.Name, f.control.daemonCount(), now) {
+		p.obstacle = obstacleBudget
 		f.log.Log(eventlog.RetryBudgetEmpty, "request", j.meta.RequestID, "service", j.service.Name)
-		return false
 	}
-	return true
+	return p.obstacle == ""
+}
+
+// retryObstacle returns why a failed request may not be sent again whatever the retry budget holds; empty if it may. A
+// request that may have crashed a server is sent again only if servers have survived all of its prompt parts.
+func (f *Forwarder) retryObstacle(j *job, p *progress, fail *failure.Failure, now time.Time) obstacle {
+	state := retry.State{
+		Now: now, Attempts: p.sent, MaxAttempts: j.route.MaxAttempts,
+		Delivered: p.relay.started, Resumable: j.route.Resumable,
+	}
+	switch {
+	case p.suspect && !f.board.Survived(j.parts):
+		return obstaclePrompt
+	case p.refused > maxRefusals || p.unreached > maxUnreachedAttempts || p.sent >= j.route.MaxAttempts:
+		return obstacleAttempts
+	case retry.Next(state, fail, j.route.Retryable(), j.deadline).Action == retry.GiveUp:
+		return obstacleFinal
+	default:
+		return ""
+	}
 }
 
 // pickServer chooses a server. If none has loaded the model, it waits for one, unless an attempt may already have been
