gateway: give an attempt up for silence only when another server takes it over

Callers saw 200, one or two of five events and a broken connection while their server was silent for 1.7 s and then went on; repeatable calls got 502 after three quarters of their target latency when the retry budget was spent.

Cause: the stall timer of a stream and the timer for the response cancelled the running attempt first. Whether attempts, retry budget, another server and the prompt permit a retry was asked afterwards, and a stream that had begun was then aborted. Class: work that is given up on suspicion before its replacement is certain.

Now a silent server is looked at (silenceWatch); the other server is chosen and the retry budget paid before the attempt is cancelled, and the retry goes to that server. A silent stream still makes its server suspect for other requests.

--- a/pkg/gateway/chooser.go
+++ b/pkg/gateway/chooser.go
@@ -72,7 +72,7 @@
 	if len(candidates) == 0 {
 		return choice{}, false
 	}
-	candidates, limitWait := c.withinLimits(candidates, j.held, now)
+	candidates, limitWait := c.withinLimits(candidates, j, now)
 	if len(candidates) == 0 {
 		return choice{limited: true, limitWait: limitWait}, false
 	}
@@ -114,20 +114,23 @@
 
 // withinLimits returns the candidates that may get another request now. If there are none, the request counts as held back
 // at all of them, and withinLimits returns how long it will wait.
-func (c *chooser) withinLimits(candidates []routing.Candidate, held bool, now time.Time) ([]routing.Candidate, time.Duration) {
+func (c *chooser) withinLimits(candidates []routing.Candidate, j *job, now time.Time) ([]routing.Candidate, time.Duration) {
 	if c.limits == nil {
 		return candidates, 0
 	}
 	allowed := make([]routing.Candidate, 0, len(candidates))
 	var refused []string
 	for i := range candidates {
-		if c.limits.Allows(candidates[i].Runner, held, now) {
+		if c.limits.Allows(candidates[i].Runner, j.held, now) {
 			candidates[i].LimitUsed = c.limits.Used(candidates[i].Runner, now)
 			allowed = append(allowed, candidates[i])
 		} else {
 			refused = append(refused, candidates[i].Runner)
 		}
 	}
+	if len(allowed) == 0 && j.optional {
+		return nil, 0
+	}
 	if len(allowed) == 0 {
 		return nil, c.limits.RecordHeld(refused, now)
 	}
--- a/pkg/gateway/endless_test.go
+++ b/pkg/gateway/endless_test.go
@@ -162,7 +162,8 @@
 			relay := &streamRelay{w: httptest.NewRecorder(), codec: plainCodec{}}
 			resp := sendTo(ctx, t, serveRaw(t, head, c.part, c.pause))
 			defer resp.Close()
-			fail := relay.run(ctx, cancel, resp, stall, func() {})
+			watch := newSilenceWatch(time.Minute, cancel, func(silence) *choice { return &choice{} })
+			fail := relay.run(ctx, resp, watch, stall, func() {})
 			if cut := fail != nil && fail.Code == failure.Truncated && deadline.Err() == nil; cut != c.cut {
 				t.Errorf("stream cut as stalled before the deadline: %v (%v), want %v", cut, fail, c.cut)
 			}
--- a/pkg/gateway/job.go
+++ b/pkg/gateway/job.go
@@ -35,6 +35,8 @@
 	maxIdle int
 	// held is set while the request waits for a server.
 	held bool
+	// optional is set in a copy of a request that another server is still working on. It does not count as held back.
+	optional bool
 	// tried holds the ids of the servers that failed the request.
 	tried map[string]bool
 }
@@ -47,6 +49,12 @@
 	return max(j.deadline.Sub(now), time.Millisecond)
 }
 
+// tooLate reports whether the first token of the chosen server is predicted after most of the remaining time.
+func (j *job) tooLate(c *choice, now time.Time) bool {
+	remaining := j.remaining(now)
+	return remaining > 0 && float64(c.predicted) > maxPredictedShare*float64(remaining)
+}
+
 // routeHash returns a hash of the request id, by which requests are split over weighted services.
 func (j *job) routeHash() uint64 { return xxhash.Sum64String(j.meta.RequestID) }
 
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -16,6 +16,7 @@
 	durations  *prometheus.HistogramVec
 	firstEvent prometheus.Histogram
 	aborted    *prometheus.CounterVec
+	silences   *prometheus.CounterVec
 	crashes    prometheus.Counter
 	suspects   prometheus.Histogram
 }
@@ -33,9 +34,10 @@
 	}
 	m.firstEvent = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "ferry_gateway_first_event_seconds", Help: "Time to the first event of served streams.", Buckets: latencyBuckets})
 	m.aborted = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_aborted_responses_total", Help: "Connections of callers closed before a complete response, by code."}, []string{"code"})
+	m.silences = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_silent_servers_total", Help: "Attempts whose server was silent for longer than expected, by what kept the request there; none if another server took it over."}, []string{"not_moved"})
 	m.crashes = prometheus.NewCounter(prometheus.CounterOpts{Name: "ferry_gateway_server_crashes_total", Help: "Servers that ended with requests of this daemon in progress."})
 	m.suspects = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "ferry_gateway_crash_suspects", Help: "Requests at a server that crashed without a response that it survived.", Buckets: prometheus.ExponentialBuckets(1, 2, 7)})
-	registry.MustRegister(m.requests, m.results, m.attempts, m.durations, m.firstEvent, m.aborted, m.crashes, m.suspects)
+	registry.MustRegister(m.requests, m.results, m.attempts, m.durations, m.firstEvent, m.aborted, m.silences, m.crashes, m.suspects)
 	return m
 }
 
@@ -61,6 +63,14 @@
 	m.aborted.WithLabelValues(string(fail.Code)).Inc()
 }
 
+// recordSilence counts a silent server; an empty obstacle means that another server took the request over.
+func (m *Metrics) recordSilence(why obstacle) {
+	if why == "" {
+		why = "none"
+	}
+	m.silences.WithLabelValues(string(why)).Inc()
+}
+
 func (m *Metrics) recordAttemptFailure(fail *failure.Failure) {
 	m.attempts.WithLabelValues(string(fail.Code), string(fail.Outcome)).Inc()
 }
--- a/pkg/gateway/obstacle.go
+++ b/pkg/gateway/obstacle.go
@@ -10,6 +10,8 @@
 	obstacleBudget obstacle = "retry_budget"
 	// obstaclePrompt means that the prompt of the request may crash servers.
 	obstaclePrompt obstacle = "prompt"
+	// obstacleServer means that no other server can serve the request in time.
+	obstacleServer obstacle = "server"
 	// obstacleFinal means that another attempt can't remedy the failure or would repeat work that must not be repeated.
 	obstacleFinal obstacle = "final"
 )
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -64,15 +64,11 @@
 	r.started = true
 }
 
-// run writes the events of one attempt until its stream ends. It cancels the attempt with errStalled when no event
-// arrives for the stall timeout (0 for none), and calls onFirst when the first event has arrived.
-func (r *streamRelay) run(ctx context.Context, cancel context.CancelCauseFunc, resp *exchange.Response, stall time.Duration, onFirst func()) *failure.Failure {
+// run writes the events of one attempt until its stream ends. It tells watch about them, to which a server without an
+// event for the stall timeout (0 for none) is silent, and calls onFirst when the first event has arrived.
+func (r *streamRelay) run(ctx context.Context, resp *exchange.Response, watch *silenceWatch, stall time.Duration, onFirst func()) *failure.Failure {
 	reader := &eventReader{in: resp}
-	var watchdog *time.Timer
-	if stall > 0 {
-		watchdog = time.AfterFunc(stall, func() { cancel(errStalled) })
-		defer watchdog.Stop()
-	}
+	watch.expectEvent(stall)
 	first := true
 	for {
 		events, err := reader.next()
@@ -89,9 +85,7 @@
 		if carriesData(events) {
 			// Comments and empty events show no progress: a stalled stream may still send them.
 			r.recordArrival(time.Now())
-			if watchdog != nil {
-				watchdog.Reset(stall)
-			}
+			watch.recordEvent(stall)
 			if first {
 				first = false
 				onFirst()
--- a/pkg/gateway/run_attempt.go
+++ b/pkg/gateway/run_attempt.go
@@ -40,7 +40,8 @@
 	if j.service.Engine != nil {
 		f.backend.tracker.RecordPrompt(c.server.ID, j.chain, j.service.Engine.CacheTokens)
 	}
-	stopTimeout := f.startResponseTimeout(j, c, p, cancel)
+	watch := f.watchSilence(j, c, p, cancel)
+	defer func() { p.next = watch.stop() }()
 	lastEvent := ""
 	if p.relay.started {
 		lastEvent = p.relay.lastEvent
@@ -48,7 +49,6 @@
 	}
 	resp, respMeta, fail := f.backend.send(ctx, j, c, lastEvent)
 	if fail != nil {
-		stopTimeout()
 		if fail.Code == failure.WrongIncarnation {
 			f.backend.tracker.RecordNotLoaded(c.server.ID, j.meta.Model, j.meta.Adapter, time.Now())
 		}
@@ -59,7 +59,6 @@
 	if j.bufferResponse() || resp.Status != 200 || !respMeta.Signed {
 		a := readFullResponse(resp, respMeta, &f.buffers)
 		p.reserved += a.reserved
-		stopTimeout()
 		if a.fail != nil {
 			a.fail = f.classifyFailure(ctx, j, c, prompt, a.fail)
 		}
@@ -70,8 +69,7 @@
 		return a
 	}
 	defer resp.Close()
-	fail = p.relay.run(ctx, cancel, resp, stallTimeout(j), func() { stopTimeout(); first() })
-	stopTimeout()
+	fail = p.relay.run(ctx, resp, watch, stallTimeout(j), first)
 	if fail != nil {
 		suspect := ctx.Err() == nil && prompt.suspect(time.Now()) != nil
 		return attemptResult{fail: f.classifyFailure(ctx, j, c, prompt, fail), delivered: p.relay.started, suspect: suspect}
@@ -80,20 +78,6 @@
 	return attemptResult{delivered: true}
 }
 
-// startResponseTimeout cancels the attempt with errStalled if the server does not respond in time and the request can
-// still be sent to another one. It returns a function that stops the timeout.
-func (f *Forwarder) startResponseTimeout(j *job, c *choice, p *progress, cancel context.CancelCauseFunc) func() {
-	if !j.route.Retryable() || c.candidates < 2 || p.sent+1 >= j.route.MaxAttempts {
-		return func() {}
-	}
-	limit := time.Duration(float64(j.route.TargetLatency) * bufferedTimeoutShare)
-	if !j.bufferResponse() {
-		limit = max(streamTimeoutFactor*j.route.TargetLatency, predictionTimeoutFactor*c.predicted)
-	}
-	timer := time.AfterFunc(limit, func() { cancel(errStalled) })
-	return func() { timer.Stop() }
-}
-
 // stallTimeout returns the time without an event after which a stream counts as stalled; 0 if the stream cannot be
 // resumed.
 func stallTimeout(j *job) time.Duration {
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -40,6 +40,8 @@
 	reserved int64
 	// obstacle is why the request was not sent again; empty before its last attempt has failed.
 	obstacle obstacle
+	// next is the server that takes the request over from a silent one; nil for none.
+	next *choice
 }
 
 // serve makes attempts until the request is served or may not be retried.
@@ -52,7 +54,7 @@
 	p := &progress{outcome: failure.NotRun, relay: &streamRelay{w: w, codec: f.codec, lastEvent: j.meta.LastEventID}}
 	defer func() { f.buffers.release(p.reserved) }()
 	for {
-		c, fail := f.pickServer(ctx, j, p)
+		c, fail := f.nextServer(ctx, j, p)
 		if fail == nil {
 			a := f.runAttempt(ctx, j, c, p)
 			if a.fail == nil {
@@ -101,7 +103,8 @@
 	if p.obstacle = f.retryObstacle(j, p, fail, now); p.obstacle != "" {
 		return false
 	}
-	if !neverReachedServer(fail) && !f.budgets.take(j.service.Name, f.control.daemonCount(), now) {
+	// The retry of a request that another server takes over is paid for.
+	if p.next == nil && !neverReachedServer(fail) && !f.budgets.take(j.service.Name, f.control.daemonCount(), now) {
 		p.obstacle = obstacleBudget
 		f.log.Log(eventlog.RetryBudgetEmpty, "request", j.meta.RequestID, "service", j.service.Name)
 	}
@@ -127,6 +130,15 @@
 	}
 }
 
+// nextServer returns the server that takes the request over from a silent one, or chooses one.
+func (f *Forwarder) nextServer(ctx context.Context, j *job, p *progress) (*choice, *failure.Failure) {
+	if c := p.next; c != nil {
+		p.next = nil
+		return c, nil
+	}
+	return f.pickServer(ctx, j, p)
+}
+
 // pickServer chooses a server. If none has loaded the model, it waits for one, unless an attempt may already have been
 // executed. It fails with TargetMissed if the chosen server is predicted to be too late.
 func (f *Forwarder) pickServer(ctx context.Context, j *job, p *progress) (*choice, *failure.Failure) {
@@ -144,9 +156,9 @@
 		}
 		return nil, failure.New(failure.NoBackend, failure.NotRun, "no server of service "+j.service.Name+" can run the request").WithRetryAfter(noBackendRetryAfter)
 	}
-	if remaining := j.remaining(time.Now()); remaining > 0 && !p.relay.started && float64(c.predicted) > maxPredictedShare*float64(remaining) {
+	if now := time.Now(); !p.relay.started && j.tooLate(&c, now) {
 		return nil, failure.New(failure.TargetMissed, failure.NotRun, "no server can begin the response in time: predicted after "+c.predicted.String()+
-			" with "+remaining.String()+" left").WithRetryAfter(c.predicted / 2)
+			" with "+j.remaining(now).String()+" left").WithRetryAfter(c.predicted / 2)
 	}
 	if fail := f.awaitVerdict(ctx, j); fail != nil {
 		return nil, fail
--- /dev/null
+++ b/pkg/gateway/takeover_test.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"trefoilferry.example/ferry/pkg/eventlog"
+	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/fleet"
+	"trefoilferry.example/ferry/pkg/quarantine"
+	"trefoilferry.example/ferry/pkg/serverlimit"
+)
+
+// Guards against a request that is taken from a silent server before another one is found for it and paid for: its
+// caller then loses a response that the silent server would have completed.
+func TestSilentServerKeepsItsRequestWithoutAnother(t *testing.T) {
+	for name, c := range map[string]struct {
+		prepare func(f *Forwarder, j *job, p *progress)
+		want    obstacle
+	}{
+		"another server":       {func(*Forwarder, *job, *progress) {}, ""},
+		"attempts used":        {func(_ *Forwarder, _ *job, p *progress) { p.sent = 1 }, obstacleAttempts},
+		"retry budget spent":   {func(f *Forwarder, _ *job, _ *progress) { f.budgets = newBudgets(BudgetLimits{Window: time.Second}) }, obstacleBudget},
+		"other server tried":   {func(_ *Forwarder, j *job, _ *progress) { j.tried["r1"] = true }, obstacleServer},
+		"other server suspect": {func(f *Forwarder, _ *job, _ *progress) { f.backend.tracker.RecordFailure("r1", time.Now()) }, obstacleServer},
+		"no time left":         {func(_ *Forwarder, j *job, _ *progress) { j.deadline = time.Now().Add(time.Millisecond) }, obstacleServer},
+		"suspect prompt":       {func(_ *Forwarder, j *job, p *progress) { p.suspect, j.parts = true, []string{"aa"} }, obstaclePrompt},
+	} {
+		t.Run(name, func(t *testing.T) {
+			control := NewControl(eventlog.Discard(), NewPollTiming(time.Second))
+			control.view.Store(modelView(2))
+			f := &Forwarder{control: control, log: eventlog.Discard(), chooser: testChooser(), board: quarantine.NewBoard(),
+				metrics: NewMetrics(prometheus.NewRegistry()), budgets: newBudgets(BudgetLimits{Slack: 100, Window: time.Second}),
+				backend: &backend{tracker: NewTracker(), limits: serverlimit.NewTable(rand.Float64)}}
+			j, p := modelJob("id", "", 10, 10), &progress{outcome: failure.NotRun, relay: &streamRelay{}}
+			j.route = &fleet.Route{Kind: fleet.Streaming, Resumable: true, MaxAttempts: 2}
+			j.deadline = time.Now().Add(4 * time.Second)
+			c.prepare(f, j, p)
+			next, why := f.chooseTakeover(j, &choice{server: fleet.Server{ID: "r0"}}, p, time.Now())
+			if why != c.want || (next != nil) != (c.want == "") {
+				t.Errorf("kept by %q with server %v, want %q", why, next, c.want)
+			}
+			if next != nil && next.server.ID != "r1" {
+				t.Errorf("taken over by %s, want r1", next.server.ID)
+			}
+		})
+	}
+}
+
+// Guards against an attempt that is cancelled although no server takes its request over, and against one that stays at
+// a dead server because another one only became available later.
+func TestSilenceIsLookedAtAgain(t *testing.T) {
+	ctx, cancel := context.WithCancelCause(t.Context())
+	defer cancel(nil)
+	var looks atomic.Int32
+	watch := newSilenceWatch(10*time.Millisecond, cancel, func(s silence) *choice {
+		if n := looks.Add(1); s.repeated != (n > 1) {
+			t.Error(fmt.Sprint("look ", n, " repeated: ", s.repeated))
+		}
+		if looks.Load() < 3 {
+			return nil
+		}
+		return &choice{candidates: 7}
+	})
+	time.Sleep(silenceRecheck / 2)
+	if ctx.Err() != nil {
+		t.Fatal("the attempt was cancelled although no server takes its request over")
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(10 * silenceRecheck):
+		t.Fatal("the attempt was not cancelled once a server takes its request over")
+	}
+	if c := watch.stop(); c == nil || c.candidates != 7 || looks.Load() != 3 {
+		t.Errorf("server that takes the request over: %v after %d looks, want the one found at the third", c, looks.Load())
+	}
+}
