gatewaydaemon: a stop leaves most of a short grace to requests in progress

The margin before the end of the grace was 900 ms and new connections were served for 2.5 s whatever the grace: with a grace of 4 s, requests in progress were cut after 3.1 s, before the last sixth of the grace; with 2 s no time was left for them. Deployments with 8 s keep their times.

--- a/pkg/gatewaydaemon/daemon.go
+++ b/pkg/gatewaydaemon/daemon.go
@@ -32,13 +32,6 @@
 	maxCallerHeaderBytes = 64 << 10
 	// sweepInterval is the interval at which idle connections and the state of removed servers are dropped.
 	sweepInterval = time.Second
-	// balancerUpdateTime is the time for which the platform's balancer may still send new connections after readiness
-	// has ended.
-	balancerUpdateTime = 2500 * time.Millisecond
-	// stopMargin is the part of the stop grace that remains after open requests are closed.
-	stopMargin = 900 * time.Millisecond
-	// releaseTimeout is the timeout for releasing the lease.
-	releaseTimeout = 400 * time.Millisecond
 )
 
 // Daemon runs the listeners and background goroutines of a gateway.
@@ -166,11 +159,12 @@
 // Stop finishes the requests in progress and stops the daemon. It ends readiness first, so that the balancer sends
 // new connections elsewhere.
 func (d *Daemon) Stop(ctx context.Context) error {
-	end := time.Now().Add(d.settings.StopGrace - stopMargin)
+	schedule := newStopSchedule(d.settings.StopGrace)
+	end := time.Now().Add(schedule.finish)
 	d.draining.Store(true)
 	d.forwarder.StartDraining()
 	d.log.Log(eventlog.ProcessDraining, "grace", d.settings.StopGrace)
-	time.Sleep(balancerUpdateTime)
+	time.Sleep(schedule.accept)
 	finishing, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	if err := d.callerServer.Shutdown(finishing); err != nil {
