exchange, gateway: a response that names no request is not the current one's on a kept connection

Cause: Matches in pkg/gateway accepted responses without a request id, so a faulty server that wrote an earlier refusal once more without its id had it taken for the answer to the request sent since.

Change: exchange.Request gets Unnamed. On a connection that has carried a request or call before, a response that names no request is skipped like a stale one: neither status nor body is used. If the named response follows, the caller gets it; else the outcome is Unknown and the connection is closed. The first request of a connection may have an unnamed response, and its connection is not reused, so that a server that never names requests is served.

Weighed: to fail at once with outcome Unknown. The server is still at work on the request then, and a request that may run once only ends as 502 although its answer comes. Skipping costs more if a server names the request in its answers and not in its refusals: such a request waits for its deadline (504, outcome unknown).

--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -43,6 +43,8 @@
 	idleSince time.Time
 	// maxIdle bounds the idle connections to the server, this one included.
 	maxIdle int
+	// sent counts the requests that the connection has carried, the current one included.
+	sent int
 }
 
 func newConn(c net.Conn, address string) *conn {
@@ -50,16 +52,17 @@
 	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, keepAlive: defaultKeepAlive, maxIdle: DefaultMaxIdle}
 }
 
-// roundTrip sends the request and reads the head of its response, skipping responses that req.Matches rejects. ctx
-// bounds both.
+// roundTrip sends the request and reads the head of its response, skipping responses to earlier requests. ctx bounds
+// both.
 func (c *conn) roundTrip(ctx context.Context, req *Request) (*responseHead, error) {
+	c.sent++
 	c.send(req.encode())
 	for range maxStaleResponses + 1 {
 		a, err := c.readHead(req.Method)
 		if err != nil {
 			return nil, c.classify(ctx, err)
 		}
-		if req.Matches == nil || req.Matches(a.header) {
+		if c.accepts(req, a) {
 			c.recordKeepAlive(a.header)
 			return a, nil
 		}
--- a/pkg/exchange/request.go
+++ b/pkg/exchange/request.go
@@ -16,6 +16,10 @@
 	Body   []byte
 	// Matches reports whether a response with this header belongs to the request; nil accepts every response.
 	Matches func(http.Header) bool
+	// Unnamed reports whether a response with this header names no request, in a protocol whose responses do; nil if they
+	// never do. Such a response belongs to the request if its connection has carried no other one. On a kept connection it
+	// may be a second copy of an earlier response, so it is skipped like one that Matches rejects.
+	Unnamed func(http.Header) bool
 	// FreshConn requires a connection that is new or was used within maxFreshIdle: a server may drop an idle connection
 	// without notice, and then it is unknown whether the request was executed.
 	FreshConn bool
--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -43,9 +43,9 @@
 		FreshConn: !j.route.Retryable(),
 		MaxIdle:   j.maxIdle,
 		Matches: func(h http.Header) bool {
-			id := b.codec.DecodeResponse(http.StatusOK, h).RequestID
-			return id == "" || id == j.meta.RequestID
+			return b.codec.DecodeResponse(http.StatusOK, h).RequestID == j.meta.RequestID
 		},
+		Unnamed: func(h http.Header) bool { return b.codec.DecodeResponse(http.StatusOK, h).RequestID == "" },
 	}
 	resp, err := b.pool.Send(ctx, c.server.Address, req)
 	if err != nil {
