gateway: servers that leave by response get no new requests

A runner that leaves says so in its responses (Server-Leaving: 1). The field was not decoded, so requests went there until the server list said the same, which it may never do.

pkg/availability keeps what servers say about taking requests, by incarnation, without clock and network. The mark is final for the incarnation, is recorded where responses are decoded (backend.send), makes the candidate draining for the filters of pkg/routing, and is checked again just before a request is sent. Crash evidence skips servers that leave, as with the list. The lease holder takes what its own daemon was told, by responses and by reports, as draining.

Ruled out: one table for limits, load and this (docs/platform.md).

--- /dev/null
+++ b/pkg/availability/doc.go
@@ -0,0 +1,3 @@
+// Package availability keeps what servers say in their responses about taking requests. Decisions read no clock and no
+// network.
+package availability
--- a/pkg/coordinator/config.go
+++ b/pkg/coordinator/config.go
@@ -1,6 +1,9 @@
 package coordinator
 
-import "trefoilferry.example/ferry/pkg/quarantine"
+import (
+	"trefoilferry.example/ferry/pkg/availability"
+	"trefoilferry.example/ferry/pkg/quarantine"
+)
 
 // Config holds the settings of a coordinator.
 type Config struct {
@@ -11,4 +14,6 @@
 	LoadLimits LoadLimits
 	// Board is the quarantine in force at this daemon.
 	Board *quarantine.Board
+	// Availability is what runners have told this daemon about taking requests; nil for none.
+	Availability *availability.Table
 }
--- a/pkg/coordinator/refresh.go
+++ b/pkg/coordinator/refresh.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"trefoilferry.example/ferry/pkg/availability"
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/failure"
 )
@@ -102,6 +103,7 @@
 	r.LoadingAdapters = state.LoadingAdapters
 	if state.Draining {
 		r.Server.Draining = true
+		c.config.Availability.Record(r.incarnation(), availability.Answer{Leaving: true, SentAt: r.LastRead, At: r.LastRead, Source: "report"})
 	}
 	c.markChanged(r)
 }
--- a/pkg/eventlog/catalog_gateway.go
+++ b/pkg/eventlog/catalog_gateway.go
@@ -15,6 +15,8 @@
 	PromptBarred           = register(136, log.WarnLevel, "prompt barred", "Runners crash on requests with these prompt parts; they are refused until the entry expires. source is the daemon that decided.")
 	PromptAllowed          = register(137, log.InfoLevel, "prompt allowed", "Runners have survived prompt parts that were barred; requests with them are served again.")
 	ServerLimitChanged     = register(138, log.InfoLevel, "server limit changed", "A response of a server names another limit of requests per second than the one before; 0 is none.")
+	ServerLeaving          = register(140, log.InfoLevel, "server leaving", "A response of a server says that it leaves; this daemon sends it no new requests, whatever the server list says. source is the response, age how long ago it can have been given at most.")
+	ServerLeavingEnded     = register(141, log.InfoLevel, "server left", "An incarnation that said that it leaves is gone; after is the time since it said so.")
 	RequestServed          = register(210, log.InfoLevel, "request served", "A caller received a complete response; candidates and predictions show why this server was chosen.")
 	RequestRefused         = register(211, log.InfoLevel, "request refused", "A request was refused without being run; reason says why and retry_after when the caller may retry.")
 	StreamResumed          = register(212, log.InfoLevel, "stream resumed", "A broken response stream continues at another backend server after the last delivered event.")
--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"trefoilferry.example/ferry/pkg/availability"
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/exchange"
 	"trefoilferry.example/ferry/pkg/failure"
@@ -26,7 +27,9 @@
 	codec   Codec
 	tracker *Tracker
 	limits  *serverlimit.Table
-	log     *eventlog.Logger
+	// availability is what the servers say about taking requests; nil for none.
+	availability *availability.Table
+	log          *eventlog.Logger
 }
 
 // send sends the request to the chosen server and returns the response with its decoded header. A response that
@@ -47,6 +50,7 @@
 			return id == "" || id == j.meta.RequestID
 		},
 	}
+	sentAt := time.Now()
 	resp, err := b.pool.Send(ctx, c.server.Address, req)
 	if err != nil {
 		return nil, ResponseMeta{}, failure.From(err)
@@ -55,6 +59,7 @@
 	now := time.Now()
 	b.tracker.RecordLoad(c.server.ID, meta.Load, now)
 	b.recordLimit(c.server.ID, meta.Limit, now)
+	b.recordAvailability(&c.server, j, &meta, sentAt, now)
 	if meta.NotRun {
 		defer resp.Close()
 		if resp.Length >= 0 && resp.Length <= maxRefusalBytes {
--- a/pkg/gateway/chooser.go
+++ b/pkg/gateway/chooser.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"trefoilferry.example/ferry/pkg/availability"
 	"trefoilferry.example/ferry/pkg/routing"
 	"trefoilferry.example/ferry/pkg/serverlimit"
 )
@@ -38,6 +39,8 @@
 	plain  *routing.Policy
 	// limits keeps the requests within the limits that servers name; nil for none.
 	limits *serverlimit.Table
+	// availability is what the servers say about taking requests; nil for none.
+	availability *availability.Table
 }
 
 func newChooser(region string, regionOf map[string]string) *chooser {
@@ -106,7 +109,7 @@
 		}
 		out = append(out, routing.Candidate{
 			Runner: id, Address: s.Address, Region: c.regionOf[s.FailureDomain],
-			FailureDomain: s.FailureDomain, Draining: s.Draining,
+			FailureDomain: s.FailureDomain, Draining: s.Draining || c.availability.Leaving(incarnationOf(&s)),
 		})
 	}
 	return out
--- a/pkg/gateway/forwarder_config.go
+++ b/pkg/gateway/forwarder_config.go
@@ -3,6 +3,7 @@
 import (
 	"sync/atomic"
 
+	"trefoilferry.example/ferry/pkg/availability"
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/exchange"
 	"trefoilferry.example/ferry/pkg/quarantine"
@@ -17,9 +18,11 @@
 	Demand  *Demand
 	Board   *quarantine.Board
 	Limits  *serverlimit.Table
-	Codec   Codec
-	Log     *eventlog.Logger
-	Metrics *Metrics
+	// Availability is what the servers say about taking requests.
+	Availability *availability.Table
+	Codec        Codec
+	Log          *eventlog.Logger
+	Metrics      *Metrics
 	// Region is this daemon's region; RegionOf maps failure domains to regions.
 	Region   string
 	RegionOf map[string]string
@@ -29,10 +32,10 @@
 // NewForwarder returns a forwarder.
 func NewForwarder(p ForwarderConfig) *Forwarder {
 	chooser := newChooser(p.Region, p.RegionOf)
-	chooser.limits = p.Limits
+	chooser.limits, chooser.availability = p.Limits, p.Availability
 	return &Forwarder{
 		control: p.Control,
-		backend: &backend{pool: p.Pool, codec: p.Codec, tracker: p.Tracker, limits: p.Limits, log: p.Log},
+		backend: &backend{pool: p.Pool, codec: p.Codec, tracker: p.Tracker, limits: p.Limits, availability: p.Availability, log: p.Log},
 		chooser: chooser,
 		budgets: newBudgets(p.Budget),
 		board:   p.Board,
--- a/pkg/gateway/response_meta.go
+++ b/pkg/gateway/response_meta.go
@@ -12,4 +12,6 @@
 	Load   Load
 	// Limit is the number of requests per second that the server takes from all daemons together; 0 for no limit.
 	Limit float64
+	// Leaving is set if the server takes no new requests any more.
+	Leaving bool
 }
--- a/pkg/gateway/run_attempt.go
+++ b/pkg/gateway/run_attempt.go
@@ -133,5 +133,5 @@
 // inService reports whether a server is listed and not leaving. One that leaves ends its connections as planned.
 func (f *Forwarder) inService(id string) bool {
 	s, ok := f.control.View().Servers[id]
-	return ok && !s.Draining
+	return ok && !s.Draining && !f.backend.availability.Leaving(incarnationOf(&s))
 }
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -141,6 +141,10 @@
 	if fail := f.awaitVerdict(ctx, j); fail != nil {
 		return nil, fail
 	}
+	if !f.backend.availability.Admit(incarnationOf(&c.server), time.Now()) {
+		// The server has spoken since it was chosen.
+		return f.pickServer(ctx, j, p)
+	}
 	f.backend.limits.RecordSend(c.server.ID, time.Now())
 	return &c, nil
 }
--- a/pkg/gatewaydaemon/daemon.go
+++ b/pkg/gatewaydaemon/daemon.go
@@ -14,6 +14,7 @@
 	"go.uber.org/fx"
 
 	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/availability"
 	"trefoilferry.example/ferry/pkg/coordinator"
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/failure"
@@ -48,6 +49,7 @@
 	log       *eventlog.Logger
 	control   *gateway.Control
 	tracker   *gateway.Tracker
+	servers   *availability.Table
 	forwarder *gateway.Forwarder
 	elector   *lease.Elector
 	coord     *coordinator.Coordinator
@@ -69,6 +71,7 @@
 	Log       *eventlog.Logger
 	Control   *gateway.Control
 	Tracker   *gateway.Tracker
+	Servers   *availability.Table
 	Forwarder *gateway.Forwarder
 	Elector   *lease.Elector
 	Coord     *coordinator.Coordinator
@@ -78,7 +81,7 @@
 }
 
 func newDaemon(in daemonIn) *Daemon {
-	return &Daemon{settings: in.Settings, clients: in.Clients, log: in.Log, control: in.Control, tracker: in.Tracker,
+	return &Daemon{settings: in.Settings, clients: in.Clients, log: in.Log, control: in.Control, tracker: in.Tracker, servers: in.Servers,
 		forwarder: in.Forwarder, elector: in.Elector, coord: in.Coord, reporter: in.Reporter, registry: in.Registry, shutdown: in.Shutdown}
 }
 
@@ -159,6 +162,7 @@
 				d.log.Log(eventlog.ProcessReady, "version", view.Config.Version, "servers", len(view.Servers))
 			}
 			d.tracker.Retain(view.Servers)
+			d.servers.Retain(view.StartTimes(), now)
 		}
 	}
 }
--- a/pkg/gatewaydaemon/module.go
+++ b/pkg/gatewaydaemon/module.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 
+	"trefoilferry.example/ferry/pkg/availability"
 	"trefoilferry.example/ferry/pkg/coordinator"
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/gateway"
@@ -30,6 +31,7 @@
 			prometheus.NewRegistry,
 			newMetrics,
 			func() *serverlimit.Table { return serverlimit.NewTable(rand.Float64) },
+			gateway.NewAvailability,
 			func(l *eventlog.Logger) *gateway.Control {
 				return gateway.NewControl(l, gateway.NewPollTiming(settings.MaxChangeDelay))
 			},
@@ -49,7 +51,9 @@
 	)
 }
 
-func newMetrics(r *prometheus.Registry, limits *serverlimit.Table) *gateway.Metrics {
+func newMetrics(r *prometheus.Registry, limits *serverlimit.Table, servers *availability.Table) *gateway.Metrics {
+	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "ferry_gateway_leaving_servers", Help: "Servers that said in a response that they leave."},
+		func() float64 { return float64(servers.CountLeaving()) }))
 	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "ferry_gateway_limited_servers", Help: "Servers that name a limit of requests per second."},
 		func() float64 { return float64(limits.Limited(time.Now())) }))
 	return gateway.NewMetrics(r)
@@ -63,8 +67,8 @@
 	return lease.NewElector(clients.Lease, l, s.Host, s.PeerAddr, s.Cores, timing, ref)
 }
 
-func newCoordinator(s *Settings, clients *Clients, control *gateway.Control, elector *lease.Elector, board *quarantine.Board, ref *coordinatorRef, l *eventlog.Logger) *coordinator.Coordinator {
-	config := coordinator.Config{Holder: s.Host, RegionOf: s.RegionOf, LoadLimits: s.Loads, Board: board}
+func newCoordinator(s *Settings, clients *Clients, control *gateway.Control, elector *lease.Elector, board *quarantine.Board, servers *availability.Table, ref *coordinatorRef, l *eventlog.Logger) *coordinator.Coordinator {
+	config := coordinator.Config{Holder: s.Host, RegionOf: s.RegionOf, LoadLimits: s.Loads, Board: board, Availability: servers}
 	c := coordinator.New(config, control, elector, clients.Runners, l)
 	ref.StateHandover = c
 	return c
@@ -80,9 +84,9 @@
 	return coordinator.NewReporter(s.Host, elector, c, control, d, t, board, limits, l)
 }
 
-func newForwarder(s *Settings, clients *Clients, control *gateway.Control, d *gateway.Demand, t *gateway.Tracker, board *quarantine.Board, limits *serverlimit.Table, m *gateway.Metrics, l *eventlog.Logger) *gateway.Forwarder {
+func newForwarder(s *Settings, clients *Clients, control *gateway.Control, d *gateway.Demand, t *gateway.Tracker, board *quarantine.Board, limits *serverlimit.Table, servers *availability.Table, m *gateway.Metrics, l *eventlog.Logger) *gateway.Forwarder {
 	return gateway.NewForwarder(gateway.ForwarderConfig{
-		Control: control, Pool: clients.Pool, Tracker: t, Demand: d, Board: board, Limits: limits, Codec: clients.Codec, Log: l, Metrics: m,
+		Control: control, Pool: clients.Pool, Tracker: t, Demand: d, Board: board, Limits: limits, Availability: servers, Codec: clients.Codec, Log: l, Metrics: m,
 		Region: s.Region, RegionOf: s.RegionOf, Budget: s.Budget,
 	})
 }
