gateway: only the rest of a broken stream continues it

Cause: after a stream had begun and broken off, any signed 200 of the next server was read as events. Events without ids passed, since only ids that were there were compared, comments passed, and a response that ended before its first event counted as the regular end of the stream. Ruled out: errors and refusals (500, 404, 202) never reached the stream; events from the beginning and missing events were refused.

Change: the response to a resumption must have the media type of the stream and no content coding, and its first event with data must carry the id that follows; comments before it are dropped. An end before it breaks the stream off, and the attempt counts as failed, so that another server may be asked. A stream whose last event had no id is not resumed.

The legal case, a first server that broke off after its last event: the next server's answer is empty then, and cannot be told from one that lost the rest. Broken off, the caller asks for the rest itself and gets the empty end (tested); ended as complete, a caller may take part of a response for all of it.

--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -26,6 +26,11 @@
 	lastEvent string
 	// started is set once the response header has been sent.
 	started bool
+	// mediaType is that of the response whose header was sent.
+	mediaType string
+	// unnumbered is set once an event without an id was written after lastEvent, so that no server can tell where to
+	// resume the stream.
+	unnumbered bool
 	// firstAt and lastAt are when the first and the latest events arrived; longestPause is the longest time between two
 	// arrivals.
 	firstAt      time.Time
@@ -61,12 +66,16 @@
 		header[name] = values
 	}
 	r.w.WriteHeader(resp.Status)
-	r.started = true
+	r.started, r.mediaType = true, mediaType(resp.Header)
 }
 
 // run writes the events of one attempt until its stream ends. It cancels the attempt with errStalled when no event
 // arrives for the stall timeout (0 for none), and calls onFirst when the first event has arrived.
 func (r *streamRelay) run(ctx context.Context, cancel context.CancelCauseFunc, resp *exchange.Response, stall time.Duration, onFirst func()) *failure.Failure {
+	resumed, fail := r.resume(resp)
+	if fail != nil {
+		return fail
+	}
 	reader := &eventReader{in: resp}
 	var watchdog *time.Timer
 	if stall > 0 {
@@ -81,11 +90,17 @@
 		}
 		if errors.Is(err, io.EOF) {
 			r.start(resp)
-			return nil
+			return resumed.checkEnd()
 		}
 		if err != nil {
 			return r.classifyReadError(ctx, err)
 		}
+		if events, fail = resumed.admit(events); fail != nil {
+			return fail
+		}
+		if len(events) == 0 {
+			continue
+		}
 		if carriesData(events) {
 			// Comments and empty events show no progress: a stalled stream may still send them.
 			r.recordArrival(time.Now())
@@ -126,6 +141,7 @@
 	if err := http.NewResponseController(r.w).Flush(); err != nil {
 		return failure.Wrap(failure.ClientCancelled, failure.Unknown, "the caller's connection is closed", err)
 	}
+	r.unnumbered = endsUnnumbered(events, r.unnumbered)
 	if lastID != "" {
 		r.lastEvent = lastID
 	}
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -99,7 +99,7 @@
 	now := time.Now()
 	state := retry.State{
 		Now: now, Attempts: p.sent, MaxAttempts: j.route.MaxAttempts,
-		Delivered: p.relay.started, Resumable: j.route.Resumable,
+		Delivered: p.relay.started, Resumable: j.route.Resumable && p.relay.resumable(),
 	}
 	if p.suspect && !f.board.Survived(j.parts) {
 		return false
