gateway: a request body that cannot be read gets an answer

Cause: each error of reading a body was taken for a caller that has gone, so the connection was closed without an answer to malformed chunks and to bodies that end early, whose callers may still read. With bytes left unread the connection was reset.

Change: only an error of the connection itself (reset, timed out) means that the caller has gone. Any other is answered 400, not run, and the connection is closed in the way of net/http for bodies that are too long: its own side first, the rest 500 ms later. A caller that has closed its connection at the end of a part of the body cannot be told from one that has closed its own side only; the answer to it is lost, which is harmless.

--- a/pkg/gateway/forwarder.go
+++ b/pkg/gateway/forwarder.go
@@ -124,7 +124,7 @@
 	if _, ok := err.(*http.MaxBytesError); ok {
 		return nil, failure.New(failure.BodyTooLarge, failure.NotRun, "the request body is too long")
 	}
-	return nil, failure.Wrap(failure.ClientCancelled, failure.NotRun, "the request body ended early", err)
+	return nil, unreadableBody(w, err)
 }
 
 // hostName returns the host without its port.
