--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -116,7 +116,7 @@
 func (f *Forwarder) retryObstacle(j *job, p *progress, fail *failure.Failure, now time.Time) obstacle {
 	state := retry.State{
 		Now: now, Attempts: p.sent, MaxAttempts: j.route.MaxAttempts,
-		Delivered: p.relay.started, Resumable: j.route.Resumable,
+		Delivered: p.relay.started, Resumable: j.route.Resumable && p.relay.resumable(),
 	}
 	switch {
 	case p.suspect && !f.board.Survived(j.parts):
