gateway: silence is only counted while nothing is written to the caller, and without a target latency

A caller that read slowly made its server count as silent, because the timer ran on while an event was written to the caller (so did the timer before); the request then moved, and the retry budget and a suspicion were spent on a sound server.

--- a/pkg/gateway/chooser.go
+++ b/pkg/gateway/chooser.go
@@ -131,7 +131,7 @@
 			refused = append(refused, candidates[i].Runner)
 		}
 	}
-	if len(allowed) == 0 && j.optional {
+	if len(allowed) == 0 && j.extraAttempt {
 		return nil, 0
 	}
 	if len(allowed) == 0 {
--- a/pkg/gateway/job.go
+++ b/pkg/gateway/job.go
@@ -35,8 +35,9 @@
 	maxIdle int
 	// held is set while the request waits for a server.
 	held bool
-	// optional is set in a copy of a request that another server is still working on. It does not count as held back.
-	optional bool
+	// extraAttempt is set in the copy with which a server is chosen while another one works on the request. Without a
+	// server, the request does not count as held back.
+	extraAttempt bool
 	// tried holds the ids of the servers that failed the request.
 	tried map[string]bool
 }
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -69,8 +69,8 @@
 	r.started, r.mediaType = true, mediaType(resp.Header)
 }
 
-// run writes the events of one attempt until its stream ends. It tells watch about them, to which a server without an
-// event for the stall timeout (0 for none) is silent, and calls onFirst when the first event has arrived.
+// run writes the events of one attempt until its stream ends. It reports each event to watch, which takes the server for
+// silent if none follows within stall (0 for no limit), and calls onFirst at the first event.
 func (r *streamRelay) run(ctx context.Context, resp *exchange.Response, watch *silenceWatch, stall time.Duration, onFirst func()) *failure.Failure {
 	resumed, fail := r.resume(resp)
 	if fail != nil {
@@ -97,26 +97,35 @@
 		if len(events) == 0 {
 			continue
 		}
-		if carriesData(events) {
+		progress := carriesData(events)
+		if progress {
 			// Comments and empty events show no progress: a stalled stream may still send them.
 			r.recordArrival(time.Now())
-			watch.recordEvent(stall)
 			if first {
 				first = false
 				onFirst()
 			}
 		}
+		watch.pause()
 		if f := r.deliver(resp, events); f != nil {
 			return f
 		}
+		switch {
+		case !progress:
+			watch.resume()
+		case r.resumable():
+			watch.recordEvent(stall)
+		default:
+			watch.stop()
+		}
 	}
 }
 
-// classifyReadError returns the failure for a read error. A stall shows as a cancellation of the context; its cause
+// classifyReadError returns the failure for a read error. A takeover shows as a cancellation of the context; its cause
 // distinguishes it from a cancellation by the caller.
 func (r *streamRelay) classifyReadError(ctx context.Context, err error) *failure.Failure {
 	f := failure.From(err)
-	if f.Code == failure.ClientCancelled && context.Cause(ctx) == errStalled {
+	if f.Code == failure.ClientCancelled && context.Cause(ctx) == errTakenOver {
 		return failure.Wrap(failure.Truncated, failure.Unknown, "the stream stalled", err)
 	}
 	return f
--- a/pkg/gateway/run_attempt.go
+++ b/pkg/gateway/run_attempt.go
@@ -69,7 +69,7 @@
 		return a
 	}
 	defer resp.Close()
-	fail = p.relay.run(ctx, resp, watch, stallTimeout(j), first)
+	fail = p.relay.run(ctx, resp, watch, eventTimeout(j), first)
 	if fail != nil {
 		suspect := ctx.Err() == nil && prompt.suspect(time.Now()) != nil
 		return attemptResult{fail: f.classifyFailure(ctx, j, c, prompt, fail), delivered: p.relay.started, suspect: suspect}
@@ -80,14 +80,14 @@
 
 // stallTimeout returns the time without an event after which a stream counts as stalled; 0 if the stream cannot be
 // resumed.
-func stallTimeout(j *job) time.Duration {
+func eventTimeout(j *job) time.Duration {
 	if !j.route.Resumable || j.route.MaxPause <= 0 {
 		return 0
 	}
 	return max(stallTimeoutFactor*j.route.MaxPause, minStallTimeout)
 }
 
-// classifyFailure turns a cancellation by the response timeout into ConnectionLost, and records servers that could not
+// classifyFailure turns the cancellation by a takeover into ConnectionLost, and records servers that could not
 // be reached, did not respond or broke the connection.
 func (f *Forwarder) classifyFailure(ctx context.Context, j *job, c *choice, prompt *promptWatch, fail *failure.Failure) *failure.Failure {
 	if fail.Code == failure.ClientCancelled && context.Cause(ctx) == errBarred {
@@ -97,7 +97,7 @@
 		now := time.Now()
 		f.crashes.recordBroken(&c.server, prompt.suspect(now), now)
 	}
-	if fail.Code == failure.ClientCancelled && context.Cause(ctx) == errStalled {
+	if fail.Code == failure.ClientCancelled && context.Cause(ctx) == errTakenOver {
 		fail = failure.Wrap(failure.ConnectionLost, fail.Outcome, "server "+c.server.ID+" did not respond in time", fail)
 	}
 	if neverReachedServer(fail) {
--- a/pkg/gateway/takeover.go
+++ b/pkg/gateway/takeover.go
@@ -10,13 +10,13 @@
 
 // watchSilence watches an attempt whose request may be sent to another server while this one is silent.
 func (f *Forwarder) watchSilence(j *job, c *choice, p *progress, cancel context.CancelCauseFunc) *silenceWatch {
-	if !j.route.Retryable() || j.route.TargetLatency <= 0 {
+	if !j.route.Retryable() {
 		return unwatched()
 	}
 	return newSilenceWatch(responseLimit(j, c), cancel, func(s silence) *choice { return f.takeOver(j, c, p, s) })
 }
 
-// responseLimit returns the time after which a server that has not begun to respond counts as silent.
+// responseLimit returns the time after which a server that has not begun to respond counts as silent; 0 for none.
 func responseLimit(j *job, c *choice) time.Duration {
 	if j.bufferResponse() {
 		return time.Duration(float64(j.route.TargetLatency) * bufferedTimeoutShare)
@@ -55,7 +55,7 @@
 		return nil, obstaclePrompt
 	}
 	other := *j
-	other.tried, other.optional = maps.Clone(j.tried), true
+	other.tried, other.extraAttempt = maps.Clone(j.tried), true
 	other.tried[c.server.ID] = true
 	next, ok := f.chooser.choose(&other, f.control.View(), f.backend.tracker, now)
 	if !ok || now.Before(f.backend.tracker.Suspects()[next.server.ID]) || j.tooLate(&next, now) {
