gateway: a server that takes a request over is looked at again before it gets it

It was chosen when the silence was seen and used when the attempt before had ended.

A request whose takeover was refused or found no connection is no longer lost to its silent server: that one may be asked again, since it is only known to have been slow.

--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -42,6 +42,8 @@
 	obstacle obstacle
 	// next is the server that takes the request over from a silent one; nil for none.
 	next *choice
+	// silent is the id of the server from which the request was taken over by the present one; empty for none.
+	silent string
 }
 
 // serve makes attempts until the request is served or may not be retried.
@@ -63,7 +65,7 @@
 			}
 			fail = a.fail
 			p.record(a)
-			j.tried[c.server.ID] = true
+			p.recordTried(j, c, fail)
 			f.logAttempt(j, c, p, fail)
 			if f.allowRetry(j, p, fail) {
 				continue
@@ -91,6 +93,19 @@
 	}
 }
 
+// recordTried excludes the server of a failed attempt. If it took the request over from a silent server and did not run
+// it, that one may be asked again: it is only known to have been slow.
+func (p *progress) recordTried(j *job, c *choice, fail *failure.Failure) {
+	j.tried[c.server.ID] = true
+	if p.silent != "" && fail.Outcome == failure.NotRun {
+		delete(j.tried, p.silent)
+	}
+	p.silent = ""
+	if p.next != nil {
+		p.silent = c.server.ID
+	}
+}
+
 // neverReachedServer reports whether an attempt failed before a connection to a server was open.
 func neverReachedServer(fail *failure.Failure) bool {
 	return fail.Code == failure.ConnectFailed && fail.Outcome == failure.NotRun
@@ -103,7 +118,7 @@
 	if p.obstacle = f.retryObstacle(j, p, fail, now); p.obstacle != "" {
 		return false
 	}
-	// The retry of a request that another server takes over is paid for.
+	// chooseTakeover has spent the budget for a takeover already.
 	if p.next == nil && !neverReachedServer(fail) && !f.budgets.take(j.service.Name, f.control.daemonCount(), now) {
 		p.obstacle = obstacleBudget
 		f.log.Log(eventlog.RetryBudgetEmpty, "request", j.meta.RequestID, "service", j.service.Name)
@@ -132,8 +147,9 @@
 
 // nextServer returns the server that takes the request over from a silent one, or chooses one.
 func (f *Forwarder) nextServer(ctx context.Context, j *job, p *progress) (*choice, *failure.Failure) {
-	if c := p.next; c != nil {
-		p.next = nil
+	c := p.next
+	p.next = nil
+	if c != nil && f.stillTakes(c) {
 		return c, nil
 	}
 	return f.pickServer(ctx, j, p)
--- /dev/null
+++ b/pkg/gateway/stale_takeover_test.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"trefoilferry.example/ferry/pkg/eventlog"
+	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/fleet"
+	"trefoilferry.example/ferry/pkg/quarantine"
+	"trefoilferry.example/ferry/pkg/serverlimit"
+)
+
+// Guards against a request that is sent to a server that has left or restarted since it was chosen to take the request
+// over from a silent one.
+func TestTakeoverServerThatLeftGetsNoRequest(t *testing.T) {
+	for name, change := range map[string]func(view *View){
+		"draining":  func(v *View) { s := v.Servers["r1"]; s.Draining = true; v.Servers["r1"] = s },
+		"restarted": func(v *View) { s := v.Servers["r1"]; s.StartMillis++; s.Models = nil; v.Servers["r1"] = s },
+		"gone":      func(v *View) { delete(v.Servers, "r1"); v.ByService["llm"] = []string{"r0"} },
+		"unchanged": func(*View) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			control := NewControl(eventlog.Discard(), NewPollTiming(time.Second))
+			chosen, later := modelView(2), modelView(2)
+			change(later)
+			control.view.Store(later)
+			f := &Forwarder{control: control, log: eventlog.Discard(), chooser: testChooser(), board: quarantine.NewBoard(), demand: NewDemand(),
+				backend: &backend{tracker: NewTracker(), limits: serverlimit.NewTable(rand.Float64)}}
+			j := modelJob("id", "", 10, 10)
+			j.tried["r0"] = true
+			p := &progress{outcome: failure.Unknown, sent: 1, relay: &streamRelay{}, next: &choice{server: chosen.Servers["r1"]}}
+			next, fail := f.nextServer(t.Context(), j, p)
+			if want := name == "unchanged"; (next != nil) != want || (fail == nil) != want {
+				t.Errorf("next server %v, failure %v; want r1: %v", next, fail, want)
+			}
+			if p.next != nil {
+				t.Error("the takeover is still due, want it used once")
+			}
+		})
+	}
+}
+
+// Guards against a request that is lost with a takeover although its silent server may still serve it: that one may be
+// asked again if the next server did not run the request, and only then.
+func TestSilentServerIsAskedAgainAfterARefusedTakeover(t *testing.T) {
+	for outcome, again := range map[failure.Outcome]bool{failure.NotRun: true, failure.Unknown: false, failure.Ran: false} {
+		j, p := modelJob("id", "", 10, 10), &progress{relay: &streamRelay{}}
+		silent, next := &choice{server: fleet.Server{ID: "r0"}}, &choice{server: fleet.Server{ID: "r1"}}
+		p.next = next
+		p.recordTried(j, silent, failure.New(failure.ConnectionLost, failure.Unknown, "test"))
+		if !j.tried["r0"] {
+			t.Error("the silent server may be asked during the takeover, want it excluded")
+		}
+		p.next = nil
+		p.recordTried(j, next, failure.New(failure.Overloaded, outcome, "test"))
+		if j.tried["r0"] == again || !j.tried["r1"] {
+			t.Errorf("takeover with outcome %s: tried %v, want the silent server asked again: %v", outcome, j.tried, again)
+		}
+	}
+}
--- a/pkg/gateway/takeover.go
+++ b/pkg/gateway/takeover.go
@@ -70,3 +70,10 @@
 	f.backend.limits.RecordSend(next.server.ID, now)
 	return &next, ""
 }
+
+// stillTakes reports whether a server that was chosen to take a request over still takes it. The attempt before ends some
+// time after the choice.
+func (f *Forwarder) stillTakes(c *choice) bool {
+	s, ok := f.control.View().Servers[c.server.ID]
+	return ok && s.StartMillis == c.server.StartMillis && !s.Draining && f.backend.availability.Admit(incarnationOf(&s), time.Now())
+}
