gateway: servers whose refusal names a pause get no calls for so long

A runner that refuses a request with 503 may name in Retry-After how long it wants nothing from that machine. The field was not decoded.

pkg/availability keeps the pause by incarnation, with a bound of 30 s. It counts from the arrival of the refusal; later ends extend it, earlier ones change nothing, responses to requests of before do not lift it. A lot for each daemon and server delays the return by up to a fifth, and then one request is sent every 100 ms until one is not refused, for a second at most. PausedFilter stands beside the filters of pkg/routing. Reads of reports and orders of the lease holder hold to it as well. Only a 503 with the declaration that the request did not run begins a pause.

When all servers that can run a request pause or leave, it waits if the first is back within its wait for a model (half of the target latency without a model), otherwise it is refused as not run.

--- a/pkg/availability/change.go
+++ b/pkg/availability/change.go
@@ -9,14 +9,19 @@
 const (
 	LeavingBegan ChangeKind = iota
 	LeavingEnded
+	PauseBegan
+	PauseExtended
+	PauseEnded
 )
 
 // Change is a change of what is known of an incarnation, for log lines.
 type Change struct {
 	Kind   ChangeKind
 	Server Incarnation
-	// Source names the response that caused the change; empty for an end.
+	// Source names the response that caused the change; empty for an end without one.
 	Source string
 	// Age bounds the age of that response when it was recorded; for an end, it is how long the state lasted.
 	Age time.Duration
+	// Left is how long a pause lasts from now on.
+	Left time.Duration
 }
--- a/pkg/availability/table_test.go
+++ b/pkg/availability/table_test.go
@@ -7,6 +7,8 @@
 
 var start = time.Unix(1000, 0)
 
+func noSpread() float64 { return 0 }
+
 // recorder collects the changes of a table.
 type recorder struct{ kinds []ChangeKind }
 
@@ -16,7 +18,7 @@
 // of an earlier incarnation sets for its successor.
 func TestLeavingLastsAsLongAsTheIncarnation(t *testing.T) {
 	changes := &recorder{}
-	table := NewTable(changes.notify)
+	table := NewTable(noSpread, changes.notify)
 	first, second := Incarnation{"s", 1}, Incarnation{"s", 2}
 	table.Record(first, Answer{Leaving: true, SentAt: start, At: start})
 	table.Record(first, Answer{SentAt: start.Add(-time.Second), At: start.Add(time.Second)})
@@ -38,7 +40,7 @@
 		t.Error("a late response of the incarnation before marked its successor")
 	}
 	table.Retain(map[string]int64{}, start.Add(time.Minute+unlistedTime))
-	if n := table.CountLeaving(); n != 0 {
+	if n, _ := table.Count(start); n != 0 {
 		t.Errorf("records after their servers are gone: %d, want none", n)
 	}
 	if got := changes.kinds; len(got) != 4 || got[0] != LeavingBegan || got[1] != LeavingEnded {
@@ -48,7 +50,7 @@
 
 // Guards against a list that is older than the record: it names the incarnation before.
 func TestOlderListDoesNotEndARecord(t *testing.T) {
-	table := NewTable((&recorder{}).notify)
+	table := NewTable(noSpread, (&recorder{}).notify)
 	table.Record(Incarnation{"s", 2}, Answer{Leaving: true, SentAt: start, At: start})
 	table.Retain(map[string]int64{"s": 1}, start)
 	if !table.Leaving(Incarnation{"s", 2}) {
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -145,7 +145,7 @@
 		return
 	}
 	c.syncRunners(config, view.Servers)
-	c.applyAvailability()
+	c.applyAvailability(now)
 	c.expireDaemons(now)
 	c.refreshRunners(ctx, now)
 	c.countRunning()
--- a/pkg/coordinator/execute.go
+++ b/pkg/coordinator/execute.go
@@ -116,9 +116,10 @@
 	c.mu.Lock()
 	token, ok := c.lease.Token()
 	o.ExpectedOrders, o.Holder, o.Token = r.AcceptedOrders, c.config.Holder, token
-	address, id := r.Server.Address, r.Server.ID
+	address, id, sentAt := r.Server.Address, r.Server.ID, time.Now()
+	paused := c.pauseLeft(r, sentAt) > 0
 	c.mu.Unlock()
-	if !ok {
+	if !ok || paused {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -126,6 +127,7 @@
 	result, err := c.client.SendOrder(ctx, address, id, o)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.recordRefusal(r, "order", err, sentAt)
 	if err != nil {
 		r.StateKnown, r.NotBefore = false, time.Now().Add(retryDelay)
 		c.log.Log(eventlog.ModelOrderUnclear, "server", id, "operation", o.Operation, "model", o.Model, "adapter", o.Adapter,
--- a/pkg/coordinator/refresh.go
+++ b/pkg/coordinator/refresh.go
@@ -46,12 +46,17 @@
 func (c *Coordinator) refreshRunner(ctx context.Context, r *Runner) bool {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
+	sentAt := time.Now()
 	c.mu.Lock()
-	address, id := r.Server.Address, r.Server.ID
+	address, id, paused := r.Server.Address, r.Server.ID, c.pauseLeft(r, sentAt) > 0
 	c.mu.Unlock()
+	if paused {
+		return false
+	}
 	state, err := c.client.ReadState(ctx, address, id)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.recordRefusal(r, "report", err, sentAt)
 	if err != nil || state.StartMillis != r.Server.StartMillis {
 		r.StateKnown = false
 		c.setUnreachable(r, failure.HasCode(err, failure.ConnectFailed), err)
--- a/pkg/gateway/availability.go
+++ b/pkg/gateway/availability.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"trefoilferry.example/ferry/pkg/availability"
@@ -10,7 +11,7 @@
 
 // NewAvailability returns an empty table of what servers say about taking requests; changes are logged.
 func NewAvailability(log *eventlog.Logger) *availability.Table {
-	return availability.NewTable(func(c availability.Change) { logAvailability(log, &c) })
+	return availability.NewTable(rand.Float64, func(c availability.Change) { logAvailability(log, &c) })
 }
 
 func logAvailability(log *eventlog.Logger, c *availability.Change) {
@@ -19,6 +20,12 @@
 		log.Log(eventlog.ServerLeaving, "server", c.Server.ID, "born", c.Server.StartMillis, "source", c.Source, "age", c.Age)
 	case availability.LeavingEnded:
 		log.Log(eventlog.ServerLeavingEnded, "server", c.Server.ID, "born", c.Server.StartMillis, "after", c.Age)
+	case availability.PauseBegan:
+		log.Log(eventlog.ServerPauseBegan, "server", c.Server.ID, "born", c.Server.StartMillis, "left", c.Left, "source", c.Source, "age", c.Age)
+	case availability.PauseExtended:
+		log.Log(eventlog.ServerPauseExtended, "server", c.Server.ID, "born", c.Server.StartMillis, "left", c.Left, "source", c.Source, "age", c.Age)
+	case availability.PauseEnded:
+		log.Log(eventlog.ServerPauseEnded, "server", c.Server.ID, "born", c.Server.StartMillis, "lasted", c.Age, "source", c.Source)
 	}
 }
 
@@ -30,7 +37,7 @@
 // recordAvailability records what a response says for the incarnation to which the request was sent.
 func (b *backend) recordAvailability(server *fleet.Server, j *job, meta *ResponseMeta, sentAt, now time.Time) {
 	b.availability.Record(incarnationOf(server), availability.Answer{
-		Leaving: meta.Leaving, SentAt: sentAt, At: now, Source: "response to " + j.meta.RequestID,
+		Leaving: meta.Leaving, Pause: meta.Pause, Accepted: !meta.NotRun, SentAt: sentAt, At: now, Source: "response to " + j.meta.RequestID,
 	})
 }
 
--- a/pkg/gateway/choice.go
+++ b/pkg/gateway/choice.go
@@ -21,4 +21,6 @@
 	limited bool
 	// limitWait is how long the request will then wait for one of them.
 	limitWait time.Duration
+	// pause is set, without a server, if all servers that can run the request pause or leave.
+	pause *pausedServers
 }
--- a/pkg/gateway/chooser.go
+++ b/pkg/gateway/chooser.go
@@ -50,7 +50,7 @@
 
 func newPolicy(regionPenalty time.Duration, further ...routing.Scorer) *routing.Policy {
 	return &routing.Policy{
-		Filters: []routing.Filter{routing.DrainingFilter{}, routing.TriedFilter{}, routing.SuspectFilter{}},
+		Filters: []routing.Filter{routing.DrainingFilter{}, routing.PausedFilter{}, routing.TriedFilter{}, routing.SuspectFilter{}},
 		Scorers: append([]routing.Scorer{routing.RegionCostScorer{Cost: regionPenalty}, routing.LimitScorer{Cost: limitCost}, routing.FirstTokenScorer{}}, further...),
 		Picker:  routing.LowestPicker{},
 	}
@@ -71,9 +71,10 @@
 		Tried: j.tried, Suspects: tracker.Suspects(), Now: now,
 	}
 	policy := c.policy(j)
-	candidates := policy.Filter(query, c.candidates(j, view, tracker, now))
+	known := c.candidates(j, view, tracker, now)
+	candidates := policy.Filter(query, known)
 	if len(candidates) == 0 {
-		return choice{}, false
+		return choice{pause: soonestReturn(known, j.tried)}, false
 	}
 	candidates, limitWait := c.withinLimits(candidates, j.held, now)
 	if len(candidates) == 0 {
@@ -108,8 +109,9 @@
 			continue
 		}
 		out = append(out, routing.Candidate{
-			Runner: id, Address: s.Address, Region: c.regionOf[s.FailureDomain],
-			FailureDomain: s.FailureDomain, Draining: s.Draining || c.availability.Leaving(incarnationOf(&s)),
+			Runner: id, Address: s.Address, Region: c.regionOf[s.FailureDomain], FailureDomain: s.FailureDomain,
+			Draining:  s.Draining || c.availability.Leaving(incarnationOf(&s)),
+			PauseLeft: c.availability.PauseLeft(incarnationOf(&s), now),
 		})
 	}
 	return out
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -17,6 +17,7 @@
 	firstEvent prometheus.Histogram
 	crashes    prometheus.Counter
 	suspects   prometheus.Histogram
+	pauses     prometheus.Counter
 }
 
 // latencyBuckets are bucket bounds in seconds, from plain responses of some milliseconds to long streams.
@@ -33,7 +34,8 @@
 	m.firstEvent = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "ferry_gateway_first_event_seconds", Help: "Time to the first event of served streams.", Buckets: latencyBuckets})
 	m.crashes = prometheus.NewCounter(prometheus.CounterOpts{Name: "ferry_gateway_server_crashes_total", Help: "Servers that ended with requests of this daemon in progress."})
 	m.suspects = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "ferry_gateway_crash_suspects", Help: "Requests at a server that crashed without a response that it survived.", Buckets: prometheus.ExponentialBuckets(1, 2, 7)})
-	registry.MustRegister(m.requests, m.results, m.attempts, m.durations, m.firstEvent, m.crashes, m.suspects)
+	m.pauses = prometheus.NewCounter(prometheus.CounterOpts{Name: "ferry_gateway_pause_refusals_total", Help: "Requests refused because all servers that can run them pause or leave."})
+	registry.MustRegister(m.requests, m.results, m.attempts, m.durations, m.firstEvent, m.crashes, m.suspects, m.pauses)
 	return m
 }
 
@@ -59,6 +61,8 @@
 	m.attempts.WithLabelValues(string(fail.Code), string(fail.Outcome)).Inc()
 }
 
+func (m *Metrics) recordPauseRefusal() { m.pauses.Inc() }
+
 func (m *Metrics) recordCrash(suspects int) {
 	m.crashes.Inc()
 	m.suspects.Observe(float64(suspects))
--- a/pkg/gateway/response_meta.go
+++ b/pkg/gateway/response_meta.go
@@ -1,5 +1,7 @@
 package gateway
 
+import "time"
+
 // ResponseMeta is the metadata that a backend server sends in the header of its response.
 type ResponseMeta struct {
 	// RequestID is the id of the request that the response belongs to; empty if the header does not name one.
@@ -14,4 +16,6 @@
 	Limit float64
 	// Leaving is set if the server takes no new requests any more.
 	Leaving bool
+	// Pause is how long the server, which refused the request, wants no further ones; 0 for no pause.
+	Pause time.Duration
 }
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -121,13 +121,16 @@
 // executed. It fails with TargetMissed if the chosen server is predicted to be too late.
 func (f *Forwarder) pickServer(ctx context.Context, j *job, p *progress) (*choice, *failure.Failure) {
 	c, ok := f.chooser.choose(j, f.control.View(), f.backend.tracker, time.Now())
-	if !ok && (j.needsModel() || c.limited) && p.sent == 0 && c.limitWait < modelWaitLimit(j, time.Now()) {
+	if !ok && p.sent == 0 && mayAwaitServer(j, &c, time.Now()) {
 		c, ok = f.waitForServer(ctx, j)
 	}
 	if !ok {
 		if f := contextFailure(ctx); f != nil {
 			return nil, f
 		}
+		if c.pause != nil {
+			return nil, f.pausedFailure(j, c.pause)
+		}
 		if c.limited {
 			return nil, failure.New(failure.Overloaded, failure.NotRun, "the servers of service "+j.service.Name+" that can run the request take no more requests now").
 				WithRetryAfter(max(c.limitWait, limitedRetryAfter))
@@ -164,11 +167,12 @@
 	for {
 		view := f.control.View()
 		c, ok := f.chooser.choose(j, view, f.backend.tracker, time.Now())
-		if ok {
-			return c, true
+		if ok || (c.pause != nil && !mayAwaitServer(j, &c, time.Now())) {
+			return c, ok
 		}
 		select {
 		case <-view.Changed:
+		case <-c.pauseEnd():
 		case <-limit.C:
 			return c, false
 		case <-ctx.Done():
--- a/pkg/routing/candidate.go
+++ b/pkg/routing/candidate.go
@@ -15,6 +15,8 @@
 	Version string
 	// Draining is set when the host list or the configuration drains the runner.
 	Draining bool
+	// PauseLeft is how long the server wants no requests; 0 if it takes them.
+	PauseLeft time.Duration
 	// LimitUsed is the used share of the limit of requests that the server names; 0 without a limit.
 	LimitUsed float64
 	// Prediction is nil if the runner was not probed or did not respond to the probe.
