--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -19,6 +19,7 @@
 	silences   *prometheus.CounterVec
 	crashes    prometheus.Counter
 	suspects   prometheus.Histogram
+	pauses     prometheus.Counter
 }
 
 // latencyBuckets are bucket bounds in seconds, from plain responses of some milliseconds to long streams.
@@ -37,7 +38,8 @@
 	m.silences = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_silent_servers_total", Help: "Attempts whose server was silent for longer than expected, by what kept the request there; none if another server took it over."}, []string{"not_moved"})
 	m.crashes = prometheus.NewCounter(prometheus.CounterOpts{Name: "ferry_gateway_server_crashes_total", Help: "Servers that ended with requests of this daemon in progress."})
 	m.suspects = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "ferry_gateway_crash_suspects", Help: "Requests at a server that crashed without a response that it survived.", Buckets: prometheus.ExponentialBuckets(1, 2, 7)})
-	registry.MustRegister(m.requests, m.results, m.attempts, m.durations, m.firstEvent, m.aborted, m.silences, m.crashes, m.suspects)
+	m.pauses = prometheus.NewCounter(prometheus.CounterOpts{Name: "ferry_gateway_pause_refusals_total", Help: "Requests refused because all servers that can run them pause or leave."})
+	registry.MustRegister(m.requests, m.results, m.attempts, m.durations, m.firstEvent, m.aborted, m.silences, m.crashes, m.suspects, m.pauses)
 	return m
 }
 
@@ -75,6 +77,8 @@
 	m.attempts.WithLabelValues(string(fail.Code), string(fail.Outcome)).Inc()
 }
 
+func (m *Metrics) recordPauseRefusal() { m.pauses.Inc() }
+
 func (m *Metrics) recordCrash(suspects int) {
 	m.crashes.Inc()
 	m.suspects.Observe(float64(suspects))
