entry: a silent attempt goes on unless another one is reserved

A generation without a frame for frame_timeout was ended before it was known whether another attempt was permitted: with no other runner, no attempt or no retry budget left, or other runners that refused, a sound response was lost.

Change: after the silence another runner is selected and, if probed, must accept; the retry is paid for; only then is the running attempt given up. Otherwise it goes on until its deadline and is looked at again after the same time. Agents have no such timer. Consequence: a silent connection to the only runner is no longer replaced before the deadline.

--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -22,8 +22,9 @@
 func (d *Dispatcher) attempt(ctx context.Context, snapshot *Snapshot, rs *requestState, c routing.Candidate) error {
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	frameTimer := d.startFrameTimer(rs, cancel)
-	defer frameTimer.Stop()
+	watch := d.newStallWatch(ctx, rs, c, cancel)
+	watch.start()
+	defer watch.stop()
 
 	message := d.newExecRequest(snapshot, rs, c)
 	d.recordStarted(rs, c, message.GetAttemptId())
@@ -34,24 +35,28 @@
 		return err
 	}
 	defer stream.Close()
-	err = d.deliver(rs, c, stream, frameTimer)
+	err = d.deliver(rs, c, stream, watch)
 	d.ring.Observe(stream.Lamport())
 	if err != nil {
 		d.reportFailure(ctx, c, err)
 		return err
 	}
-	frameTimer.Reset(responseEndTimeout)
+	watch.stop()
+	time.AfterFunc(responseEndTimeout, cancel)
 	return nil
 }
 
-// startFrameTimer returns a timer that cancels a generation when no frame arrives within FrameTimeout. Service calls are
-// bounded by RequestTimeout only, because a service sends nothing while it processes the request.
-func (d *Dispatcher) startFrameTimer(rs *requestState, cancel func()) *time.Timer {
+// newStallWatch returns the watch of an attempt. It gives up a generation that gets no frame within FrameTimeout, once
+// another attempt is reserved. Service calls are bounded by their deadline only, because a service sends nothing while it
+// processes the request.
+func (d *Dispatcher) newStallWatch(ctx context.Context, rs *requestState, c routing.Candidate, cancel func()) *stallWatch {
 	limit := d.settings.Limits.FrameTimeout
+	permit := func(superseded func() bool) bool { return d.reserveAttempt(ctx, rs, c, superseded) }
 	if !rs.request.isGeneration() {
 		limit = d.settings.Limits.RequestTimeout
+		permit = func(func() bool) bool { return false }
 	}
-	return time.AfterFunc(limit, cancel)
+	return &stallWatch{limit: limit, permit: permit, giveUp: cancel}
 }
 
 // reportFailure reports a runner that did not respond correctly, or whose agent is stopping or was replaced, because
@@ -111,26 +116,21 @@
 }
 
 // deliver passes the frames of a response to the sink, up to and including the end frame.
-func (d *Dispatcher) deliver(rs *requestState, c routing.Candidate, stream *ExecStream, frameTimer *time.Timer) error {
+func (d *Dispatcher) deliver(rs *requestState, c routing.Candidate, stream *ExecStream, watch *stallWatch) error {
 	for {
 		f, err := stream.Next()
+		watch.stop()
 		if err == io.EOF {
 			return failure.New(failure.Truncated, failure.Unknown, "exec response ended without an end frame")
 		}
 		if err != nil {
 			return err
 		}
-		d.resetFrameTimer(rs, frameTimer)
 		done, err := d.deliverFrame(rs, c, f)
 		if done || err != nil {
 			return err
 		}
-	}
-}
-
-func (d *Dispatcher) resetFrameTimer(rs *requestState, frameTimer *time.Timer) {
-	if rs.request.isGeneration() {
-		frameTimer.Reset(d.settings.Limits.FrameTimeout)
+		watch.resume()
 	}
 }
 
--- a/pkg/entry/dispatcher.go
+++ b/pkg/entry/dispatcher.go
@@ -131,7 +131,7 @@
 	if decision.Action == retry.GiveUp {
 		return rs.finalFailure(f)
 	}
-	if decision.Action == retry.Resend && !plannedStopCodes[f.Code] {
+	if decision.Action == retry.Resend && !plannedStopCodes[f.Code] && rs.reserved == nil {
 		if refused := d.takeRetry(rs, f); refused != nil {
 			return rs.finalFailure(refused)
 		}
@@ -157,13 +157,18 @@
 
 func (d *Dispatcher) retryState(rs *requestState) retry.State {
 	delivered := rs.sink.Delivered()
+	delay := rs.backoff.NextBackOff()
+	if rs.reserved != nil {
+		// The request has already waited for the silent runner.
+		delay = 0
+	}
 	return retry.State{
 		Now:         d.clock.Now(),
 		Attempts:    rs.attempts,
 		MaxAttempts: d.settings.Retry.MaxAttempts,
 		Delivered:   delivered,
 		Resumable:   delivered && d.resumable(rs),
-		Delay:       rs.backoff.NextBackOff(),
+		Delay:       delay,
 	}
 }
 
--- a/pkg/entry/request_state.go
+++ b/pkg/entry/request_state.go
@@ -22,6 +22,8 @@
 	tried map[string]bool
 	// outcome covers all attempts so far.
 	outcome failure.Outcome
+	// reserved is the runner of the next attempt, whose retry is paid for; nil if it is not chosen yet.
+	reserved *routing.Candidate
 	// text is the verified text generated so far, and tokens its length in tokens.
 	text   []byte
 	tokens uint32
--- a/pkg/entry/select_runner.go
+++ b/pkg/entry/select_runner.go
@@ -15,7 +15,7 @@
 		return rs.sink.End(rs.usage(&ferrypb.End{FinishReason: "length"}))
 	}
 	snapshot := d.snapshots.Load()
-	chosen, err := d.selectRunner(ctx, snapshot, rs)
+	chosen, err := d.nextRunner(ctx, snapshot, rs)
 	if err != nil {
 		return err
 	}
@@ -29,6 +29,16 @@
 	return err
 }
 
+// nextRunner returns the reserved runner, or else selects one.
+func (d *Dispatcher) nextRunner(ctx context.Context, snapshot *Snapshot, rs *requestState) (routing.Candidate, error) {
+	if rs.reserved == nil {
+		return d.selectRunner(ctx, snapshot, rs)
+	}
+	chosen := *rs.reserved
+	rs.reserved = nil
+	return chosen, nil
+}
+
 // selectRunner returns the runner for the next attempt. It fails with code NoBackend if there is none.
 func (d *Dispatcher) selectRunner(ctx context.Context, snapshot *Snapshot, rs *requestState) (routing.Candidate, error) {
 	q := d.query(snapshot, rs)
