--- a/pkg/gateway/takeover.go
+++ b/pkg/gateway/takeover.go
@@ -61,6 +61,9 @@
 	if !ok || now.Before(f.backend.tracker.Suspects()[next.server.ID]) || j.tooLate(&next, now) {
 		return nil, obstacleServer
 	}
+	if !f.backend.availability.Admit(incarnationOf(&next.server), now) {
+		return nil, obstacleServer
+	}
 	if !f.budgets.take(j.service.Name, f.control.daemonCount(), now) {
 		return nil, obstacleBudget
 	}
