gatewaydaemon: a stop passes on no request whose connection it has closed

A booking was sent 2.44 s after the signal, reached a backend server at 2.504 s, was cut there at once, and its connection was closed without an answer.

SetKeepAlivesEnabled closes connections that net/http takes for idle although it is reading their next request, and that request was then passed on; http.Server.Shutdown prevents this by dropping each request that it has read. The daemon now closes idle connections itself, under the lock with which it records their states, and passes on no request of a connection that it has closed; others are answered.

--- a/pkg/gatewaydaemon/daemon.go
+++ b/pkg/gatewaydaemon/daemon.go
@@ -52,7 +52,7 @@
 
 	callerServer    *http.Server
 	callerListener  net.Listener
-	callerConns     *connStates
+	callerConns     *callerConns
 	internalServers []*http.Server
 	draining        atomic.Bool
 	cancel          context.CancelFunc
@@ -90,9 +90,9 @@
 	d.goroutines.Go(func() { d.reporter.Run(background) })
 	d.goroutines.Go(func() { d.runSweeper(background) })
 
-	d.callerConns = newConnStates()
-	d.callerServer = &http.Server{Handler: d.forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
-		ConnState: d.callerConns.record}
+	d.callerConns = newCallerConns()
+	d.callerServer = &http.Server{Handler: d.callerConns.guard(d.forwarder), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
+		ConnState: d.callerConns.record, ConnContext: withConn}
 	ready := mux.NewRouter()
 	ready.PathPrefix("/").HandlerFunc(d.serveReadiness).Methods(http.MethodGet)
 	peers := mux.NewRouter()
