--- a/pkg/gatewaydaemon/daemon.go
+++ b/pkg/gatewaydaemon/daemon.go
@@ -51,8 +51,6 @@
 	shutdown  fx.Shutdowner
 
 	callerServer    *http.Server
-	callerListener  net.Listener
-	callerConns     *callerConns
 	internalServers []*http.Server
 	draining        atomic.Bool
 	cancel          context.CancelFunc
@@ -90,9 +88,7 @@
 	d.goroutines.Go(func() { d.reporter.Run(background) })
 	d.goroutines.Go(func() { d.runSweeper(background) })
 
-	d.callerConns = newCallerConns()
-	d.callerServer = &http.Server{Handler: d.callerConns.guard(d.forwarder), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
-		ConnState: d.callerConns.record, ConnContext: withConn}
+	d.callerServer = &http.Server{Handler: d.forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxCallerHeaderBytes}
 	ready := mux.NewRouter()
 	ready.PathPrefix("/").HandlerFunc(d.serveReadiness).Methods(http.MethodGet)
 	peers := mux.NewRouter()
@@ -122,14 +118,11 @@
 	if err != nil {
 		return failure.Wrap(failure.SettingsInvalid, failure.NotRun, "cannot listen on "+address, err)
 	}
-	if server == d.callerServer {
-		d.callerListener = listener
-	} else {
+	if server != d.callerServer {
 		d.internalServers = append(d.internalServers, server)
 	}
 	go func() {
-		// The listener for callers is closed first when the daemon stops.
-		if err := server.Serve(listener); err != nil && err != http.ErrServerClosed && !d.draining.Load() {
+		if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
 			d.log.Log(eventlog.ServeFailed, "address", address, "reason", err)
 			// An error means that the shutdown is already in progress.
 			_ = d.shutdown.Shutdown(fx.ExitCode(1))
@@ -178,7 +171,9 @@
 	time.Sleep(schedule.accept)
 	finishing, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
-	d.drain(finishing)
+	if err := d.callerServer.Shutdown(finishing); err != nil {
+		d.log.Log(eventlog.DrainTimedOut, "reason", err)
+	}
 	// The lease is held until requests have finished, so that models are still loaded and unloaded while the store is
 	// unavailable.
 	releasing, cancelRelease := context.WithTimeout(ctx, releaseTimeout)
@@ -189,8 +184,6 @@
 		// Peers retry open calls elsewhere.
 		_ = s.Close()
 	}
-	// Only requests that did not end within the grace still have a connection.
-	_ = d.callerServer.Close()
 	d.goroutines.Wait()
 	d.log.Log(eventlog.ProcessStopped)
 	return nil
