--- a/pkg/eventlog/catalog.go
+++ b/pkg/eventlog/catalog.go
@@ -18,6 +18,8 @@
 	LogUnavailable    = register(100, log.WarnLevel, "log unavailable", "Reads of the platform log fail; the last known state stays in force.")
 	LogRecovered      = register(101, log.InfoLevel, "log recovered", "Reads of the platform log succeed again.")
 	RecordRefused     = register(102, log.WarnLevel, "record refused", "A log record has an unknown format or cannot be decoded; it is ignored.")
+	StoreRestored     = register(105, log.WarnLevel, "store restored", "A response of the platform's store shows that it was restored from an earlier copy: records after that copy are lost and their offsets are given out again. previous and current count the restores; configuration, servers and lease are read again.")
+	StoredConfigOlder = register(106, log.WarnLevel, "stored configuration older", "The store holds an older configuration (stored) than the one in force, which stays in force: the store has lost an acknowledged one.")
 	CheckpointWritten = register(103, log.InfoLevel, "checkpoint written", "The daemon appended a checkpoint of a stream's state before the records that it replaces expire.")
 	CheckpointFailed  = register(104, log.WarnLevel, "checkpoint failed", "A checkpoint could not be appended; it will be retried.")
 	ConfigApplied     = register(110, log.InfoLevel, "configuration applied", "A published change set is in force at this daemon.")
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -100,6 +100,9 @@
 func (c *Control) apply(e controlEvent, now time.Time) {
 	switch {
 	case e.config != nil:
+		if inForce := c.configVersion(); e.config.Version < inForce {
+			c.log.Log(eventlog.StoredConfigOlder, "stored", e.config.Version, "in_force", inForce)
+		}
 		c.applyConfig(e.config, e.configAt)
 	case e.servers != nil:
 		c.applyServers(e.servers, now)
