fleet: servers that a restored store lacks are kept until their entries are back

Callers got 503 (no_backend) from 0.5 s after a restore although the server lived: the copy was older than its entry, and the reread list removed it at once, because fewer than a quarter of the servers were missing.

After a restore the list says nothing of the servers that it lacks, whatever their number, so all of them get the grace of 1.8 s. A later list without such a server does not end it; an explicit removal does. TestServersMissingAfterARestoreAreKeptForTheGrace covers the registry.

--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// storeOutageGrace is how long servers that disappeared from the list during an outage of the store are kept.
-	// Entries that expired during the outage are registered again within two seconds of the store's recovery.
+	// storeOutageGrace is how long servers that disappeared from the list during an outage or a restore of the store are
+	// kept. Entries that expired or were lost meanwhile are registered again within two seconds of the store's recovery.
 	storeOutageGrace = 1800 * time.Millisecond
 	// outageShare is the share of the servers that are missing after failed reads only if the store was away: it then
 	// drops the entries of all servers that it has not heard of. A daemon whose own reads failed finds only those missing
@@ -86,6 +86,18 @@
 
 // Replace applies a complete list of servers; servers that are not in the list are removed as by Remove.
 func (r *Registry) Replace(list []Server, afterOutage bool, now time.Time) {
+	missing := r.applyList(list)
+	r.removeMissing(missing, afterOutage && r.LostInOutage(len(missing)), now)
+}
+
+// ReplaceRestored applies the first complete list after the store was restored from an earlier copy. Any number of
+// servers may be missing because the copy is older than their entries, so they are kept for the grace period.
+func (r *Registry) ReplaceRestored(list []Server, now time.Time) {
+	r.removeMissing(r.applyList(list), true, now)
+}
+
+// applyList applies the reports of a complete list and returns the known servers that it lacks.
+func (r *Registry) applyList(list []Server) []string {
 	listed := make(map[string]bool, len(list))
 	for i := range list {
 		listed[list[i].ID] = true
@@ -97,9 +109,16 @@
 			missing = append(missing, id)
 		}
 	}
-	afterOutage = afterOutage && r.LostInOutage(len(missing))
+	return missing
+}
+
+// removeMissing removes servers that a list lacks, as by Remove. A grace period that has begun goes on: a later list
+// without the server tells nothing new.
+func (r *Registry) removeMissing(missing []string, afterOutage bool, now time.Time) {
 	for _, id := range missing {
-		r.Remove(id, afterOutage, now)
+		if _, kept := r.removeAt[id]; !kept {
+			r.Remove(id, afterOutage, now)
+		}
 	}
 }
 
--- a/pkg/fleet/registry_test.go
+++ b/pkg/fleet/registry_test.go
@@ -134,3 +134,23 @@
 		t.Errorf("forgotten up to version %d, want one after %d and before %d", r.ForgottenVersion(), known, r.Version())
 	}
 }
+
+// Guards against servers that are removed because a restored store lacks their entries, also when a second list lacks
+// them, and against servers that are kept longer than entries need to return.
+func TestServersMissingAfterARestoreAreKeptForTheGrace(t *testing.T) {
+	r := NewRegistry()
+	var list []Server
+	for i := range 10 {
+		list = append(list, testServer(fmt.Sprint("s", i), 5, 9, false))
+	}
+	r.Replace(list, false, baseTime)
+	r.ReplaceRestored(list[1:], baseTime)
+	r.Replace(list[1:], false, baseTime.Add(time.Second))
+	r.Expire(baseTime.Add(time.Second))
+	if n := len(r.Servers()); n != 10 {
+		t.Errorf("servers 1 s after a restore: %d, want 10", n)
+	}
+	if r.Expire(baseTime.Add(2 * time.Second)); len(r.Servers()) != 9 {
+		t.Errorf("servers 2 s after a restore: %d, want 9", len(r.Servers()))
+	}
+}
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -140,7 +140,11 @@
 				list = append(list, e.changes.Changes[i].Server)
 			}
 		}
-		c.registry.Replace(list, e.afterOutage, now)
+		if e.changes.Restored {
+			c.registry.ReplaceRestored(list, now)
+		} else {
+			c.registry.Replace(list, e.afterOutage, now)
+		}
 	} else {
 		afterOutage := e.afterOutage && c.registry.LostInOutage(e.changes.removals())
 		for i := range e.changes.Changes {
--- a/pkg/gateway/server_changes.go
+++ b/pkg/gateway/server_changes.go
@@ -5,8 +5,11 @@
 // ServerChanges are reports and removals in the order in which the store received them.
 type ServerChanges struct {
 	// Full is set if Changes is a complete list that replaces the previous one.
-	Full    bool
-	Changes []ServerChange
+	Full bool
+	// Restored is set if the store was restored from an earlier copy since the previous list, so that entries may be
+	// missing in this one until the servers have written them again.
+	Restored bool
+	Changes  []ServerChange
 }
 
 // withoutOmissions returns the changes without removals that follow only from omissions. A daemon that has read the store
