lease: a holder that a restored store lacks is waited for

With a restored record a daemon derived its first order from a holder that was long gone, a released lease, its own earlier tenure or no record at all, and could order at once, while the holder whose record was lost still believed in its lease for up to 2.5 s. That holder in turn lost its tenure, and the state of placement with it, although nobody could have replaced it.

A record tells the era in which it was written. If the store is in another one, or has no record and states an era, a later holder may be missing: other daemons wait as for a living one, also with their first order. A holder that nobody can have replaced since its last confirmed write goes on and writes its record again at once; where runners reject lower tokens, a longer interrupted one goes on with a token of the restored position. A restore wakes the holder's elector, whichever read shows it.

A first start on a store that states an era now waits the takeover time as well: its topic may be empty because of a restore.

--- a/pkg/eventlog/catalog_gateway.go
+++ b/pkg/eventlog/catalog_gateway.go
@@ -34,5 +34,6 @@
 	ModelOrdered           = register(327, log.InfoLevel, "model ordered", "A backend server was ordered to load or unload; demand and copies are the deciding inputs.")
 	ModelOrderAnswered     = register(328, log.InfoLevel, "model order answered", "A backend server responded to an order.")
 	RunnerUnreachable      = register(330, log.WarnLevel, "runner unreachable", "The lease holder could not connect to a runner; until it can, models and adapters there do not count as resident.")
+	LeaseRestored          = register(331, log.WarnLevel, "lease record restored", "The lease record that was read is from before a restore of the store, or may be lost in one. held is whether this daemon goes on as the holder; another daemon waits until a holder that is not recorded must have written again or ended.")
 	ModelOrderUnclear      = register(329, log.WarnLevel, "model order unclear", "An order got no usable response; the server's report is read before the next order.")
 )
--- a/pkg/lease/elector.go
+++ b/pkg/lease/elector.go
@@ -165,11 +165,32 @@
 	}
 	wasHeld := e.machine.Held(sent)
 	e.machine.ApplyRead(rec, position, sent)
+	if rec.Restored {
+		e.log.Log(eventlog.LeaseRestored, "holder", rec.Holder, "token", rec.Token, "position", position, "held", e.machine.Held(sent))
+	}
 	if wasHeld && !e.machine.Held(sent) {
 		e.log.Log(eventlog.LeaseLost, "holder", rec.Holder, "token", rec.Token)
 	}
 }
 
+// RecordStoreRestored records that the store was restored from an earlier copy. A holder reads the record at once, so that
+// it writes its own again before another daemon takes the lease.
+func (e *Elector) RecordStoreRestored() {
+	e.mu.Lock()
+	e.machine.ApplyStoreRestored()
+	e.failures, e.retryAt = 0, 0
+	e.mu.Unlock()
+	e.notify()
+}
+
+// notify starts the next step at once.
+func (e *Elector) notify() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
 // observe passes on the state of a holder that has not been seen before.
 func (e *Elector) observe(rec Record) {
 	if rec.Holder == e.name || rec.HandoverState == e.observed {
@@ -255,10 +276,7 @@
 	}
 	e.hasContact = false
 	e.mu.Unlock()
-	select {
-	case e.wake <- struct{}{}:
-	default:
-	}
+	e.notify()
 }
 
 // RecordFenced records that a runner rejected an order because it has seen a higher token.
--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -33,6 +33,8 @@
 	lostAt time.Duration
 	// highestFence is the highest own token that a runner has rejected.
 	highestFence int64
+	// needsToken is set when this holder must take a new token with its next write.
+	needsToken bool
 }
 
 // NewMachine returns the state of a daemon that has not read the store yet.
@@ -90,16 +92,24 @@
 // not block it: that process has ended, because this one listens on its address.
 func (m *Machine) acquireAt() time.Duration {
 	switch {
+	case m.record.Restored:
+		// The last holder may be missing in the record. If it lives, it writes again within the takeover time.
+		return m.takeoverAt()
 	case m.record.Token != 0 && m.record.Holder == m.self.Holder:
 		return m.observedAt
 	case m.record.Token == 0 || m.record.Holder == "":
 		return m.observedAt + m.takeoverDelay
 	default:
-		// A daemon that learns of the loss late has to wait as well, because others may write at the same time.
-		return max(m.observedAt+m.timing.TakeoverAfter, m.lostAt) + m.takeoverDelay
+		return m.takeoverAt()
 	}
 }
 
+// takeoverAt returns the earliest time at which this daemon may take the lease of another one. A daemon that learns of
+// the loss late has to wait as well, because others may write at the same time.
+func (m *Machine) takeoverAt() time.Duration {
+	return max(m.observedAt+m.timing.TakeoverAfter, m.lostAt) + m.takeoverDelay
+}
+
 // Position returns the store position at which Proposal must be written.
 func (m *Machine) Position() int64 { return m.position }
 
@@ -107,8 +117,9 @@
 func (m *Machine) Proposal() Record {
 	rec := m.self
 	rec.Token = m.record.Token
-	if !m.held {
-		// Positions only increase, so this token is higher than that of any earlier tenure.
+	if !m.held || m.needsToken {
+		// Positions only increase, also over a restore of the store, so this token is higher than that of any earlier
+		// tenure.
 		rec.Token = m.position + 1
 	}
 	return rec
@@ -117,7 +128,11 @@
 // ApplyRead applies the result of a read of the store; sent is when the read was sent.
 func (m *Machine) ApplyRead(rec Record, position int64, sent time.Duration) {
 	m.stale = false
-	if m.held && rec.Token == m.record.Token && rec.Holder == m.self.Holder {
+	if rec.Restored && m.outlivesRestore(sent) {
+		m.continueAfterRestore(position, sent)
+		return
+	}
+	if m.held && !rec.Restored && rec.Token == m.record.Token && rec.Holder == m.self.Holder {
 		if position != m.position && m.uncertainSince > 0 {
 			// A write whose response was lost has taken effect. Its validity is counted from the first such write, the
 			// earliest time at which it can have been sent.
@@ -133,6 +148,27 @@
 	m.recordKnown, m.record, m.position = true, rec, position
 }
 
+// outlivesRestore reports whether this holder may go on although the restored store lacks its latest record: if no other
+// daemon can have taken the lease since its last confirmed write, or if runners reject the lower token of one of two
+// holders.
+func (m *Machine) outlivesRestore(now time.Duration) bool {
+	return m.held && (m.timing.Fenced || m.isUninterrupted(now))
+}
+
+// isUninterrupted reports whether no other daemon can have taken the lease since the last confirmed write.
+func (m *Machine) isUninterrupted(now time.Duration) bool {
+	return now-m.confirmedAt < m.timing.TakeoverAfter
+}
+
+// continueAfterRestore makes the next write due at once, at the position of the restored store. The writes with an unknown
+// outcome are lost, so they do not extend the validity. If another daemon may have taken the lease in the lost history,
+// the tenure goes on with a higher token than that one's.
+func (m *Machine) continueAfterRestore(position int64, now time.Duration) {
+	m.needsToken = m.needsToken || !m.isUninterrupted(now)
+	m.position, m.uncertainSince = position, 0
+	m.renewedAt = now - m.timing.RenewInterval
+}
+
 // ApplyHolderContact applies a response of the holder with the position of its latest renewal, so that a daemon that
 // later loses contact knows the age of the stored record.
 func (m *Machine) ApplyHolderContact(position int64, now time.Duration) {
@@ -143,11 +179,14 @@
 
 // ApplyWrite applies a successful write; sent is when it was sent.
 func (m *Machine) ApplyWrite(rec Record, position int64, sent time.Duration) {
-	if !m.held {
+	switch {
+	case !m.held:
 		m.ordersFrom, m.heldSince = m.firstOrderTime(sent), sent
-		m.predecessorEnded = m.record.Token == 0 || m.record.Holder == "" || m.record.Holder == m.self.Holder
+		m.predecessorEnded = !m.record.Restored && (m.record.Token == 0 || m.record.Holder == "" || m.record.Holder == m.self.Holder)
+	case m.needsToken:
+		m.heldSince, m.predecessorEnded = sent, false
 	}
-	m.confirmedAt = sent
+	m.needsToken, m.confirmedAt = false, sent
 	m.held, m.record, m.position = true, rec, position
 	m.renewedAt, m.validUntil, m.uncertainSince = sent, sent+m.timing.Validity, 0
 }
@@ -157,6 +196,9 @@
 	if m.timing.Fenced {
 		return now
 	}
+	if m.record.Restored {
+		return max(now, m.observedAt+m.timing.Validity+m.timing.HolderGap)
+	}
 	switch m.record.Holder {
 	case m.self.Holder:
 		return now
@@ -182,6 +224,9 @@
 	}
 }
 
+// ApplyStoreRestored records that the store was restored from an earlier copy: a holder reads the record again.
+func (m *Machine) ApplyStoreRestored() { m.stale = m.stale || m.held }
+
 // ApplyRelease ends the tenure before a planned release is written.
 func (m *Machine) ApplyRelease() { m.held = false }
 
