lease: a takeover whose response is lost keeps the distance to the previous holder

What servers could see where they do not check fencing tokens: orders of two daemons 1 s apart instead of at least lease_ms. A daemon whose takeover was carried out without a response reads its own record, and a record of its own lets it order at once, since it usually belongs to its earlier process. The record that it replaced is forgotten.

The time of the first order that followed from the replaced record is kept as a lower bound.

--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -17,6 +17,9 @@
 	validUntil time.Duration
 	// ordersFrom is when a new holder may send its first order.
 	ordersFrom time.Duration
+	// ordersNotBefore is the earliest first order after a takeover with an unknown outcome, which hides the previous
+	// holder from the next read.
+	ordersNotBefore time.Duration
 	heldSince  time.Duration
 	// confirmedAt is when the latest write known to have taken effect was sent.
 	confirmedAt time.Duration
@@ -181,7 +184,7 @@
 func (m *Machine) ApplyWrite(rec Record, position int64, sent time.Duration) {
 	switch {
 	case !m.held:
-		m.ordersFrom, m.heldSince = m.firstOrderTime(sent), sent
+		m.ordersFrom, m.heldSince = max(m.firstOrderTime(sent), m.ordersNotBefore), sent
 		m.predecessorEnded = !m.record.Restored && (m.record.Token == 0 || m.record.Holder == "" || m.record.Holder == m.self.Holder)
 	case m.needsToken:
 		m.heldSince, m.predecessorEnded = sent, false
@@ -216,6 +219,7 @@
 func (m *Machine) ApplyWriteFailure(sent time.Duration) {
 	m.stale = true
 	if !m.held {
+		m.ordersNotBefore = max(m.ordersNotBefore, m.firstOrderTime(sent))
 		return
 	}
 	m.renewedAt = sent
--- a/pkg/lease/machine_test.go
+++ b/pkg/lease/machine_test.go
@@ -154,3 +154,30 @@
 		t.Errorf("step 3 s after the last contact with the holder: %s, want %s", step, Write)
 	}
 }
+
+// Guards against orders of two daemons within the minimum distance when the response to a takeover is lost, with runners
+// that do not check fencing tokens: the daemon then finds its own record, which tells nothing of the previous holder.
+func TestTakeoverWithoutAResponseKeepsTheDistance(t *testing.T) {
+	timing := NewTiming(3 * second)
+	for name, c := range map[string]struct {
+		before Record
+		first  time.Duration
+	}{
+		"after a lost holder":     {Record{Holder: "a", Address: "a:1", Token: 1}, timing.Validity + timing.HolderGap},
+		"after a planned release": {Record{Token: 1}, timing.HolderGap},
+	} {
+		m := NewMachine("b", "b:1", timing)
+		m.ApplyRead(c.before, 5, 0)
+		sent := max(m.AwaitTime(0), 0)
+		taken := m.Proposal()
+		m.ApplyWriteFailure(sent)
+		m.ApplyRead(taken, 6, sent+second)
+		m.ApplyWrite(m.Proposal(), 7, sent+second)
+		if _, ok := m.Token(c.first - 1); ok {
+			t.Errorf("%s: an order %v after the record of the previous holder, want none before %v", name, c.first-1, c.first)
+		}
+		if _, ok := m.Token(c.first); !ok {
+			t.Errorf("%s: no order %v after the record of the previous holder, want one", name, c.first)
+		}
+	}
+}
