--- a/pkg/lease/elector.go
+++ b/pkg/lease/elector.go
@@ -165,7 +165,7 @@
 	}
 	wasHeld := e.machine.Held(sent)
 	e.machine.ApplyRead(rec, position, sent)
-	if rec.Restored {
+	if rec.Restored && (rec.Token != 0 || wasHeld) {
 		e.log.Log(eventlog.LeaseRestored, "holder", rec.Holder, "token", rec.Token, "position", position, "held", e.machine.Held(sent))
 	}
 	if wasHeld && !e.machine.Held(sent) {
