lease: a holder that starts again before its first order keeps the distance

What servers could see where they do not check fencing tokens: orders of two daemons less than lease_ms apart. A daemon that takes the lease waits before its first order; killed in that wait, its next process found a record of its own and ordered at once.

The record tells whether its writer still waits, and the next process waits the distance then. TestHolderRestartedBeforeItsFirstOrderKeepsTheDistance: an order at the start before.

--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -20,7 +20,7 @@
 	// ordersNotBefore is the earliest first order after a takeover with an unknown outcome, which hides the previous
 	// holder from the next read.
 	ordersNotBefore time.Duration
-	heldSince  time.Duration
+	heldSince       time.Duration
 	// confirmedAt is when the latest write known to have taken effect was sent.
 	confirmedAt time.Duration
 	// predecessorEnded is set when the previous holder is known to have ended its tenure.
@@ -125,6 +125,7 @@
 		// tenure.
 		rec.Token = m.position + 1
 	}
+	rec.Unsettled = !m.timing.Fenced && (!m.held || m.renewedAt < m.ordersFrom)
 	return rec
 }
 
@@ -204,6 +205,9 @@
 	}
 	switch m.record.Holder {
 	case m.self.Holder:
+		if m.record.Unsettled && m.ordersNotBefore == 0 {
+			return now + m.timing.HolderGap
+		}
 		return now
 	case "":
 		if m.record.Token == 0 {
--- a/pkg/lease/machine_test.go
+++ b/pkg/lease/machine_test.go
@@ -181,3 +181,35 @@
 		}
 	}
 }
+
+// Guards against orders of two daemons within the minimum distance when a new holder is killed and starts again before
+// its first order: the record of its own earlier process says nothing of the holder before.
+func TestHolderRestartedBeforeItsFirstOrderKeepsTheDistance(t *testing.T) {
+	timing := NewTiming(3 * second)
+	killed := NewMachine("b", "b:1", timing)
+	killed.ApplyRead(Record{Holder: "a", Address: "a:1", Token: 1}, 5, 0)
+	taken := killed.Proposal()
+	killed.ApplyWrite(taken, 6, timing.TakeoverAfter)
+	started := timing.TakeoverAfter + second
+	for name, c := range map[string]struct {
+		rec    Record
+		atOnce bool
+	}{"right after the takeover": {rec: taken}, "after its first order": {rec: settledRecord(killed, 8*second), atOnce: true}} {
+		m := NewMachine("b", "b:1", timing)
+		m.ApplyRead(c.rec, 7, started)
+		m.ApplyWrite(m.Proposal(), 8, started)
+		if _, ok := m.Token(started); ok != c.atOnce {
+			t.Errorf("%s: order at the start %v, want %v", name, ok, c.atOnce)
+		}
+		m.ApplyWrite(m.Proposal(), 9, started+2*second)
+		if _, ok := m.Token(started + timing.HolderGap); !ok {
+			t.Errorf("%s: no order %v after the start, want one", name, timing.HolderGap)
+		}
+	}
+}
+
+// settledRecord returns the record that a holder writes with its second renewal at or after now.
+func settledRecord(m *Machine, now time.Duration) Record {
+	m.ApplyWrite(m.Proposal(), 7, now)
+	return m.Proposal()
+}
--- a/pkg/lease/record.go
+++ b/pkg/lease/record.go
@@ -10,6 +10,9 @@
 	Token int64
 	// HandoverState is the encoded state that the holder hands over to its successor.
 	HandoverState string
+	// Unsettled is set while the holder must still wait before its first order, so that its own restart does not end the
+	// wait.
+	Unsettled bool
 	// Restored is set by the store if it was restored from an earlier copy after the record was written, or if there is no
 	// record and it may have been lost that way: a later holder that is not recorded may still act.
 	Restored bool
