lease: a restarted holder takes its restored lease at once, only its orders wait

A daemon that finds its own restored record and has not held the lease since its start takes it at once, as without a restore; its first order waits as for a lost holder. One that has held it may have been replaced and waits.

--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -13,7 +13,9 @@
 	position    int64
 	observedAt  time.Duration
 	// held is set from a successful write of this process until the lease is lost.
-	held       bool
+	held bool
+	// hasHeld is set once this process has held the lease.
+	hasHeld    bool
 	validUntil time.Duration
 	// ordersFrom is when a new holder may send its first order.
 	ordersFrom time.Duration
@@ -92,14 +94,15 @@
 func (m *Machine) canAcquire(now time.Duration) bool { return now >= m.acquireAt() }
 
 // acquireAt returns the earliest time at which this daemon may take the lease. A record of its own earlier process does
-// not block it: that process has ended, because this one listens on its address.
+// not block it: that process has ended, because this one listens on its address. After a restore of the store this holds
+// for a process that has just started, whose predecessor was probably the last holder; orders wait all the same.
 func (m *Machine) acquireAt() time.Duration {
 	switch {
+	case m.record.Token != 0 && m.record.Holder == m.self.Holder && (!m.record.Restored || !m.hasHeld):
+		return m.observedAt
 	case m.record.Restored:
 		// The last holder may be missing in the record. If it lives, it writes again within the takeover time.
 		return m.takeoverAt()
-	case m.record.Token != 0 && m.record.Holder == m.self.Holder:
-		return m.observedAt
 	case m.record.Token == 0 || m.record.Holder == "":
 		return m.observedAt + m.takeoverDelay
 	default:
@@ -191,7 +194,7 @@
 		m.heldSince, m.predecessorEnded = sent, false
 	}
 	m.needsToken, m.confirmedAt = false, sent
-	m.held, m.record, m.position = true, rec, position
+	m.held, m.hasHeld, m.record, m.position = true, true, rec, position
 	m.renewedAt, m.validUntil, m.uncertainSince = sent, sent+m.timing.Validity, 0
 }
 
