lease: a record counts as no older than the response that shows it

What servers could see where they do not check fencing tokens: orders of two daemons 2.4 to 2.9 s apart instead of at least lease_ms (3 s).

Cause: a read that takes long returns the record that is stored at its end, but the record counted as observed when the read was sent. A holder that sends its renewal in between is then taken to end up to 0.9 s (the timeout of the read) too early, for the takeover and for the first order of the next holder. The same time also decided whether a holder can have been replaced before a restore.

Not the cause: the takeover of a lost holder by Await, which counts from the response already.

The time of the response is used.

--- a/pkg/lease/elector.go
+++ b/pkg/lease/elector.go
@@ -152,6 +152,7 @@
 	defer cancel()
 	sent := e.now()
 	rec, position, err := e.store.Load(ctx)
+	received := e.now()
 	if err != nil {
 		e.log.Log(eventlog.LeaseUnreadable, "reason", err)
 	} else {
@@ -164,11 +165,11 @@
 		return
 	}
 	wasHeld := e.machine.Held(sent)
-	e.machine.ApplyRead(rec, position, sent)
+	e.machine.ApplyRead(rec, position, received)
 	if rec.Restored && (rec.Token != 0 || wasHeld) {
-		e.log.Log(eventlog.LeaseRestored, "holder", rec.Holder, "token", rec.Token, "position", position, "held", e.machine.Held(sent))
+		e.log.Log(eventlog.LeaseRestored, "holder", rec.Holder, "token", rec.Token, "position", position, "held", e.machine.Held(received))
 	}
-	if wasHeld && !e.machine.Held(sent) {
+	if wasHeld && !e.machine.Held(received) {
 		e.log.Log(eventlog.LeaseLost, "holder", rec.Holder, "token", rec.Token)
 	}
 }
--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -132,11 +132,12 @@
 	return rec
 }
 
-// ApplyRead applies the result of a read of the store; sent is when the read was sent.
-func (m *Machine) ApplyRead(rec Record, position int64, sent time.Duration) {
+// ApplyRead applies the result of a read of the store; received is when the response was received. Its writer may have sent
+// the record after the read was sent, so a record counts as no older than the response.
+func (m *Machine) ApplyRead(rec Record, position int64, received time.Duration) {
 	m.stale = false
-	if rec.Restored && m.outlivesRestore(sent) {
-		m.continueAfterRestore(position, sent)
+	if rec.Restored && m.outlivesRestore(received) {
+		m.continueAfterRestore(position, received)
 		return
 	}
 	if m.held && !rec.Restored && rec.Token == m.record.Token && rec.Holder == m.self.Holder {
@@ -150,7 +151,7 @@
 	}
 	m.held = false
 	if !m.recordKnown || position != m.position {
-		m.observedAt = sent
+		m.observedAt = received
 	}
 	m.recordKnown, m.record, m.position = true, rec, position
 }
