lease: a write that ends after a release begins no tenure

What servers could see where they do not check fencing tokens: orders of two daemons 1.2 s apart instead of at least lease_ms (3 s). Where they do, a stopping daemon that does not renew its lease goes on as a holder until it ends.

Cause: a daemon that stops ends its tenure while a renewal or a takeover is on its way. The response to it then counts as the start of a new tenure, and as the record is the daemon's own, its first order is due at once, also if the daemon had not yet waited for the previous holder.

A write that ends before the release was ruled out: the wait goes on then.

The machine ignores the results of writes once it has been released, and takes no further step; the elector's own flag for the latter is gone. TestWriteThatEndsAfterTheReleaseBeginsNoTenure, before: the daemon holds the lease again after it has ended its tenure (both timings).

--- a/pkg/lease/elector.go
+++ b/pkg/lease/elector.go
@@ -35,10 +35,8 @@
 	// lastContact is when the holder last responded; it is valid while hasContact is set.
 	lastContact time.Duration
 	hasContact  bool
-	// released is set when the daemon is stopping, so that it does not take the lease again.
-	released bool
-	wake     chan struct{}
-	handover StateHandover
+	wake        chan struct{}
+	handover    StateHandover
 	// daemons is the number of daemons that may take the lease; 0 if unknown.
 	daemons int
 	// failures counts consecutive failed calls to the store; retryAt is the earliest time of the next call.
@@ -104,7 +102,7 @@
 	e.machine.SetTakeoverDelay(takeoverDelay(e.daemons, e.cores, e.name, e.machine.Position()))
 	holderResponsive := e.hasContact && now-e.lastContact < holderContactTTL
 	next := e.machine.Next(now, holderResponsive)
-	if e.released || now < e.retryAt {
+	if now < e.retryAt {
 		next = Wait
 	}
 	position, awaitTime := e.machine.Position(), e.machine.AwaitTime(now)
@@ -229,7 +227,7 @@
 	}
 	e.recordStoreCall(true)
 	e.machine.ApplyWrite(rec, position, sent)
-	if !wasHeld {
+	if !wasHeld && e.machine.held {
 		e.log.Log(eventlog.LeaseTaken, "token", rec.Token, "first_order_in", e.machine.ordersFrom-sent)
 	}
 }
@@ -238,7 +236,6 @@
 func (e *Elector) Release(ctx context.Context) {
 	e.mu.Lock()
 	held := e.machine.Held(e.now())
-	e.released = true
 	at, rec := e.machine.Position(), Record{Token: e.machine.Holder().Token}
 	e.machine.ApplyRelease()
 	e.mu.Unlock()
--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -40,6 +40,8 @@
 	highestFence int64
 	// needsToken is set when this holder must take a new token with its next write.
 	needsToken bool
+	// released is set once the daemon has ended its tenure to stop; it does not take the lease again.
+	released bool
 }
 
 // NewMachine returns the state of a daemon that has not read the store yet.
@@ -64,6 +66,8 @@
 // Next returns the next step. holderResponsive is set when the holder responded to this daemon recently.
 func (m *Machine) Next(now time.Duration, holderResponsive bool) Step {
 	switch {
+	case m.released:
+		return Wait
 	case !m.recordKnown || m.stale:
 		return Read
 	case m.held:
@@ -187,6 +191,9 @@
 
 // ApplyWrite applies a successful write; sent is when it was sent.
 func (m *Machine) ApplyWrite(rec Record, position int64, sent time.Duration) {
+	if m.released {
+		return
+	}
 	switch {
 	case !m.held:
 		m.ordersFrom, m.heldSince = max(m.firstOrderTime(sent), m.ordersNotBefore), sent
@@ -239,8 +246,8 @@
 // ApplyStoreRestored records that the store was restored from an earlier copy: a holder reads the record again.
 func (m *Machine) ApplyStoreRestored() { m.stale = m.stale || m.held }
 
-// ApplyRelease ends the tenure before a planned release is written.
-func (m *Machine) ApplyRelease() { m.held = false }
+// ApplyRelease ends the tenure before a planned release is written. A write that is still on its way begins no other one.
+func (m *Machine) ApplyRelease() { m.held, m.released = false, true }
 
 // ApplyFenced applies the rejection of an order by a runner that has seen a higher token. This tenure then sends no more
 // orders.
--- a/pkg/lease/machine_test.go
+++ b/pkg/lease/machine_test.go
@@ -213,3 +213,20 @@
 	m.ApplyWrite(m.Proposal(), 7, now)
 	return m.Proposal()
 }
+
+// Guards against orders of a daemon that has released the lease, or has ended its tenure for a release: the response to a
+// write that was on its way would begin a new tenure, which orders at once because the record is its own.
+func TestWriteThatEndsAfterTheReleaseBeginsNoTenure(t *testing.T) {
+	for name, timing := range map[string]Timing{"unfenced": NewTiming(3 * second), "fenced": NewFencedTiming()} {
+		m := newHolder(t, timing)
+		renewal := m.Proposal()
+		m.ApplyRelease()
+		m.ApplyWrite(renewal, 2, second)
+		if _, ok := m.Token(second); ok || m.Held(second) {
+			t.Errorf("%s: the daemon holds the lease again after it has ended its tenure", name)
+		}
+		if next := m.Next(10*second, false); next != Wait {
+			t.Errorf("%s: step after the release: %s, want %s", name, next, Wait)
+		}
+	}
+}
