lease: a lost holder is waited for over a restart and a release

What servers could see where they do not check fencing tokens: orders of two daemons 2.6 s apart instead of at least lease_ms (3 s), after a restore of the store.

Cause: since a daemon that starts takes its own restored record at once, while a holder that the restored store lacks may act for the rest of its validity; only its own first order waits for that. If it ends before that order, by a kill or a planned stop, its new process (unsettled record) or the next holder (released record) waits the distance from its own start only, up to 2.5 s too short.

Not the cause: a takeover from an expired record, whose holder has ended by then.

The record now tells, as long as it may be so, that a holder is missing, and a wait that starts from such a record of the daemon's own or from a release covers that holder's validity. Both cases of TestLostHolderIsWaitedForOverARestartAndARelease failed before: orders less than 3s after the last one of the lost holder.

--- a/pkg/lease/elector.go
+++ b/pkg/lease/elector.go
@@ -235,9 +235,9 @@
 // Release releases the lease before a planned stop, so that the next holder need not wait for it to expire.
 func (e *Elector) Release(ctx context.Context) {
 	e.mu.Lock()
-	held := e.machine.Held(e.now())
-	at, rec := e.machine.Position(), Record{Token: e.machine.Holder().Token}
-	e.machine.ApplyRelease()
+	now := e.now()
+	held, at := e.machine.Held(now), e.machine.Position()
+	rec := e.machine.Release(now)
 	e.mu.Unlock()
 	if !held {
 		return
--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -22,7 +22,9 @@
 	// ordersNotBefore is the earliest first order after a takeover with an unknown outcome, which hides the previous
 	// holder from the next read.
 	ordersNotBefore time.Duration
-	heldSince       time.Duration
+	// missingUntil is when the lease of a holder that the store may lack has ended; 0 for none.
+	missingUntil time.Duration
+	heldSince    time.Duration
 	// confirmedAt is when the latest write known to have taken effect was sent.
 	confirmedAt time.Duration
 	// predecessorEnded is set when the previous holder is known to have ended its tenure.
@@ -133,9 +135,29 @@
 		rec.Token = m.position + 1
 	}
 	rec.Unsettled = !m.timing.Fenced && (!m.held || m.renewedAt < m.ordersFrom)
+	if m.held {
+		rec.HolderMissing = m.renewedAt < m.missingUntil
+	} else {
+		rec.HolderMissing = !m.timing.Fenced && m.mayLackHolder()
+	}
 	return rec
 }
 
+// mayLackHolder reports whether a holder that the record does not name may still act, because the store was restored and
+// the record does not tell that its lease has ended. The lease ends before that of any later holder.
+func (m *Machine) mayLackHolder() bool {
+	return m.record.Restored || (m.record.HolderMissing && (m.record.Holder == "" || m.record.Holder == m.self.Holder))
+}
+
+// missingHolderEnd returns when the lease of a holder that the record lacks has ended at the latest: a holder wrote its
+// last record before a restored one was read, or before a process of the writer of HolderMissing has ended.
+func (m *Machine) missingHolderEnd(now time.Duration) time.Duration {
+	if m.record.Restored {
+		return m.observedAt + m.timing.Validity
+	}
+	return now + m.timing.Validity
+}
+
 // ApplyRead applies the result of a read of the store; received is when the response was received. Its writer may have sent
 // the record after the read was sent, so a record counts as no older than the response.
 func (m *Machine) ApplyRead(rec Record, position int64, received time.Duration) {
@@ -196,7 +218,10 @@
 	}
 	switch {
 	case !m.held:
-		m.ordersFrom, m.heldSince = max(m.firstOrderTime(sent), m.ordersNotBefore), sent
+		m.ordersFrom, m.heldSince, m.missingUntil = max(m.firstOrderTime(sent), m.ordersNotBefore), sent, 0
+		if !m.timing.Fenced && m.mayLackHolder() {
+			m.missingUntil = m.missingHolderEnd(sent)
+		}
 		m.predecessorEnded = !m.record.Restored && (m.record.Token == 0 || m.record.Holder == "" || m.record.Holder == m.self.Holder)
 	case m.needsToken:
 		m.heldSince, m.predecessorEnded = sent, false
@@ -211,8 +236,8 @@
 	if m.timing.Fenced {
 		return now
 	}
-	if m.record.Restored {
-		return max(now, m.observedAt+m.timing.Validity+m.timing.HolderGap)
+	if m.mayLackHolder() {
+		return max(now, m.missingHolderEnd(now)+m.timing.HolderGap)
 	}
 	switch m.record.Holder {
 	case m.self.Holder:
@@ -246,8 +271,12 @@
 // ApplyStoreRestored records that the store was restored from an earlier copy: a holder reads the record again.
 func (m *Machine) ApplyStoreRestored() { m.stale = m.stale || m.held }
 
-// ApplyRelease ends the tenure before a planned release is written. A write that is still on its way begins no other one.
-func (m *Machine) ApplyRelease() { m.held, m.released = false, true }
+// Release ends the tenure and returns the record of a planned release. A write that is still on its way begins no other
+// tenure.
+func (m *Machine) Release(now time.Duration) Record {
+	m.held, m.released = false, true
+	return Record{Token: m.record.Token, HolderMissing: now < m.missingUntil}
+}
 
 // ApplyFenced applies the rejection of an order by a runner that has seen a higher token. This tenure then sends no more
 // orders.
--- a/pkg/lease/machine_test.go
+++ b/pkg/lease/machine_test.go
@@ -220,7 +220,7 @@
 	for name, timing := range map[string]Timing{"unfenced": NewTiming(3 * second), "fenced": NewFencedTiming()} {
 		m := newHolder(t, timing)
 		renewal := m.Proposal()
-		m.ApplyRelease()
+		m.Release(second)
 		m.ApplyWrite(renewal, 2, second)
 		if _, ok := m.Token(second); ok || m.Held(second) {
 			t.Errorf("%s: the daemon holds the lease again after it has ended its tenure", name)
--- a/pkg/lease/record.go
+++ b/pkg/lease/record.go
@@ -13,6 +13,9 @@
 	// Unsettled is set while the holder must still wait before its first order, so that its own restart does not end the
 	// wait.
 	Unsettled bool
+	// HolderMissing is set while the lease of a holder that a restored store lacks may not have ended, so that neither a
+	// restart nor a release by the writer shortens the wait for it.
+	HolderMissing bool
 	// Restored is set by the store if it was restored from an earlier copy after the record was written, or if there is no
 	// record and it may have been lost that way: a later holder that is not recorded may still act.
 	Restored bool
--- a/pkg/lease/restore_test.go
+++ b/pkg/lease/restore_test.go
@@ -79,3 +79,35 @@
 		}
 	}
 }
+
+// Guards against orders of two daemons within the minimum distance, with runners that do not check fencing tokens: a
+// daemon that takes its own restored record at once ends before its first order, and the next holder counts its wait from
+// there, although the lost holder's lease may not have ended.
+func TestLostHolderIsWaitedForOverARestartAndARelease(t *testing.T) {
+	const gap, restored = 3 * second, 11 * second
+	timing := NewTiming(gap)
+	b := NewMachine("b", "b:1", timing)
+	b.ApplyRead(restoredRecords["the reader's own tenure"], 9, restored)
+	taken := b.Proposal()
+	b.ApplyWrite(taken, 10, restored)
+	released, at := b.Release(restored+second/2), restored+second
+	for name, c := range map[string]struct {
+		daemon string
+		rec    Record
+	}{"its next process": {"b", taken}, "another daemon after a release": {"c", released}} {
+		m := NewMachine(c.daemon, c.daemon+":1", timing)
+		m.ApplyRead(c.rec, 11, at)
+		for range 3 {
+			if m.Next(at, false) == Write {
+				m.ApplyWrite(m.Proposal(), 12, at)
+			}
+		}
+		// The lost holder renewed its lease right before the restore.
+		lastOrder := restored + timing.Validity
+		now := lastOrder + gap - 1
+		m.ApplyWrite(m.Proposal(), 13, now)
+		if _, ok := m.Token(now); ok {
+			t.Errorf("%s: orders less than %v after the last one of the lost holder", name, gap)
+		}
+	}
+}
