fleet: each restore of the store starts the grace for missing servers again

Callers could get 503 (no_backend) after two restores in a row although the server lived.

Cause: keeps a server that the restored store lacks for 1.8 s, and a later list without it does not change that time. The first list after a second restore counted as such a list too, although the server could not write its entry while the store was away again. A later list of the same era still does not extend the time.

TestSecondRestoreStartsTheGraceAgain, before: the server is removed 1.5 s after the second restore.

--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -91,9 +91,12 @@
 }
 
 // ReplaceRestored applies the first complete list after the store was restored from an earlier copy. Any number of
-// servers may be missing because the copy is older than their entries, so they are kept for the grace period.
+// servers may be missing because the copy is older than their entries, so they are kept for the grace period. It starts
+// again with each restore, because servers can write their entries only once the store is back.
 func (r *Registry) ReplaceRestored(list []Server, now time.Time) {
-	r.removeMissing(r.applyList(list), true, now)
+	for _, id := range r.applyList(list) {
+		r.removeAt[id] = now.Add(storeOutageGrace)
+	}
 }
 
 // applyList applies the reports of a complete list and returns the known servers that it lacks.
--- a/pkg/fleet/registry_test.go
+++ b/pkg/fleet/registry_test.go
@@ -154,3 +154,18 @@
 		t.Errorf("servers 2 s after a restore: %d, want 9", len(r.Servers()))
 	}
 }
+
+// Guards against live servers that are removed after two restores in a row: the entries that were lost in the first one get
+// no time to return after the second.
+func TestSecondRestoreStartsTheGraceAgain(t *testing.T) {
+	r := NewRegistry()
+	r.ApplyReport(testServer("a", 5, 9, false))
+	r.ReplaceRestored(nil, baseTime)
+	r.ReplaceRestored(nil, baseTime.Add(1500*time.Millisecond))
+	if r.Expire(baseTime.Add(3 * time.Second)); len(r.Servers()) != 1 {
+		t.Error("the server is removed 1.5 s after the second restore")
+	}
+	if r.Expire(baseTime.Add(4 * time.Second)); len(r.Servers()) != 0 {
+		t.Error("the server is still kept 2.5 s after the second restore")
+	}
+}
