lease: a takeover reads the last record of the holder first

What could be seen: after a holder is lost, more loads from the weight store than the rate allows (CEILING), since the next holder does not know of the last one's.

Cause: a daemon that reports to the holder learns the position of each renewal from the responses, but not the record. It takes the lease over at that position with the state that it read when it last read the record itself, which can be minutes old: loads of that time count as recent, and those of the last seconds are missing.

What limits the harm: a holder that is not the only one uses half of the allowance for 12 s. A planned release is not affected, as its record is awaited.

A daemon whose record is older than the position reads it before it writes. That is one call more for each daemon that tries to take the lease.

--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -11,7 +11,10 @@
 	recordKnown bool
 	record      Record
 	position    int64
-	observedAt  time.Duration
+	// recordPosition is the position up to which record is the latest; it is lower than position after a response of the
+	// holder that tells of a later renewal.
+	recordPosition int64
+	observedAt     time.Duration
 	// held is set from a successful write of this process until the lease is lost.
 	held bool
 	// hasHeld is set once this process has held the lease.
@@ -81,6 +84,10 @@
 		// The record is not read while the holder responds, so an old record does not mean that the lease has expired.
 		return Wait
 	case m.canAcquire(now):
+		if m.recordPosition != m.position {
+			// The state that the holder handed over with its last renewal is taken over with the lease.
+			return Read
+		}
 		return Write
 	default:
 		return Await
@@ -179,7 +186,7 @@
 	if !m.recordKnown || position != m.position {
 		m.observedAt = received
 	}
-	m.recordKnown, m.record, m.position = true, rec, position
+	m.recordKnown, m.record, m.position, m.recordPosition = true, rec, position, position
 }
 
 // outlivesRestore reports whether this holder may go on although the restored store lacks its latest record: if no other
@@ -227,7 +234,7 @@
 		m.heldSince, m.predecessorEnded = sent, false
 	}
 	m.needsToken, m.confirmedAt = false, sent
-	m.held, m.hasHeld, m.record, m.position = true, true, rec, position
+	m.held, m.hasHeld, m.record, m.position, m.recordPosition = true, true, rec, position, position
 	m.renewedAt, m.validUntil, m.uncertainSince = sent, sent+m.timing.Validity, 0
 }
 
