fleet: the newest removals are remembered at the bound

Callers' requests could reach a server that has left (DRAIN), if the store is restored with its entry right after the registry has reached the bound of 512 remembered removals.

Cause: at the bound all removals were forgotten, also the newest, so the older entry of a restored store counted as a new server. The same holds for late reports without a restore.

Only the older half is forgotten now. TestNewestRemovalsAreRemembered, before: an old report of the server that was removed last but one brings it back.

--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -139,9 +140,7 @@
 
 func (r *Registry) removeNow(id string) {
 	if len(r.removedVersion) >= maxRemovedServers {
-		clear(r.removedVersion)
-		clear(r.removedServers)
-		r.forgottenVersion = r.version
+		r.forgetOldRemovals()
 	}
 	r.removedServers[id] = r.servers[id]
 	delete(r.servers, id)
@@ -151,6 +150,19 @@
 	r.removedVersion[id] = r.version
 }
 
+// forgetOldRemovals forgets the older half of the removals. The newest are needed longest: a store that is restored from a
+// copy some seconds old has the entries of servers that have just left.
+func (r *Registry) forgetOldRemovals() {
+	versions := slices.Sorted(maps.Values(r.removedVersion))
+	r.forgottenVersion = versions[len(versions)/2]
+	for id, version := range r.removedVersion {
+		if version <= r.forgottenVersion {
+			delete(r.removedVersion, id)
+			delete(r.removedServers, id)
+		}
+	}
+}
+
 // Version returns the version of the set of servers, which increases with every change.
 func (r *Registry) Version() uint64 { return r.version }
 
--- a/pkg/fleet/registry_test.go
+++ b/pkg/fleet/registry_test.go
@@ -169,3 +169,25 @@
 		t.Error("the server is still kept 2.5 s after the second restore")
 	}
 }
+
+// Guards against a server that gets requests again after it has left: the store is restored with its entry right after the
+// registry has reached the bound of removals that it remembers.
+func TestNewestRemovalsAreRemembered(t *testing.T) {
+	r := NewRegistry()
+	var last Server
+	for i := range maxRemovedServers + 1 {
+		if i > 0 {
+			r.ApplyReport(last)
+		}
+		if n := len(r.Servers()); n != 0 {
+			t.Fatalf("an old report of the server that was removed last, after %d removals, brings it back", i)
+		}
+		last = testServer(fmt.Sprint("s", i), 5, 9, false)
+		r.ApplyReport(last)
+		r.Remove(last.ID, false, baseTime)
+	}
+	r.ApplyReport(testServer(fmt.Sprint("s", maxRemovedServers-1), 5, 9, false))
+	if n := len(r.Servers()); n != 0 {
+		t.Error("an old report of the server that was removed last but one brings it back")
+	}
+}
