lease: an old failed takeover does not end the wait of an own record

What servers could see where they do not check fencing tokens: orders of two daemons less than lease_ms apart.

Cause: keeps the first order's time of a takeover with an unknown outcome for good, and its presence lets an own record that still waits order at once. If the failure was an earlier one, and the record is one that an earlier process wrote and the store carried out late, nothing covers the distance.

The time is forgotten when a record of another daemon, or a release, is read: no takeover of this daemon hides a holder then. If that takeover is carried out later still, its record tells that it waits. TestOldTakeoverFailureDoesNotEndTheWaitOfAnOwnRecord, before: orders at once.

--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -183,6 +183,10 @@
 		return
 	}
 	m.held = false
+	if rec.Holder != m.self.Holder {
+		// No earlier takeover of this daemon hides a holder from this record.
+		m.ordersNotBefore = 0
+	}
 	if !m.recordKnown || position != m.position {
 		m.observedAt = received
 	}
--- a/pkg/lease/machine_test.go
+++ b/pkg/lease/machine_test.go
@@ -230,3 +230,20 @@
 		}
 	}
 }
+
+// Guards against orders of two daemons within the minimum distance, with runners that do not check fencing tokens: an
+// earlier takeover that failed hides that the own record, which an earlier process wrote, still waits for another holder.
+func TestOldTakeoverFailureDoesNotEndTheWaitOfAnOwnRecord(t *testing.T) {
+	timing := NewTiming(3 * second)
+	a := NewMachine("a", "a:1", timing)
+	a.ApplyRead(Record{Token: 1}, 1, 0)
+	a.ApplyWriteFailure(0)
+	a.ApplyRead(Record{Holder: "b", Address: "b:1", Token: 2}, 2, second)
+	// A takeover by the earlier process is carried out late, when b's lease has just ended.
+	now := 20 * second
+	a.ApplyRead(Record{Holder: "a", Address: "a:1", Token: 3, Unsettled: true}, 3, now)
+	a.ApplyWrite(a.Proposal(), 4, now)
+	if _, ok := a.Token(now); ok {
+		t.Error("orders at once, want the distance to the previous holder")
+	}
+}
