--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -91,9 +92,12 @@
 }
 
 // ReplaceRestored applies the first complete list after the store was restored from an earlier copy. Any number of
-// servers may be missing because the copy is older than their entries, so they are kept for the grace period.
+// servers may be missing because the copy is older than their entries, so they are kept for the grace period. It starts
+// again with each restore, because servers can write their entries only once the store is back.
 func (r *Registry) ReplaceRestored(list []Server, now time.Time) {
-	r.removeMissing(r.applyList(list), true, now)
+	for _, id := range r.applyList(list) {
+		r.removeAt[id] = now.Add(storeOutageGrace)
+	}
 }
 
 // applyList applies the reports of a complete list and returns the known servers that it lacks.
@@ -136,9 +140,7 @@
 
 func (r *Registry) removeNow(id string) {
 	if len(r.removedVersion) >= maxRemovedServers {
-		clear(r.removedVersion)
-		clear(r.removedServers)
-		r.forgottenVersion = r.version
+		r.forgetOldRemovals()
 	}
 	r.removedServers[id] = r.servers[id]
 	delete(r.servers, id)
@@ -148,6 +150,19 @@
 	r.removedVersion[id] = r.version
 }
 
+// forgetOldRemovals forgets the older half of the removals. The newest are needed longest: a store that is restored from a
+// copy some seconds old has the entries of servers that have just left.
+func (r *Registry) forgetOldRemovals() {
+	versions := slices.Sorted(maps.Values(r.removedVersion))
+	r.forgottenVersion = versions[len(versions)/2]
+	for id, version := range r.removedVersion {
+		if version <= r.forgottenVersion {
+			delete(r.removedVersion, id)
+			delete(r.removedServers, id)
+		}
+	}
+}
+
 // Version returns the version of the set of servers, which increases with every change.
 func (r *Registry) Version() uint64 { return r.version }
 
--- a/pkg/fleet/registry_test.go
+++ b/pkg/fleet/registry_test.go
@@ -154,3 +154,40 @@
 		t.Errorf("servers 2 s after a restore: %d, want 9", len(r.Servers()))
 	}
 }
+
+// Guards against live servers that are removed after two restores in a row: the entries that were lost in the first one get
+// no time to return after the second.
+func TestSecondRestoreStartsTheGraceAgain(t *testing.T) {
+	r := NewRegistry()
+	r.ApplyReport(testServer("a", 5, 9, false))
+	r.ReplaceRestored(nil, baseTime)
+	r.ReplaceRestored(nil, baseTime.Add(1500*time.Millisecond))
+	if r.Expire(baseTime.Add(3 * time.Second)); len(r.Servers()) != 1 {
+		t.Error("the server is removed 1.5 s after the second restore")
+	}
+	if r.Expire(baseTime.Add(4 * time.Second)); len(r.Servers()) != 0 {
+		t.Error("the server is still kept 2.5 s after the second restore")
+	}
+}
+
+// Guards against a server that gets requests again after it has left: the store is restored with its entry right after the
+// registry has reached the bound of removals that it remembers.
+func TestNewestRemovalsAreRemembered(t *testing.T) {
+	r := NewRegistry()
+	var last Server
+	for i := range maxRemovedServers + 1 {
+		if i > 0 {
+			r.ApplyReport(last)
+		}
+		if n := len(r.Servers()); n != 0 {
+			t.Fatalf("an old report of the server that was removed last, after %d removals, brings it back", i)
+		}
+		last = testServer(fmt.Sprint("s", i), 5, 9, false)
+		r.ApplyReport(last)
+		r.Remove(last.ID, false, baseTime)
+	}
+	r.ApplyReport(testServer(fmt.Sprint("s", maxRemovedServers-1), 5, 9, false))
+	if n := len(r.Servers()); n != 0 {
+		t.Error("an old report of the server that was removed last but one brings it back")
+	}
+}
--- a/pkg/lease/elector.go
+++ b/pkg/lease/elector.go
@@ -35,10 +35,8 @@
 	// lastContact is when the holder last responded; it is valid while hasContact is set.
 	lastContact time.Duration
 	hasContact  bool
-	// released is set when the daemon is stopping, so that it does not take the lease again.
-	released bool
-	wake     chan struct{}
-	handover StateHandover
+	wake        chan struct{}
+	handover    StateHandover
 	// daemons is the number of daemons that may take the lease; 0 if unknown.
 	daemons int
 	// failures counts consecutive failed calls to the store; retryAt is the earliest time of the next call.
@@ -104,7 +102,7 @@
 	e.machine.SetTakeoverDelay(takeoverDelay(e.daemons, e.cores, e.name, e.machine.Position()))
 	holderResponsive := e.hasContact && now-e.lastContact < holderContactTTL
 	next := e.machine.Next(now, holderResponsive)
-	if e.released || now < e.retryAt {
+	if now < e.retryAt {
 		next = Wait
 	}
 	position, awaitTime := e.machine.Position(), e.machine.AwaitTime(now)
@@ -152,6 +150,7 @@
 	defer cancel()
 	sent := e.now()
 	rec, position, err := e.store.Load(ctx)
+	received := e.now()
 	if err != nil {
 		e.log.Log(eventlog.LeaseUnreadable, "reason", err)
 	} else {
@@ -164,11 +163,11 @@
 		return
 	}
 	wasHeld := e.machine.Held(sent)
-	e.machine.ApplyRead(rec, position, sent)
+	e.machine.ApplyRead(rec, position, received)
 	if rec.Restored && (rec.Token != 0 || wasHeld) {
-		e.log.Log(eventlog.LeaseRestored, "holder", rec.Holder, "token", rec.Token, "position", position, "held", e.machine.Held(sent))
+		e.log.Log(eventlog.LeaseRestored, "holder", rec.Holder, "token", rec.Token, "position", position, "held", e.machine.Held(received))
 	}
-	if wasHeld && !e.machine.Held(sent) {
+	if wasHeld && !e.machine.Held(received) {
 		e.log.Log(eventlog.LeaseLost, "holder", rec.Holder, "token", rec.Token)
 	}
 }
@@ -228,7 +227,7 @@
 	}
 	e.recordStoreCall(true)
 	e.machine.ApplyWrite(rec, position, sent)
-	if !wasHeld {
+	if !wasHeld && e.machine.held {
 		e.log.Log(eventlog.LeaseTaken, "token", rec.Token, "first_order_in", e.machine.ordersFrom-sent)
 	}
 }
@@ -236,10 +235,9 @@
 // Release releases the lease before a planned stop, so that the next holder need not wait for it to expire.
 func (e *Elector) Release(ctx context.Context) {
 	e.mu.Lock()
-	held := e.machine.Held(e.now())
-	e.released = true
-	at, rec := e.machine.Position(), Record{Token: e.machine.Holder().Token}
-	e.machine.ApplyRelease()
+	now := e.now()
+	held, at := e.machine.Held(now), e.machine.Position()
+	rec := e.machine.Release(now)
 	e.mu.Unlock()
 	if !held {
 		return
--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -11,7 +11,10 @@
 	recordKnown bool
 	record      Record
 	position    int64
-	observedAt  time.Duration
+	// recordPosition is the position up to which record is the latest; it is lower than position after a response of the
+	// holder that tells of a later renewal.
+	recordPosition int64
+	observedAt     time.Duration
 	// held is set from a successful write of this process until the lease is lost.
 	held bool
 	// hasHeld is set once this process has held the lease.
@@ -22,7 +25,9 @@
 	// ordersNotBefore is the earliest first order after a takeover with an unknown outcome, which hides the previous
 	// holder from the next read.
 	ordersNotBefore time.Duration
-	heldSince       time.Duration
+	// missingUntil is when the lease of a holder that the store may lack has ended; 0 for none.
+	missingUntil time.Duration
+	heldSince    time.Duration
 	// confirmedAt is when the latest write known to have taken effect was sent.
 	confirmedAt time.Duration
 	// predecessorEnded is set when the previous holder is known to have ended its tenure.
@@ -40,6 +45,8 @@
 	highestFence int64
 	// needsToken is set when this holder must take a new token with its next write.
 	needsToken bool
+	// released is set once the daemon has ended its tenure to stop; it does not take the lease again.
+	released bool
 }
 
 // NewMachine returns the state of a daemon that has not read the store yet.
@@ -64,6 +71,8 @@
 // Next returns the next step. holderResponsive is set when the holder responded to this daemon recently.
 func (m *Machine) Next(now time.Duration, holderResponsive bool) Step {
 	switch {
+	case m.released:
+		return Wait
 	case !m.recordKnown || m.stale:
 		return Read
 	case m.held:
@@ -75,6 +84,10 @@
 		// The record is not read while the holder responds, so an old record does not mean that the lease has expired.
 		return Wait
 	case m.canAcquire(now):
+		if m.recordPosition != m.position {
+			// The state that the holder handed over with its last renewal is taken over with the lease.
+			return Read
+		}
 		return Write
 	default:
 		return Await
@@ -129,14 +142,35 @@
 		rec.Token = m.position + 1
 	}
 	rec.Unsettled = !m.timing.Fenced && (!m.held || m.renewedAt < m.ordersFrom)
+	if m.held {
+		rec.HolderMissing = m.renewedAt < m.missingUntil
+	} else {
+		rec.HolderMissing = !m.timing.Fenced && m.mayLackHolder()
+	}
 	return rec
 }
 
-// ApplyRead applies the result of a read of the store; sent is when the read was sent.
-func (m *Machine) ApplyRead(rec Record, position int64, sent time.Duration) {
+// mayLackHolder reports whether a holder that the record does not name may still act, because the store was restored and
+// the record does not tell that its lease has ended. The lease ends before that of any later holder.
+func (m *Machine) mayLackHolder() bool {
+	return m.record.Restored || (m.record.HolderMissing && (m.record.Holder == "" || m.record.Holder == m.self.Holder))
+}
+
+// missingHolderEnd returns when the lease of a holder that the record lacks has ended at the latest: a holder wrote its
+// last record before a restored one was read, or before a process of the writer of HolderMissing has ended.
+func (m *Machine) missingHolderEnd(now time.Duration) time.Duration {
+	if m.record.Restored {
+		return m.observedAt + m.timing.Validity
+	}
+	return now + m.timing.Validity
+}
+
+// ApplyRead applies the result of a read of the store; received is when the response was received. Its writer may have sent
+// the record after the read was sent, so a record counts as no older than the response.
+func (m *Machine) ApplyRead(rec Record, position int64, received time.Duration) {
 	m.stale = false
-	if rec.Restored && m.outlivesRestore(sent) {
-		m.continueAfterRestore(position, sent)
+	if rec.Restored && m.outlivesRestore(received) {
+		m.continueAfterRestore(position, received)
 		return
 	}
 	if m.held && !rec.Restored && rec.Token == m.record.Token && rec.Holder == m.self.Holder {
@@ -149,10 +183,14 @@
 		return
 	}
 	m.held = false
+	if rec.Holder != m.self.Holder {
+		// No earlier takeover of this daemon hides a holder from this record.
+		m.ordersNotBefore = 0
+	}
 	if !m.recordKnown || position != m.position {
-		m.observedAt = sent
+		m.observedAt = received
 	}
-	m.recordKnown, m.record, m.position = true, rec, position
+	m.recordKnown, m.record, m.position, m.recordPosition = true, rec, position, position
 }
 
 // outlivesRestore reports whether this holder may go on although the restored store lacks its latest record: if no other
@@ -186,15 +224,21 @@
 
 // ApplyWrite applies a successful write; sent is when it was sent.
 func (m *Machine) ApplyWrite(rec Record, position int64, sent time.Duration) {
+	if m.released {
+		return
+	}
 	switch {
 	case !m.held:
-		m.ordersFrom, m.heldSince = max(m.firstOrderTime(sent), m.ordersNotBefore), sent
+		m.ordersFrom, m.heldSince, m.missingUntil = max(m.firstOrderTime(sent), m.ordersNotBefore), sent, 0
+		if !m.timing.Fenced && m.mayLackHolder() {
+			m.missingUntil = m.missingHolderEnd(sent)
+		}
 		m.predecessorEnded = !m.record.Restored && (m.record.Token == 0 || m.record.Holder == "" || m.record.Holder == m.self.Holder)
 	case m.needsToken:
 		m.heldSince, m.predecessorEnded = sent, false
 	}
 	m.needsToken, m.confirmedAt = false, sent
-	m.held, m.hasHeld, m.record, m.position = true, true, rec, position
+	m.held, m.hasHeld, m.record, m.position, m.recordPosition = true, true, rec, position, position
 	m.renewedAt, m.validUntil, m.uncertainSince = sent, sent+m.timing.Validity, 0
 }
 
@@ -203,8 +247,8 @@
 	if m.timing.Fenced {
 		return now
 	}
-	if m.record.Restored {
-		return max(now, m.observedAt+m.timing.Validity+m.timing.HolderGap)
+	if m.mayLackHolder() {
+		return max(now, m.missingHolderEnd(now)+m.timing.HolderGap)
 	}
 	switch m.record.Holder {
 	case m.self.Holder:
@@ -238,8 +282,12 @@
 // ApplyStoreRestored records that the store was restored from an earlier copy: a holder reads the record again.
 func (m *Machine) ApplyStoreRestored() { m.stale = m.stale || m.held }
 
-// ApplyRelease ends the tenure before a planned release is written.
-func (m *Machine) ApplyRelease() { m.held = false }
+// Release ends the tenure and returns the record of a planned release. A write that is still on its way begins no other
+// tenure.
+func (m *Machine) Release(now time.Duration) Record {
+	m.held, m.released = false, true
+	return Record{Token: m.record.Token, HolderMissing: now < m.missingUntil}
+}
 
 // ApplyFenced applies the rejection of an order by a runner that has seen a higher token. This tenure then sends no more
 // orders.
--- a/pkg/lease/machine_test.go
+++ b/pkg/lease/machine_test.go
@@ -213,3 +213,37 @@
 	m.ApplyWrite(m.Proposal(), 7, now)
 	return m.Proposal()
 }
+
+// Guards against orders of a daemon that has released the lease, or has ended its tenure for a release: the response to a
+// write that was on its way would begin a new tenure, which orders at once because the record is its own.
+func TestWriteThatEndsAfterTheReleaseBeginsNoTenure(t *testing.T) {
+	for name, timing := range map[string]Timing{"unfenced": NewTiming(3 * second), "fenced": NewFencedTiming()} {
+		m := newHolder(t, timing)
+		renewal := m.Proposal()
+		m.Release(second)
+		m.ApplyWrite(renewal, 2, second)
+		if _, ok := m.Token(second); ok || m.Held(second) {
+			t.Errorf("%s: the daemon holds the lease again after it has ended its tenure", name)
+		}
+		if next := m.Next(10*second, false); next != Wait {
+			t.Errorf("%s: step after the release: %s, want %s", name, next, Wait)
+		}
+	}
+}
+
+// Guards against orders of two daemons within the minimum distance, with runners that do not check fencing tokens: an
+// earlier takeover that failed hides that the own record, which an earlier process wrote, still waits for another holder.
+func TestOldTakeoverFailureDoesNotEndTheWaitOfAnOwnRecord(t *testing.T) {
+	timing := NewTiming(3 * second)
+	a := NewMachine("a", "a:1", timing)
+	a.ApplyRead(Record{Token: 1}, 1, 0)
+	a.ApplyWriteFailure(0)
+	a.ApplyRead(Record{Holder: "b", Address: "b:1", Token: 2}, 2, second)
+	// A takeover by the earlier process is carried out late, when b's lease has just ended.
+	now := 20 * second
+	a.ApplyRead(Record{Holder: "a", Address: "a:1", Token: 3, Unsettled: true}, 3, now)
+	a.ApplyWrite(a.Proposal(), 4, now)
+	if _, ok := a.Token(now); ok {
+		t.Error("orders at once, want the distance to the previous holder")
+	}
+}
