gateway: a silent server keeps a buffered request while another one gets it as well

Callers of a repeatable request with a buffered response got 502 although the first server would have answered in time: when it was silent for three quarters of the target latency, its attempt was cancelled and the request sent to another server, and that one refused it or failed.

Cause: a takeover ended the attempt at the silent server before the other server had accepted the request. For streams this can't be avoided, because events of two servers can't be joined; for buffered responses it can.

Now both attempts go on and the first complete response is the answer; the others are cancelled and waited for, so that none outlasts the request. A failed attempt ends none of the others. After a refusal of the newer server another one is looked for at once. Attempts in progress count against max_attempts, the budget is paid when each further server gets the request, and nothing is sent once the caller has left or the deadline has passed. The silent server is suspected when another one gets its request, as before, until it responds. A panic in the goroutine of an attempt ends its request, not the process. F0210 names the cancelled servers (superseded).

Not hedged: requests that may run once, streams, and services of model runners, where a request must not go on at one runner while another one works on it; buffered requests there are taken over as before.

Ruled out: a second attempt that is only sent once a server promises to accept the request; the protocol has no such question for plain services.

--- a/pkg/gateway/attempt_result.go
+++ b/pkg/gateway/attempt_result.go
@@ -20,6 +20,8 @@
 	suspect bool
 	// reserved is what response, or an attempt to read one, holds of the buffer budget, in bytes.
 	reserved int64
+	// superseded holds the ids of the servers that had the request as well and were cancelled because of this response.
+	superseded []string
 }
 
 // bufferedResponse is a response that was read completely.
--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"trefoilferry.example/ferry/pkg/eventlog"
@@ -51,7 +52,8 @@
 	f.log.Log(eventlog.RequestServed, "request", j.meta.RequestID, "route", j.route.Name, "version", j.version,
 		"server", c.server.ID, "candidates", c.candidates, "predicted", c.predicted, "took", time.Since(j.arrived),
 		"first_event", p.relay.firstEvent(j.arrived), "longest_pause", p.relay.longestPause, "prefill", c.prefill,
-		"sent", p.sent+1, "refused", p.refused, "unreached", p.unreached)
+		"sent", p.sent+1, "refused", p.refused, "unreached", p.unreached,
+		"superseded", strings.Join(a.superseded, ","))
 }
 
 func (f *Forwarder) writeResponse(w http.ResponseWriter, resp *bufferedResponse) {
--- a/pkg/gateway/run_attempt.go
+++ b/pkg/gateway/run_attempt.go
@@ -19,10 +19,22 @@
 )
 
 // runAttempt sends the request to the chosen server. It returns a buffered response, or writes the events of a stream
-// to the caller.
+// to the caller. c is set to the server of the result if others got the request as well.
 func (f *Forwarder) runAttempt(ctx context.Context, j *job, c *choice, p *progress) attemptResult {
+	if j.hedged() {
+		return f.runHedged(ctx, j, c, p)
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	watch := f.watchSilence(j, c, p, cancel)
+	defer func() { p.next = watch.stop() }()
+	a := f.attempt(ctx, cancel, j, c, p, watch)
+	p.reserved += a.reserved
+	return a
+}
+
+// attempt sends the request to a server and reads its response. cancel ends ctx; watch is told of the events of a stream.
+func (f *Forwarder) attempt(ctx context.Context, cancel context.CancelCauseFunc, j *job, c *choice, p *progress, watch *silenceWatch) attemptResult {
 	tokens := c.prefill
 	f.backend.tracker.BeginAttempt(c.server.ID, tokens)
 	defer func() { f.backend.tracker.EndAttempt(c.server.ID, tokens) }()
@@ -40,8 +52,6 @@
 	if j.service.Engine != nil {
 		f.backend.tracker.RecordPrompt(c.server.ID, j.chain, j.service.Engine.CacheTokens)
 	}
-	watch := f.watchSilence(j, c, p, cancel)
-	defer func() { p.next = watch.stop() }()
 	lastEvent := ""
 	if p.relay.started {
 		lastEvent = p.relay.lastEvent
@@ -58,7 +68,6 @@
 	f.backend.tracker.RecordResponse(c.server.ID)
 	if j.bufferResponse() || resp.Status != 200 || !respMeta.Signed {
 		a := readFullResponse(resp, respMeta, &f.buffers)
-		p.reserved += a.reserved
 		if a.fail != nil {
 			a.fail = f.classifyFailure(ctx, j, c, prompt, a.fail)
 		}
--- a/pkg/gateway/takeover.go
+++ b/pkg/gateway/takeover.go
@@ -36,15 +36,20 @@
 	if next != nil {
 		to = next.server.ID
 	}
-	f.metrics.recordSilence(why)
-	f.log.Log(eventlog.ServerSilent, "request", j.meta.RequestID, "route", j.route.Name, "server", c.server.ID,
-		"silent", s.length, "begun", s.begun, "to", to, "not_moved", why)
+	f.logSilence(j, c, to, why, s)
 	if s.begun && f.backend.tracker.RecordFailure(c.server.ID, now) {
 		f.log.Log(eventlog.ServerSuspected, "server", c.server.ID, "silent", s.length, "report_age", c.reportAge)
 	}
 	return next
 }
 
+// logSilence logs and counts a silent server. to is the server that gets the request, why the reason if there is none.
+func (f *Forwarder) logSilence(j *job, c *choice, to string, why obstacle, s silence) {
+	f.metrics.recordSilence(why)
+	f.log.Log(eventlog.ServerSilent, "request", j.meta.RequestID, "route", j.route.Name, "server", c.server.ID,
+		"silent", s.length, "begun", s.begun, "to", to, "not_moved", why)
+}
+
 // chooseTakeover returns the server for another attempt beside one that is in progress, or why there is none. Only a
 // server that is not suspected will do: the present one may still complete the response.
 func (f *Forwarder) chooseTakeover(j *job, c *choice, p *progress, now time.Time) (*choice, obstacle) {
