serverlimit: what is known to have been sent leaves the limit as it ages

Cause: without a view, daemons took all requests that were known last as sent within the span until two seconds had passed, so next to nothing was sent. Also, the first total of a server was taken for one after a gap.

Now the known requests leave the limit evenly over the span. TestLimitIsUsedAgainWithoutAHolder failed before: "a request may be sent 1.2s after the last total: false, want true" and "no request is sent by the first total, which leaves room for one". TestLimitHoldsWhileTheHolderIsLost still passes.

--- a/pkg/serverlimit/lost_holder_test.go
+++ b/pkg/serverlimit/lost_holder_test.go
@@ -41,3 +41,21 @@
 		}
 	}
 }
+
+// Guards against a limit that stays unused when the holder is lost, although the requests that used it are long over, and
+// against the first totals of a server being distrusted like those after a gap.
+func TestLimitIsUsedAgainWithoutAHolder(t *testing.T) {
+	start := time.Unix(1000, 0)
+	table := NewTable(func() float64 { return 0 })
+	total := Total{Server: "s", Observation: Observation{Rate: 4, At: start}, Sent: 8}
+	table.Apply(nil, []Total{total}, 4, start)
+	if !table.Allows("s", false, start) {
+		t.Error("no request is sent by the first total, which leaves room for one")
+	}
+	// One of four daemons may send once enough of the known requests are over.
+	for after, want := range map[time.Duration]bool{400 * time.Millisecond: false, 1200 * time.Millisecond: true, 3 * time.Second: true} {
+		if got := table.Allows("s", false, start.Add(after)); got != want {
+			t.Errorf("a request may be sent %v after the last total: %v, want %v", after, got, want)
+		}
+	}
+}
--- a/pkg/serverlimit/server.go
+++ b/pkg/serverlimit/server.go
@@ -57,7 +57,7 @@
 // recordTotal records a total, with so many daemons. That of a lease holder that does not know all requests yet replaces
 // what is known only if it is larger or that is out of date. A holder that returns may not have heard of the others yet.
 func (s *server) recordTotal(total *Total, daemons int, now time.Time) {
-	if wait := totalTime(daemons); now.Sub(s.totalAt) >= wait && now.Add(wait).After(s.trustedFrom) {
+	if wait := totalTime(daemons); !s.totalAt.IsZero() && now.Sub(s.totalAt) >= wait && now.Add(wait).After(s.trustedFrom) {
 		s.trustedFrom = now.Add(wait)
 	}
 	s.total, s.totalAt, s.granted = *total, now, total.Granted
@@ -72,8 +72,9 @@
 }
 
 // withinShare reports whether one of so many daemons may send another request while none knows what the others send. They
-// share the limit, and within Span of the last total what that left of it. The part of a request that a share has beyond
-// whole ones is drawn by lot, so that all daemons together send about as many as they may.
+// share what the requests that were known last leave of the limit, as these come to be older than Span, and none sends more
+// than its share of the whole limit. The part of a request that a share has beyond whole ones is drawn by lot, so that all
+// daemons together send about as many as they may.
 func (s *server) withinShare(daemons int, random func() float64, now time.Time) bool {
 	// The lot is drawn anew as well when the known requests become out of date: a lot of before would give the daemons that
 	// lost it two chances within Span.
@@ -85,8 +86,12 @@
 		return float64(sent+1) <= max(room, 0)/float64(max(daemons, 1))+s.lot
 	}
 	room := s.observation.perSpan()
-	if now.Before(outdated) && !fits(s.reporting+s.unreported, room-float64(s.known)) {
-		return false
+	if left := outdated.Sub(now); left > 0 {
+		// When the known requests were sent within Span is not known, so they are taken for spread evenly.
+		still := float64(s.known) * left.Seconds() / Span.Seconds()
+		if !fits(s.reporting+s.unreported, room-still) {
+			return false
+		}
 	}
 	return fits(s.own.Count(now), room)
 }
