gateway: a request that was chosen keeps its place within the limit of a server

A daemon could send more requests to a server with a limit than it was granted or than the limit left. Requests that wait for such a server wake together when the holder's answer arrives; each asked whether one may be sent, scored the candidates, and was counted only afterwards, so several took the same place.

Now the choice reserves the place; the count just before the sending replaces the reservation. A request that is refused after its choice gives the place back after 20 ms.

--- a/pkg/serverlimit/server.go
+++ b/pkg/serverlimit/server.go
@@ -1,6 +1,9 @@
 package serverlimit
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // server is what a daemon knows of one server that names a limit.
 type server struct {
@@ -13,6 +16,8 @@
 	reporting  int
 	// held is the number of requests that could not be sent since the last report.
 	held int
+	// reserved holds when places were reserved for requests that are not sent yet.
+	reserved []time.Time
 	// granted is the number of held requests that may be sent until the next total.
 	granted int
 	// total is that of all daemons, as known at totalAt.
@@ -66,6 +71,16 @@
 	}
 }
 
+// reservationTime is how long a place is kept for a request between its choice and its sending. That takes microseconds;
+// a request that is refused after the choice gives its place back by this time.
+const reservationTime = 20 * time.Millisecond
+
+// countReserved returns the number of places that are kept, and drops those that have lapsed.
+func (s *server) countReserved(now time.Time) int {
+	s.reserved = slices.DeleteFunc(s.reserved, func(at time.Time) bool { return now.Sub(at) >= reservationTime })
+	return len(s.reserved)
+}
+
 // free returns how many requests may still be sent now by all daemons together, as far as this one knows.
 func (s *server) free() float64 {
 	return s.observation.perSpan() - float64(s.total.Sent+s.reporting+s.unreported)
@@ -75,7 +90,7 @@
 // share what the requests that were known last leave of the limit, as these come to be older than Span, and none sends more
 // than its share of the whole limit. The part of a request that a share has beyond whole ones is drawn by lot, so that all
 // daemons together send about as many as they may.
-func (s *server) withinShare(daemons int, random func() float64, now time.Time) bool {
+func (s *server) withinShare(reserved, daemons int, random func() float64, now time.Time) bool {
 	// The lot is drawn anew as well when the known requests become out of date: a lot of before would give the daemons that
 	// lost it two chances within Span.
 	outdated := s.knownAt.Add(Span)
@@ -83,7 +98,7 @@
 		s.lot, s.drawnAt = random(), now
 	}
 	fits := func(sent int, room float64) bool {
-		return float64(sent+1) <= max(room, 0)/float64(max(daemons, 1))+s.lot
+		return float64(sent+reserved+1) <= max(room, 0)/float64(max(daemons, 1))+s.lot
 	}
 	room := s.observation.perSpan()
 	if left := outdated.Sub(now); left > 0 {
--- a/pkg/serverlimit/table.go
+++ b/pkg/serverlimit/table.go
@@ -70,19 +70,37 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.limited(id, now)
-	if s == nil {
-		return true
-	}
+	return s == nil || t.allows(s, held, now)
+}
+
+func (t *Table) allows(s *server, held bool, now time.Time) bool {
+	reserved := s.countReserved(now)
 	switch {
 	case !s.knowsTotal(t.daemons, now):
-		return s.withinShare(t.daemons, t.random, now)
+		return s.withinShare(reserved, t.daemons, t.random, now)
 	case held:
-		return s.granted >= 1
+		return s.granted-reserved >= 1
 	default:
-		return s.total.Held == 0 && s.free() >= 1
+		return s.total.Held == 0 && s.free()-float64(reserved) >= 1
 	}
 }
 
+// Reserve keeps a place for a request that is about to be sent, until RecordSend counts it or reservationTime has passed.
+// It returns false if another request took the last place after Allows.
+func (t *Table) Reserve(id string, held bool, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.limited(id, now)
+	if s == nil {
+		return true
+	}
+	if !t.allows(s, held, now) {
+		return false
+	}
+	s.reserved = append(s.reserved, now)
+	return true
+}
+
 // minUsed keeps servers without a limit the better choice when a limit is unused.
 const minUsed = 0.25
 
@@ -116,11 +134,14 @@
 	return time.Duration(float64(ahead) / rate * float64(time.Second))
 }
 
-// RecordSend counts a request that is about to be sent.
+// RecordSend counts a request that is about to be sent, in the place of a reservation.
 func (t *Table) RecordSend(id string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.limited(id, now); s != nil {
+		if len(s.reserved) > 0 {
+			s.reserved = s.reserved[1:]
+		}
 		s.own.Add(1, now)
 		s.unreported++
 		s.granted = max(s.granted-1, 0)
