gateway: a stopping daemon refuses requests that it may not finish

Callers could wait for their model at a daemon that had been told to stop until its process ended, and got neither a response nor a refusal. A request whose body ended late in the grace was passed on and could be cut at the grace's end, also one that may not be repeated.

Cause: the stop knew only connections. Nothing bounded by the grace how long a request waits for a server, or up to when one that is still read on an open connection is passed on.

The decision is now a value without clock or network, gateway.StopPlan. A request that is read completely after the time in which new connections are accepted (2.5 s) is refused as not run, with a short Retry-After and Connection: close. One that was taken is sent to its first server up to half of the rest (4.8 s of a grace of 8 s), and only if the server's predicted first token and the stated length of the output, or the deadline, come before the end. Requests that wait are refused then. Requests that a server may have run go on, with their retries, whatever the time. Responses that begin after the signal announce the close of their connection, also those of requests that came before it.

Evidence: TestRequestsHeldAtAStopAreRefused failed before: "request whose body ended late: status 200 ... 1 runs", and four held requests got their 503 later than 3.5 s after the stop began, when the process of a grace of 4 s may be gone. Ruled out: refusing all requests that wait when new connections end. They would be served in most cases, and a caller that is refused waits for the same model at another daemon.

--- a/pkg/gateway/forwarder.go
+++ b/pkg/gateway/forwarder.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"trefoilferry.example/ferry/pkg/eventlog"
@@ -30,17 +29,18 @@
 	codec   Codec
 	log     *eventlog.Logger
 	metrics *Metrics
-	// draining is set once the daemon is stopping; responses then ask callers to close the connection.
-	draining *atomic.Bool
+	// stop is what a stopping daemon does with requests; responses then ask callers to close the connection.
+	stop *stopState
 }
 
 // ServeHTTP serves one request.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if f.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	j, fail := f.accept(w, r, arrived)
+	f.announceClose(w)
+	if plan := f.stop.current(); fail == nil && !plan.takes(time.Now()) {
+		fail = stopFailure("the daemon is stopping and takes no more requests")
+	}
 	if fail != nil {
 		f.rejectRequest(w, j, fail)
 		return
@@ -53,6 +53,13 @@
 	f.serve(r.Context(), w, j)
 }
 
+// announceClose makes a response that has not begun ask the caller to close the connection if the daemon is stopping.
+func (f *Forwarder) announceClose(w http.ResponseWriter) {
+	if f.stop.begun() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // accept decodes a request, resolves its route and reads its body. The returned job is never nil, so that a failure can
 // be logged with it.
 func (f *Forwarder) accept(w http.ResponseWriter, r *http.Request, arrived time.Time) (*job, *failure.Failure) {
--- a/pkg/gateway/forwarder_config.go
+++ b/pkg/gateway/forwarder_config.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"sync/atomic"
-
 	"trefoilferry.example/ferry/pkg/availability"
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/exchange"
@@ -41,9 +39,10 @@
 		board:   p.Board,
 		crashes: newCrashWatch(p.Pool, p.Board, p.Log, p.Metrics),
 		demand:  p.Demand, codec: p.Codec, log: p.Log, metrics: p.Metrics,
-		draining: &atomic.Bool{},
+		stop: newStopState(),
 	}
 }
 
-// StartDraining makes all further responses ask callers to close the connection.
-func (f *Forwarder) StartDraining() { f.draining.Store(true) }
+// StartDraining makes all further responses ask callers to close the connection, and refuses what the plan leaves no time
+// for.
+func (f *Forwarder) StartDraining(plan StopPlan) { f.stop.begin(&plan) }
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -57,8 +57,10 @@
 	defer func() { f.buffers.release(p.reserved) }()
 	for {
 		c, fail := f.nextServer(ctx, j, p)
+		f.announceClose(w)
 		if fail == nil {
 			a := f.runAttempt(ctx, j, c, p)
+			f.announceClose(w)
 			if a.fail == nil {
 				f.completeRequest(w, j, c, p, a)
 				return
@@ -152,7 +154,16 @@
 	if c != nil && f.stillTakes(c) {
 		return c, nil
 	}
-	return f.pickServer(ctx, j, p)
+	if p.sent > 0 {
+		return f.pickServer(ctx, j, p)
+	}
+	holding, cancel := f.stop.holding(ctx)
+	defer cancel()
+	c, fail := f.pickServer(holding, j, p)
+	if fail != nil && holding.Err() != nil && ctx.Err() == nil {
+		return nil, stopFailure("the daemon is stopping and no server took the request")
+	}
+	return c, fail
 }
 
 // pickServer chooses a server. If none has loaded the model, it waits for one, unless an attempt may already have been
@@ -182,6 +193,11 @@
 	if fail := f.awaitVerdict(ctx, j); fail != nil {
 		return nil, fail
 	}
+	if p.sent == 0 {
+		if fail := f.stop.refuseStart(j, &c, time.Now()); fail != nil {
+			return nil, fail
+		}
+	}
 	if !f.backend.availability.Admit(incarnationOf(&c.server), time.Now()) {
 		// The server has spoken since it was chosen.
 		return f.pickServer(ctx, j, p)
--- a/pkg/gatewaydaemon/daemon.go
+++ b/pkg/gatewaydaemon/daemon.go
@@ -164,12 +164,12 @@
 // new connections elsewhere.
 func (d *Daemon) Stop(ctx context.Context) error {
 	schedule := newStopSchedule(d.settings.StopGrace)
-	end := time.Now().Add(schedule.finish)
+	plan := schedule.plan(time.Now())
 	d.draining.Store(true)
-	d.forwarder.StartDraining()
+	d.forwarder.StartDraining(plan)
 	d.log.Log(eventlog.ProcessDraining, "grace", d.settings.StopGrace)
 	time.Sleep(schedule.accept)
-	finishing, cancel := context.WithDeadline(ctx, end)
+	finishing, cancel := context.WithDeadline(ctx, plan.End)
 	defer cancel()
 	if err := d.callerServer.Shutdown(finishing); err != nil {
 		d.log.Log(eventlog.DrainTimedOut, "reason", err)
--- a/pkg/gatewaydaemon/stop_schedule.go
+++ b/pkg/gatewaydaemon/stop_schedule.go
@@ -1,6 +1,10 @@
 package gatewaydaemon
 
-import "time"
+import (
+	"time"
+
+	"trefoilferry.example/ferry/pkg/gateway"
+)
 
 const (
 	// balancerUpdateTime is the time for which the platform's balancer may still send new connections after readiness
@@ -14,17 +18,27 @@
 	stopMarginShare = 0.125
 	// maxAcceptShare leaves a part of a short stop grace for the requests of the last new connections.
 	maxAcceptShare = 0.625
+	// waitShare is the share of the time after the last arrival in which requests may still wait for a server.
+	waitShare = 0.5
 )
 
 // stopSchedule divides the stop grace of a daemon.
 type stopSchedule struct {
-	// accept is how long new connections are served after readiness has ended.
+	// accept is how long new connections are served, and requests taken, after readiness has ended.
 	accept time.Duration
+	// start is how long a request that was taken may wait for a server; the rest is left for running it.
+	start time.Duration
 	// finish is how long requests in progress may take, counted from the signal.
 	finish time.Duration
 }
 
 func newStopSchedule(grace time.Duration) stopSchedule {
 	margin := min(maxStopMargin, time.Duration(stopMarginShare*float64(grace)))
-	return stopSchedule{accept: min(balancerUpdateTime, time.Duration(maxAcceptShare*float64(grace))), finish: grace - margin}
+	accept, finish := min(balancerUpdateTime, time.Duration(maxAcceptShare*float64(grace))), grace-margin
+	return stopSchedule{accept: accept, start: accept + time.Duration(waitShare*float64(finish-accept)), finish: finish}
+}
+
+// plan returns the stop plan for requests of a daemon that was told to stop at the given time.
+func (s stopSchedule) plan(signalled time.Time) gateway.StopPlan {
+	return gateway.StopPlan{LastArrival: signalled.Add(s.accept), LastStart: signalled.Add(s.start), End: signalled.Add(s.finish)}
 }
