gatewaydaemon: a stop closes no connection whose request it has read

Callers saw their connection closed with neither a response nor a refusal when they sent a request from 2.5 s after the signal on: the first one of a connection that was accepted just before, or the next one after a stream that began before the signal and so did not announce the close.

Cause: http.Server.Shutdown closes a connection whose request it has just read, and connections as soon as they are idle, with the next request on its way. The stop now closes the listener itself and ends the reads of connections that wait for a request: 1.5 s after they were accepted, or 250 ms after a response. Only the server closes connections, after their read has failed, so one whose request was read stays open for the refusal that the stop plan asks for. A deadline that the server sets in the same moment wins, and reads are ended again 20 ms later.

TestLateRequestsOnKeptConnectionsAreAnswered failed before: "request late-27-0 sent 2.515701755s after the stop began: 0 runs, no response: unexpected EOF" (12 of 40).

--- a/pkg/gatewaydaemon/daemon.go
+++ b/pkg/gatewaydaemon/daemon.go
@@ -50,7 +50,11 @@
 	registry  *prometheus.Registry
 	shutdown  fx.Shutdowner
 
-	callerServer    *http.Server
+	callerServer   *http.Server
+	callerListener net.Listener
+	// callersServed is closed when callerServer accepts no more connections.
+	callersServed   chan struct{}
+	callerConns     *callerConns
 	internalServers []*http.Server
 	draining        atomic.Bool
 	cancel          context.CancelFunc
@@ -88,7 +92,9 @@
 	d.goroutines.Go(func() { d.reporter.Run(background) })
 	d.goroutines.Go(func() { d.runSweeper(background) })
 
-	d.callerServer = &http.Server{Handler: d.forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxCallerHeaderBytes}
+	d.callerConns, d.callersServed = newCallerConns(), make(chan struct{})
+	d.callerServer = &http.Server{Handler: d.forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
+		ConnState: d.callerConns.record}
 	ready := mux.NewRouter()
 	ready.PathPrefix("/").HandlerFunc(d.serveReadiness).Methods(http.MethodGet)
 	peers := mux.NewRouter()
@@ -118,11 +124,18 @@
 	if err != nil {
 		return failure.Wrap(failure.SettingsInvalid, failure.NotRun, "cannot listen on "+address, err)
 	}
-	if server != d.callerServer {
+	if server == d.callerServer {
+		d.callerListener = listener
+	} else {
 		d.internalServers = append(d.internalServers, server)
 	}
 	go func() {
-		if err := server.Serve(listener); err != nil && err != http.ErrServerClosed {
+		err := server.Serve(listener)
+		if server == d.callerServer {
+			close(d.callersServed)
+		}
+		// A stop closes the listener for callers before its server.
+		if err != nil && err != http.ErrServerClosed && !d.draining.Load() {
 			d.log.Log(eventlog.ServeFailed, "address", address, "reason", err)
 			// An error means that the shutdown is already in progress.
 			_ = d.shutdown.Shutdown(fx.ExitCode(1))
@@ -171,9 +184,7 @@
 	time.Sleep(schedule.accept)
 	finishing, cancel := context.WithDeadline(ctx, plan.End)
 	defer cancel()
-	if err := d.callerServer.Shutdown(finishing); err != nil {
-		d.log.Log(eventlog.DrainTimedOut, "reason", err)
-	}
+	d.drain(finishing)
 	// The lease is held until requests have finished, so that models are still loaded and unloaded while the store is
 	// unavailable.
 	releasing, cancelRelease := context.WithTimeout(ctx, releaseTimeout)
@@ -184,6 +195,8 @@
 		// Peers retry open calls elsewhere.
 		_ = s.Close()
 	}
+	// Only requests that did not end within the grace still have a connection.
+	_ = d.callerServer.Close()
 	d.goroutines.Wait()
 	d.log.Log(eventlog.ProcessStopped)
 	return nil
