platform: an entry without a usable address or number of slots names no server

What callers could see: a request that is sent to an address with a port that no machine has, to this host or to a host name that has to be looked up fails in the dialer and costs one of its attempts and a part of the retry budget. With 1<<40 slots a server of a plain service looks idle whatever it has to do, so that it gets all requests; the number is cut to 32 bits on the way to the other daemons.

Cause: decodeServer only asked whether the address splits into host and port, and for slots to be present.

Numbers that do not fit, 200,000 levels of nesting, null and fields of another type were refused before.

Ruled out: to bound the slots instead. The protocol lets such an entry name no runner, and the entry of the same id before it stays in force, so a sound server whose entry was overwritten once goes on.

--- /dev/null
+++ b/pkg/fleet/server_validation.go
@@ -0,0 +1,43 @@
+package fleet
+
+import (
+	"net/netip"
+	"strconv"
+)
+
+const (
+	// maxServerSlots is more than any server processes at a time. A larger number would make a server look idle whatever
+	// it has to do, so that all requests are sent to it.
+	maxServerSlots = 1 << 16
+)
+
+// ValidationError returns why the server cannot be used; it is empty for a usable one. Reports come from outside the
+// daemon, so any value may occur.
+func (s *Server) ValidationError() string {
+	switch {
+	case s.Service == "":
+		return "the service is missing"
+	case s.FailureDomain == "":
+		return "the failure domain is missing"
+	case !isAddress(s.Address):
+		return "the address is not an IP address and a port from 1 to 65535 that connections can be made to"
+	case s.Slots < 1 || s.Slots > maxServerSlots:
+		return "the number of slots is not from 1 to " + strconv.Itoa(maxServerSlots)
+	default:
+		return ""
+	}
+}
+
+// broadcastAddress is the IPv4 address of all hosts of the local network.
+var broadcastAddress = netip.AddrFrom4([4]byte{255, 255, 255, 255})
+
+// isAddress reports whether text is an IP address of one host and a port. The unspecified address would lead to the local
+// host, and a host name to look-ups outside the platform.
+func isAddress(text string) bool {
+	a, err := netip.ParseAddrPort(text)
+	if err != nil || a.Port() == 0 {
+		return false
+	}
+	host := a.Addr().Unmap()
+	return !host.IsUnspecified() && !host.IsMulticast() && host != broadcastAddress
+}
