platform: an entry with an impossible start time or sequence does not hide a server

What callers could see: after one entry of another writer under the id of a server, with a start time or a sequence as large as an int64, all later reports of that server are older. It keeps what the odd entry said of its address, slots and models until the daemon restarts (start time) or the server does (sequence), and the holder relays it.

Cause: the registry compares start times and sequences, and the decoder took any number.

Start times up to the year 2109 and sequences up to 1<<40 are taken; others name no usable server. Ruled out: a comparison with the clock of the host, which can be wrong by more than any margin and would then refuse all servers. Open: a start time a little in the future, or a sequence that a server could have, still hides the server's own reports; only the order of the records in the store tells which is newer, and that is for the registry.

--- a/pkg/fleet/server_validation.go
+++ b/pkg/fleet/server_validation.go
@@ -9,6 +9,13 @@
 	// maxServerSlots is more than any server processes at a time. A larger number would make a server look idle whatever
 	// it has to do, so that all requests are sent to it.
 	maxServerSlots = 1 << 16
+	// maxStartMillis is a time in the year 2109. The set of servers ignores reports of an earlier start than the latest one
+	// known, so that a later time under the id of a server would hide that server for as long as the daemon runs. Times
+	// are not compared with the clock of this host, because it may be wrong.
+	maxStartMillis = 1 << 42
+	// maxSequence is the number of reports of 30 years at one in a millisecond. A larger sequence would hide the reports
+	// of a server until it starts again.
+	maxSequence = 1 << 40
 )
 
 // ValidationError returns why the server cannot be used; it is empty for a usable one. Reports come from outside the
@@ -23,6 +30,10 @@
 		return "the address is not an IP address and a port from 1 to 65535 that connections can be made to"
 	case s.Slots < 1 || s.Slots > maxServerSlots:
 		return "the number of slots is not from 1 to " + strconv.Itoa(maxServerSlots)
+	case s.StartMillis < 0 || s.StartMillis > maxStartMillis:
+		return "the start time is not from 0 to " + strconv.Itoa(maxStartMillis) + " ms"
+	case s.Sequence < 0 || s.Sequence > maxSequence:
+		return "the sequence is not from 0 to " + strconv.Itoa(maxSequence)
 	default:
 		return ""
 	}
