platform: an entry whose id is no valid text does not stop the holder's views

What callers could see: the key of a record is raw bytes. With one entry under a key that is no valid UTF-8, the lease holder cannot encode its view any more, so that all other daemons stop following it and read the store themselves. A key with a line break is used as the value of the header field that names the target.

Cause: decodeServer took any key as the id; strings of messages have to be valid UTF-8.

Ids have to be printable ASCII; services, domains, models and adapters are not empty and have no control characters. Ruled out for these: invalid UTF-8, which the JSON decoder replaces; a field of its own by a line break, which http.Header.Write replaces by spaces (the target then matches no server).

--- a/pkg/fleet/server_validation.go
+++ b/pkg/fleet/server_validation.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"strconv"
+	"unicode"
+	"unicode/utf8"
 )
 
 const (
@@ -22,10 +24,13 @@
 // daemon, so any value may occur.
 func (s *Server) ValidationError() string {
 	switch {
-	case s.Service == "":
-		return "the service is missing"
-	case s.FailureDomain == "":
-		return "the failure domain is missing"
+	case !isToken(s.ID):
+		// The id is sent in a header field and in messages, which hold only valid text.
+		return "the id is not of printable ASCII characters"
+	case !isName(s.Service):
+		return "the service is not a name"
+	case !isName(s.FailureDomain):
+		return "the failure domain is not a name"
 	case !isAddress(s.Address):
 		return "the address is not an IP address and a port from 1 to 65535 that connections can be made to"
 	case s.Slots < 1 || s.Slots > maxServerSlots:
@@ -35,10 +40,26 @@
 	case s.Sequence < 0 || s.Sequence > maxSequence:
 		return "the sequence is not from 0 to " + strconv.Itoa(maxSequence)
 	default:
-		return ""
+		return residentError(s.Models)
 	}
 }
 
+// residentError returns what is wrong with a list of resident models.
+func residentError(models []ResidentModel) string {
+	for i := range models {
+		m := &models[i]
+		if !isName(m.Name) {
+			return "a resident model has no valid name"
+		}
+		for _, a := range m.Adapters {
+			if !isName(a) {
+				return "an adapter of model " + m.Name + " has no valid name"
+			}
+		}
+	}
+	return ""
+}
+
 // broadcastAddress is the IPv4 address of all hosts of the local network.
 var broadcastAddress = netip.AddrFrom4([4]byte{255, 255, 255, 255})
 
@@ -52,3 +73,26 @@
 	host := a.Addr().Unmap()
 	return !host.IsUnspecified() && !host.IsMulticast() && host != broadcastAddress
 }
+
+// isName reports whether a name can be sent in messages and written to log lines.
+func isName(name string) bool {
+	if name == "" || !utf8.ValidString(name) {
+		return false
+	}
+	for _, c := range name {
+		if unicode.IsControl(c) {
+			return false
+		}
+	}
+	return true
+}
+
+// isToken reports whether a name can also be sent in a header field.
+func isToken(name string) bool {
+	for i := range len(name) {
+		if name[i] <= ' ' || name[i] > '~' {
+			return false
+		}
+	}
+	return name != ""
+}
