platform: an entry of the server list has a bounded size

What operators could see: a daemon that is ended for its memory. An entry of 5.2 MB with 400,000 models took 208 MB of allocations to decode on the code before, 16 MB of which stayed in the list of servers, and is relayed to all daemons with each complete view; the smallest hosts give a daemon 184 MB.

Cause: only a response of the store was bounded (8 MB), and an element of a list takes up to twenty times its text.

The largest fleet has 640 models.

--- a/pkg/fleet/server_validation.go
+++ b/pkg/fleet/server_validation.go
@@ -18,6 +18,11 @@
 	// maxSequence is the number of reports of 30 years at one in a millisecond. A larger sequence would hide the reports
 	// of a server until it starts again.
 	maxSequence = 1 << 40
+	// maxNameBytes is four times the length of the key of an entry, which is a server's id.
+	maxNameBytes = 1 << 10
+	// maxResidentNames is several times the number of models of the largest fleet. Entries stay in memory and are sent to
+	// all daemons.
+	maxResidentNames = 1 << 12
 )
 
 // ValidationError returns why the server cannot be used; it is empty for a usable one. Reports come from outside the
@@ -26,7 +31,7 @@
 	switch {
 	case !isToken(s.ID):
 		// The id is sent in a header field and in messages, which hold only valid text.
-		return "the id is not of printable ASCII characters"
+		return "the id is not 1 to " + strconv.Itoa(maxNameBytes) + " printable ASCII characters"
 	case !isName(s.Service):
 		return "the service is not a name"
 	case !isName(s.FailureDomain):
@@ -39,6 +44,8 @@
 		return "the start time is not from 0 to " + strconv.Itoa(maxStartMillis) + " ms"
 	case s.Sequence < 0 || s.Sequence > maxSequence:
 		return "the sequence is not from 0 to " + strconv.Itoa(maxSequence)
+	case len(s.OnDisk) > maxResidentNames || len(s.InMemory) > maxResidentNames:
+		return "more than " + strconv.Itoa(maxResidentNames) + " models are cached"
 	default:
 		return residentError(s.Models)
 	}
@@ -46,6 +53,7 @@
 
 // residentError returns what is wrong with a list of resident models.
 func residentError(models []ResidentModel) string {
+	names := len(models)
 	for i := range models {
 		m := &models[i]
 		if !isName(m.Name) {
@@ -56,6 +64,12 @@
 				return "an adapter of model " + m.Name + " has no valid name"
 			}
 		}
+		if names += len(m.Adapters); names > maxResidentNames {
+			break
+		}
+	}
+	if names > maxResidentNames {
+		return "more than " + strconv.Itoa(maxResidentNames) + " models and adapters are resident"
 	}
 	return ""
 }
@@ -76,7 +90,7 @@
 
 // isName reports whether a name can be sent in messages and written to log lines.
 func isName(name string) bool {
-	if name == "" || !utf8.ValidString(name) {
+	if name == "" || len(name) > maxNameBytes || !utf8.ValidString(name) {
 		return false
 	}
 	for _, c := range name {
@@ -94,5 +108,5 @@
 			return false
 		}
 	}
-	return name != ""
+	return name != "" && len(name) <= maxNameBytes
 }
