coordinator: times in the handed-over state are bounded

What callers could see: after a lease record of another writer with loads in the future, or of an age that overflows a duration, the next holder starts no load from the weight store until then, so that requests for models without a copy are refused. An entry of the quarantine with a long rest bars requests for as long, and one with a crash in the future is not lifted although runners survive its parts.

Cause: ages and rests were multiplied into durations as they came.

Ages and rests of this program are never negative, and never longer than the bounds, so that its own records read as before. Still open: an entry of another writer may bar a part for ten minutes; nothing tells it from one of a holder.

--- a/pkg/coordinator/handover.go
+++ b/pkg/coordinator/handover.go
@@ -16,6 +16,16 @@
 	Barred []barredPrompt `json:"barred,omitempty"`
 }
 
+const (
+	// maxLoadAge is the age in milliseconds from which a load no longer counts in any window.
+	maxLoadAge = int64(time.Hour / time.Millisecond)
+	// maxHandoverLoads bounds the loads of one service that are taken over.
+	maxHandoverLoads = 1 << 10
+	// maxBarredTime is the longest time in milliseconds for which a decision of the quarantine holds, and the age from which
+	// a crash tells nothing.
+	maxBarredTime = int64(10 * time.Minute / time.Millisecond)
+)
+
 // barredPrompt is an entry of the quarantine; times are in milliseconds before and after the export.
 type barredPrompt struct {
 	Parts     []string `json:"parts"`
@@ -31,15 +41,22 @@
 	return out
 }
 
+// barredEntries returns the entries of the state. The times are bounded, because the record may come from another writer:
+// an entry must end, and runners that survive its parts must be able to lift it.
 func (s *handoverState) barredEntries(now time.Time) []quarantine.Entry {
 	out := make([]quarantine.Entry, 0, len(s.Barred))
 	for _, b := range s.Barred {
-		out = append(out, quarantine.Entry{Parts: b.Parts, LastCrash: now.Add(-time.Duration(b.Age) * time.Millisecond),
-			Until: now.Add(time.Duration(b.Remaining) * time.Millisecond)})
+		out = append(out, quarantine.Entry{Parts: b.Parts, LastCrash: now.Add(-boundedMillis(b.Age, maxBarredTime)),
+			Until: now.Add(boundedMillis(b.Remaining, maxBarredTime))})
 	}
 	return out
 }
 
+// boundedMillis converts milliseconds to a duration from 0 to limit.
+func boundedMillis(n, limit int64) time.Duration {
+	return time.Duration(min(max(n, 0), limit)) * time.Millisecond
+}
+
 // ExportState implements lease.StateHandover.
 func (c *Coordinator) ExportState() string {
 	c.mu.Lock()
@@ -70,8 +87,9 @@
 	c.judge.Merge(append(state.barredEntries(now), c.config.Board.Entries(now)...))
 	for service, ages := range state.LoadAges {
 		limiter := &loadLimiter{limits: c.config.LoadLimits}
-		for _, age := range ages {
-			limiter.recordStart(now.Add(-time.Duration(age) * time.Millisecond))
+		for _, age := range ages[:min(len(ages), maxHandoverLoads)] {
+			// A load in the future would count for as long, so that no load from the store could start until then.
+			limiter.recordStart(now.Add(-boundedMillis(age, maxLoadAge)))
 		}
 		c.loadLimiters[service] = limiter
 	}
