coordinator: the handed-over state always fits into a record

What callers could see: the state in the lease record holds the prompt parts of requests that crash runners, as long as callers made them. With 64 entries of 500 parts it has 354,448 bytes; the platform's store takes records of 262,144. A holder could then not renew the lease, nor could the next one, which takes the entries over, until they end after ten minutes.

Cause: the number of entries is bounded, their length was not.

Before, with TestHandoverStateFitsARecord: state with long prompts has 354448 bytes, want at most 65536

Entries are exported from the one that lasts longest until half of 64 KB is full; the others reach the next holder through the views that daemons had of the last one.

--- a/pkg/coordinator/handover.go
+++ b/pkg/coordinator/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"time"
 
 	"trefoilferry.example/ferry/pkg/eventlog"
@@ -17,6 +18,9 @@
 }
 
 const (
+	// maxHandoverBytes bounds the exported state. The platform's store takes records of up to 256 KB; a holder whose state
+	// does not fit into one could not renew the lease.
+	maxHandoverBytes = 64 << 10
 	// maxLoadAge is the age in milliseconds from which a load no longer counts in any window.
 	maxLoadAge = int64(time.Hour / time.Millisecond)
 	// maxHandoverLoads bounds the loads of one service that are taken over.
@@ -33,9 +37,18 @@
 	Remaining int64    `json:"remaining"`
 }
 
+// exportBarred exports entries, the first ones if they are too long together.
 func exportBarred(entries []quarantine.Entry, now time.Time) []barredPrompt {
 	out := make([]barredPrompt, 0, len(entries))
+	size := 0
 	for _, e := range entries {
+		for _, part := range e.Parts {
+			// A byte that JSON has to escape takes six.
+			size += len(part)*6 + len(`"",`)
+		}
+		if size > maxHandoverBytes/2 {
+			break
+		}
 		out = append(out, barredPrompt{Parts: e.Parts, Age: now.Sub(e.LastCrash).Milliseconds(), Remaining: e.Until.Sub(now).Milliseconds()})
 	}
 	return out
@@ -109,6 +122,10 @@
 	if text == "" {
 		return state
 	}
+	if len(text) > maxHandoverBytes {
+		c.log.Log(eventlog.RecordRefused, "record", "lease", "reason", "the state of the last holder is longer than "+strconv.Itoa(maxHandoverBytes)+" bytes")
+		return state
+	}
 	if err := json.Unmarshal([]byte(text), state); err != nil {
 		c.log.Log(eventlog.RecordRefused, "record", "lease", "reason", err)
 		return &handoverState{}
--- a/pkg/coordinator/odd_handover_test.go
+++ b/pkg/coordinator/odd_handover_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"trefoilferry.example/ferry/pkg/eventlog"
+	"trefoilferry.example/ferry/pkg/quarantine"
 )
 
 // oddStates are states of other writers in the lease record.
@@ -20,6 +21,7 @@
 	"entry without parts":     `{"barred":[{"remaining":1000},{"parts":[],"remaining":1000},{"parts":null}]}`,
 	"number too large":        `{"load_ages":{"s":[1` + strings.Repeat("0", 40) + `]}}`,
 	"number too small":        fmt.Sprintf(`{"load_ages":{"s":[%d]},"barred":[{"parts":["p"],"age":%d,"remaining":%d}]}`, int64(math.MinInt64), int64(math.MinInt64), int64(math.MinInt64)),
+	"long text":               `{"barred":[{"parts":["` + strings.Repeat("p", 1<<20) + `"]}]}`,
 	"stack without end":       strings.Repeat(`{"barred":[`, 100_000),
 	"null":                    "null",
 	"list":                    "[]",
@@ -55,6 +57,34 @@
 			t.Errorf("entry %v for %v with a crash %v ago, want at most 10 min and one in the past", e.Parts, left, now.Sub(e.LastCrash))
 		}
 	}
+	if n := len(c.ExportState()); n > maxHandoverBytes {
+		t.Errorf("state of the next record has %d bytes, want at most %d", n, maxHandoverBytes)
+	}
+}
+
+// Guards against a holder that cannot renew the lease, because callers' prompt parts make its state longer than a record
+// of the store.
+func TestHandoverStateFitsARecord(t *testing.T) {
+	now := time.Now()
+	var entries []quarantine.Entry
+	for n := range 64 {
+		e := quarantine.Entry{LastCrash: now, Until: now.Add(time.Duration(64-n) * time.Second)}
+		for part := range 500 {
+			e.Parts = append(e.Parts, fmt.Sprintf("%08x", n<<16+part))
+		}
+		entries = append(entries, e)
+	}
+	first := New(Config{}, fixedFleet{}, fixedLease{}, nil, eventlog.Discard())
+	first.judge.Merge(entries)
+	text := first.ExportState()
+	if len(text) > maxHandoverBytes {
+		t.Errorf("state with long prompts has %d bytes, want at most %d", len(text), maxHandoverBytes)
+	}
+	second := New(Config{}, fixedFleet{}, fixedLease{}, nil, eventlog.Discard())
+	second.ImportState(text)
+	if e := second.judge.Entries(time.Now()); len(e) == 0 || e[0].Parts[0] != entries[0].Parts[0] {
+		t.Errorf("entries of the next holder: %d, want the ones that last longest", len(e))
+	}
 }
 
 // Guards against panics and overflows on the state in a lease record of another writer.
