coordinator: a relayed server that is not usable changes nothing

Cause: serverFromProto converts fields, and nothing asked whether they can be used.

Such a server is skipped; what the daemon knows of it stays in force, also against a complete list, which would otherwise remove it. An update that is skipped here is not logged: the reader of the entry has the reason. FuzzRelayUpdate is new.

--- /dev/null
+++ b/pkg/coordinator/odd_relay_test.go
@@ -0,0 +1,96 @@
+package coordinator
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/fleet"
+)
+
+func relayedServer(id string) *ferrypb.ServerState {
+	return &ferrypb.ServerState{Id: id, Service: "s", Address: "127.0.0.1:80", FailureDomain: "z", BornMillis: 1, Sequence: 2, Slots: 4}
+}
+
+// oddServers are relayed servers that are not usable, by the failure that each could cause.
+func oddServers() map[string]*ferrypb.ServerState {
+	out := map[string]*ferrypb.ServerState{}
+	for name, change := range map[string]func(*ferrypb.ServerState){
+		"no service":                 func(m *ferrypb.ServerState) { m.Service = "" },
+		"dial to a port above all":   func(m *ferrypb.ServerState) { m.Address = "127.0.0.1:99999" },
+		"dial to no host":            func(m *ferrypb.ServerState) { m.Address = "" },
+		"all requests to one server": func(m *ferrypb.ServerState) { m.Slots = math.MaxUint32 },
+		"all starts are older":       func(m *ferrypb.ServerState) { m.BornMillis = math.MaxInt64 },
+		"all reports are older":      func(m *ferrypb.ServerState) { m.Sequence = math.MaxInt64 },
+		"counter that goes back":     func(m *ferrypb.ServerState) { m.Sequence = math.MinInt64 },
+		"model without a name":       func(m *ferrypb.ServerState) { m.Models = []*ferrypb.ResidentModel{{}} },
+	} {
+		m := relayedServer("odd")
+		change(m)
+		out[name] = m
+	}
+	return out
+}
+
+// Guards against servers that are used or lost because the holder relays one that is not usable, with the failure in the
+// name of each case.
+func TestOddRelayedServersChangeNothing(t *testing.T) {
+	usual := serverFromProto(relayedServer("odd"))
+	for name, odd := range oddServers() {
+		for _, full := range []bool{false, true} {
+			view := &ferrypb.FleetView{ServersFull: full, Servers: []*ferrypb.ServerState{odd, relayedServer("other")}}
+			for _, known := range []map[string]fleet.Server{{}, {"odd": usual}} {
+				u, err := relayUpdate(view, known, time.Now())
+				if err != nil {
+					t.Fatalf("%s: %v, want an update with the other server", name, err)
+				}
+				registry := fleet.NewRegistry()
+				for id := range known {
+					registry.ApplyReport(known[id])
+				}
+				list := []fleet.Server{}
+				for i := range u.Servers.Changes {
+					list = append(list, u.Servers.Changes[i].Server)
+				}
+				registry.Replace(list, false, time.Now())
+				got := registry.Servers()
+				if s, ok := got["odd"]; len(got) != len(known)+1 || ok != (len(known) > 0) || (ok && s.Address != usual.Address) || s.Slots > 4 {
+					t.Errorf("%s, full %v: servers %+v, want the other one and what was known of this one: %d", name, full, got, len(known))
+				}
+			}
+		}
+	}
+}
+
+// Guards against panics on views of a holder, and against servers that are not usable.
+func FuzzRelayUpdate(f *testing.F) {
+	add := func(view *ferrypb.FleetView) {
+		data, err := proto.Marshal(view)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	for _, odd := range oddServers() {
+		add(&ferrypb.FleetView{Servers: []*ferrypb.ServerState{odd}, Work: []uint32{math.MaxUint32, 1, math.MaxUint32, 5}, Gone: []string{""}, ServerBuckets: []uint32{99}})
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		view := &ferrypb.FleetView{}
+		if proto.Unmarshal(data, view) != nil {
+			return
+		}
+		decodeWork(view.Work)
+		u, err := relayUpdate(view, map[string]fleet.Server{}, time.Now())
+		if err != nil {
+			return
+		}
+		for i := range u.Servers.Changes {
+			if c := &u.Servers.Changes[i]; !c.Removed && c.Server.RangeError() != "" {
+				t.Errorf("server %+v is used: %s", c.Server, c.Server.RangeError())
+			}
+		}
+	})
+}
--- a/pkg/coordinator/store_relay.go
+++ b/pkg/coordinator/store_relay.go
@@ -85,7 +85,15 @@
 	}
 	u.Servers.Full = view.ServersFull
 	for _, m := range view.Servers {
-		u.Servers.Changes = append(u.Servers.Changes, gateway.ServerChange{ID: m.Id, Server: serverFromProto(m)})
+		s := serverFromProto(m)
+		if s.RangeError() != "" {
+			// A holder with other rules may relay a server that is not usable here. What is known of it stays in force.
+			var ok bool
+			if s, ok = known[m.Id]; !ok {
+				continue
+			}
+		}
+		u.Servers.Changes = append(u.Servers.Changes, gateway.ServerChange{ID: m.Id, Server: s})
 	}
 	for _, id := range view.Gone {
 		u.Servers.Changes = append(u.Servers.Changes, gateway.ServerChange{ID: id, Removed: true})
--- a/pkg/fleet/server_validation.go
+++ b/pkg/fleet/server_validation.go
@@ -28,17 +28,30 @@
 // ValidationError returns why the server cannot be used; it is empty for a usable one. Reports come from outside the
 // daemon, so any value may occur.
 func (s *Server) ValidationError() string {
+	switch {
+	case s.FailureDomain == "":
+		return "the failure domain is missing"
+	case s.Slots == 0:
+		return "there are no slots"
+	default:
+		return s.RangeError()
+	}
+}
+
+// RangeError returns which value of the server does harm because it is outside its range; it is empty if none is. A server
+// that another daemon has taken from the list may lack values that were added to its report later.
+func (s *Server) RangeError() string {
 	switch {
 	case !isToken(s.ID):
 		// The id is sent in a header field and in messages, which hold only valid text.
 		return "the id is not 1 to " + strconv.Itoa(maxNameBytes) + " printable ASCII characters"
 	case !isName(s.Service):
 		return "the service is not a name"
-	case !isName(s.FailureDomain):
+	case s.FailureDomain != "" && !isName(s.FailureDomain):
 		return "the failure domain is not a name"
 	case !isAddress(s.Address):
 		return "the address is not an IP address and a port from 1 to 65535 that connections can be made to"
-	case s.Slots < 1 || s.Slots > maxServerSlots:
+	case s.Slots < 0 || s.Slots > maxServerSlots:
 		return "the number of slots is not from 1 to " + strconv.Itoa(maxServerSlots)
 	case s.StartMillis < 0 || s.StartMillis > maxStartMillis:
 		return "the start time is not from 0 to " + strconv.Itoa(maxStartMillis) + " ms"
