coordinator: a relayed configuration is validated

What callers could see (by reading): a daemon that gets "null" or "{}" as the relayed configuration before it has one is ready without any route and answers 404 to everything; one with the largest version ignores all later versions of the operator until it restarts.

Cause: the JSON was decoded and applied; only the reader of the store asked whether a configuration is usable.

It has to be valid as a whole and of the version that the view names. A refused one takes the way of one that cannot be decoded: F0102, and the daemon reads the store itself.

--- a/pkg/coordinator/odd_relay_test.go
+++ b/pkg/coordinator/odd_relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -65,6 +66,33 @@
 	}
 }
 
+// oddConfigs are relayed configurations that cannot be used.
+var oddConfigs = map[string]string{
+	"null":              "null",
+	"empty":             "{}",
+	"list":              "[]",
+	"cut":               `{"Version":7,"Routes":[`,
+	"other version":     `{"Version":9223372036854775807}`,
+	"version too large": `{"Version":1` + strings.Repeat("0", 40) + `}`,
+	"unknown service":   `{"Version":7,"Routes":[{"Name":"r","Targets":[{"Service":"s","Weight":1}]}]}`,
+	"weight too large":  `{"Version":7,"Routes":[{"Name":"r","Targets":[{"Service":"s","Weight":1e30}]}],"Services":{"s":{}}}`,
+	"time too large":    `{"Version":7,"Routes":[{"Name":"r","Timeout":1e30}]}`,
+	"stack without end": strings.Repeat(`{"Services":`, 100_000),
+}
+
+// Guards against a relayed configuration that replaces the routes of a daemon by none, or that is newer than all that the
+// operator will write.
+func TestOddRelayedConfigurationsAreRefused(t *testing.T) {
+	for name, text := range oddConfigs {
+		if u, err := relayUpdate(&ferrypb.FleetView{ConfigVersion: 7, Config: []byte(text)}, nil, time.Now()); err == nil {
+			t.Errorf("%s: configuration %+v, want an error", name, u.Config)
+		}
+	}
+	if u, err := relayUpdate(&ferrypb.FleetView{ConfigVersion: 7, Config: []byte(`{"Version":7}`)}, nil, time.Now()); err != nil || u.Config.Version != 7 {
+		t.Errorf("usual configuration: %+v, error %v, want version 7", u, err)
+	}
+}
+
 // Guards against panics on views of a holder, and against servers that are not usable.
 func FuzzRelayUpdate(f *testing.F) {
 	add := func(view *ferrypb.FleetView) {
@@ -77,6 +105,11 @@
 	for _, odd := range oddServers() {
 		add(&ferrypb.FleetView{Servers: []*ferrypb.ServerState{odd}, Work: []uint32{math.MaxUint32, 1, math.MaxUint32, 5}, Gone: []string{""}, ServerBuckets: []uint32{99}})
 	}
+	for _, text := range oddConfigs {
+		if len(text) < 16<<10 {
+			add(&ferrypb.FleetView{ConfigVersion: 7, Config: []byte(text), ServersFull: true, ServersAgeMillis: math.MaxUint32})
+		}
+	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		view := &ferrypb.FleetView{}
 		if proto.Unmarshal(data, view) != nil {
--- a/pkg/coordinator/store_relay.go
+++ b/pkg/coordinator/store_relay.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"slices"
+	"strconv"
 	"time"
 
 	"trefoilferry.example/ferry/api/ferrypb"
@@ -78,10 +79,11 @@
 		ConfigAt:  sent.Add(-time.Duration(view.ConfigAgeMillis) * time.Millisecond),
 	}
 	if len(view.Config) > 0 {
-		u.Config = &fleet.Config{}
-		if err := json.Unmarshal(view.Config, u.Config); err != nil {
-			return nil, failure.Wrap(failure.RecordInvalid, failure.NotRun, "the relayed configuration cannot be read", err)
+		config, err := configFromRelay(view)
+		if err != nil {
+			return nil, err
 		}
+		u.Config = config
 	}
 	u.Servers.Full = view.ServersFull
 	for _, m := range view.Servers {
@@ -104,6 +106,22 @@
 	return u, nil
 }
 
+// configFromRelay decodes the relayed configuration and validates it as a whole.
+func configFromRelay(view *ferrypb.FleetView) (*fleet.Config, error) {
+	config := &fleet.Config{}
+	if err := json.Unmarshal(view.Config, config); err != nil {
+		return nil, failure.Wrap(failure.RecordInvalid, failure.NotRun, "the relayed configuration cannot be read", err)
+	}
+	problems := config.ValidationErrors()
+	if config.Version != view.ConfigVersion {
+		problems = append(problems, "it has version "+strconv.FormatInt(config.Version, 10)+" in place of "+strconv.FormatInt(view.ConfigVersion, 10))
+	}
+	if len(problems) > 0 {
+		return nil, failure.New(failure.RecordInvalid, failure.NotRun, "the relayed configuration is invalid: "+problems[0])
+	}
+	return config, nil
+}
+
 // missingServers returns the removal of each known server that is missing in a bucket that the view holds completely.
 func missingServers(view *ferrypb.FleetView, known map[string]fleet.Server) []gateway.ServerChange {
 	listed := make(map[string]bool, len(view.Servers))
