coordinator: ages in messages do not wrap around

What daemons could see: an age of more than 49 days is cut to 32 bits and arrives as an arbitrary shorter one. The age of a time that was never set became 24 days instead of the longest one; with other values state that is as old as can be would be relayed as current. No path was found on which that happens today: times are set before they are sent.

--- a/pkg/coordinator/odd_relay_test.go
+++ b/pkg/coordinator/odd_relay_test.go
@@ -93,6 +93,25 @@
 	}
 }
 
+// Guards against state that seems new because the age of a time that was never set does not fit into a message.
+func TestAgesAreBounded(t *testing.T) {
+	now := time.Now()
+	for name, c := range map[string]struct {
+		at   time.Time
+		want uint32
+	}{
+		"never":     {time.Time{}, math.MaxUint32},
+		"long ago":  {now.Add(-60 * 24 * time.Hour), math.MaxUint32},
+		"now":       {now, 0},
+		"to come":   {now.Add(time.Hour), 0},
+		"as before": {now.Add(-3 * time.Second), 3000},
+	} {
+		if got := ageMillis(c.at, now); got != c.want {
+			t.Errorf("age of %s: %d ms, want %d", name, got, c.want)
+		}
+	}
+}
+
 // Guards against panics on views of a holder, and against servers that are not usable.
 func FuzzRelayUpdate(f *testing.F) {
 	add := func(view *ferrypb.FleetView) {
--- a/pkg/coordinator/store_relay.go
+++ b/pkg/coordinator/store_relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -51,7 +52,11 @@
 	}
 }
 
-func ageMillis(at, now time.Time) uint32 { return uint32(max(now.Sub(at).Milliseconds(), 0)) }
+// ageMillis returns the time from at to now in milliseconds. It is bounded, because the age of a time that was never set
+// would otherwise become an arbitrary one.
+func ageMillis(at, now time.Time) uint32 {
+	return uint32(min(max(now.Sub(at).Milliseconds(), 0), math.MaxUint32))
+}
 
 func serverToProto(s *fleet.Server) *ferrypb.ServerState {
 	m := &ferrypb.ServerState{Id: s.ID, Service: s.Service, Address: s.Address, FailureDomain: s.FailureDomain,
