coordinator: work in messages is bounded

What callers could see: prompt tokens are what a caller states. A request that states some 2^38 of them makes a busy runner idle in the eyes of all other daemons, or the reverse, because the number is cut to 32 bits on the way to the lease holder.

Cause: encodeWork converted to 32 bits without a bound; decodeWork took any number.

At the bounds, the sums of 350 daemons and the times that are predicted from them stay far from an overflow.

--- a/pkg/coordinator/work_codec.go
+++ b/pkg/coordinator/work_codec.go
@@ -10,6 +10,10 @@
 	workFields = 3
 	// workTokenUnit is the unit of prompt tokens in encoded work; a runner processes as many in about 2 ms.
 	workTokenUnit = 64
+	// maxWorkRequests and maxWorkTokens are more than any runner has in progress. The prompt tokens are what callers state;
+	// larger numbers would not fit into a message, and sums and times computed from them would overflow.
+	maxWorkRequests = 1 << 20
+	maxWorkTokens   = 1 << 30
 )
 
 // encodeWork encodes work by runner index as api/ferrypb describes it. It takes about four bytes a runner in a message,
@@ -19,8 +23,8 @@
 	previous := uint32(0)
 	for _, index := range slices.Sorted(maps.Keys(work)) {
 		w := work[index]
-		units := (max(w.promptTokens, 0) + workTokenUnit - 1) / workTokenUnit
-		out = append(out, index-previous, uint32(max(w.requests, 0)), uint32(units))
+		units := (min(max(w.promptTokens, 0), maxWorkTokens) + workTokenUnit - 1) / workTokenUnit
+		out = append(out, index-previous, uint32(min(max(w.requests, 0), maxWorkRequests)), uint32(units))
 		previous = index
 	}
 	return out
@@ -35,7 +39,7 @@
 			break
 		}
 		index += triple[0]
-		out[index] = runnerWork{requests: int(triple[1]), promptTokens: int(triple[2]) * workTokenUnit}
+		out[index] = runnerWork{requests: int(min(triple[1], maxWorkRequests)), promptTokens: int(min(triple[2], maxWorkTokens/workTokenUnit)) * workTokenUnit}
 	}
 	return out
 }
