platform: a report of a runner with impossible values is refused

What callers could see: the lease holder plans by what runners say of themselves. After one report that counts as many orders as a number can hold, later reports count fewer and are ignored as older: models stay where they are no longer, and the runner's report is read every 400 ms, until an order fails. 5,001 adapters in transit take all adapter slots, so that no adapter is loaded there. Models without a name or without end go into every view.

Cause: the report was only decoded.

Numbers that do not fit, other types and 50,000 levels of nesting were refused before.

A refused report counts as a failed read: the runner keeps the models known of it, gets no orders, and is read again after 400 ms. Ruled out: to take the valid part, since an order would expect a count that nobody stated. The effects of an odd report on plans are by reading. Open: a count that a runner could have, but that is too high, has the same effect.

--- a/pkg/fleet/server_validation.go
+++ b/pkg/fleet/server_validation.go
@@ -53,6 +53,15 @@
 		return "the address is not an IP address and a port from 1 to 65535 that connections can be made to"
 	case s.Slots < 0 || s.Slots > maxServerSlots:
 		return "the number of slots is not from 1 to " + strconv.Itoa(maxServerSlots)
+	default:
+		return s.StateRangeError()
+	}
+}
+
+// StateRangeError is RangeError for the values that a server also reports when it is asked: its start time, its sequence
+// and its models.
+func (s *Server) StateRangeError() string {
+	switch {
 	case s.StartMillis < 0 || s.StartMillis > maxStartMillis:
 		return "the start time is not from 0 to " + strconv.Itoa(maxStartMillis) + " ms"
 	case s.Sequence < 0 || s.Sequence > maxSequence:
