platform: weights of a split route always lead to a service

What callers could see: with weights whose sum overflows, with a negative one beside others, or with ones below 0.001, a part of the requests of the route, or all, get no service.

A route that gives no service a weight makes the configuration invalid, like one that names no service.

--- a/pkg/fleet/config.go
+++ b/pkg/fleet/config.go
@@ -29,6 +29,7 @@
 		if len(r.Targets) == 0 {
 			out = append(out, "route "+r.Name+" names no service")
 		}
+		out = append(out, r.weightErrors()...)
 		for _, t := range r.Targets {
 			if _, ok := c.Services[t.Service]; !ok {
 				out = append(out, "route "+r.Name+" names the unknown service "+t.Service)
--- a/pkg/fleet/route.go
+++ b/pkg/fleet/route.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"strconv"
 	"strings"
 	"time"
 )
@@ -38,6 +39,24 @@
 	return strings.EqualFold(r.VirtualHost, host) && strings.HasPrefix(path, r.PathPrefix)
 }
 
+// maxTargetWeight bounds a weight, so that the sum over all targets does not overflow.
+const maxTargetWeight = 1 << 40
+
+// weightErrors returns why requests of the route cannot be spread over its targets.
+func (r *Route) weightErrors() []string {
+	total := 0
+	for _, t := range r.Targets {
+		if t.Weight < 0 || t.Weight > maxTargetWeight {
+			return []string{"route " + r.Name + " gives service " + t.Service + " a weight that is not from 0 to " + strconv.Itoa(maxTargetWeight)}
+		}
+		total = min(total+t.Weight, maxTargetWeight)
+	}
+	if total == 0 && len(r.Targets) > 0 {
+		return []string{"route " + r.Name + " gives no service a weight"}
+	}
+	return nil
+}
+
 // Service returns the service for a request; hash spreads the requests over the targets by weight. It is empty when
 // the route has no target of positive weight.
 func (r *Route) Service(hash uint64) string {
