fleet: a configuration with impossible models or versions is invalid

What callers could see: a model or adapter that takes a negative amount of memory seems to free some, so that the lease holder orders more models to a runner than it has room for, and runners crash on such orders. A version as large as can be hides all later versions until the daemon restarts.

Cause: validation asked only whether the routes' services exist.

Ruled out: to bound these as well. A model of unknown size cannot be placed safely, and a bounded version is one that the operator did not write. The crash of a runner and the hidden versions are by reading.

--- a/pkg/fleet/config.go
+++ b/pkg/fleet/config.go
@@ -1,5 +1,15 @@
 package fleet
 
+import (
+	"maps"
+	"slices"
+	"strconv"
+)
+
+// maxConfigVersion is the largest whole number that JSON carries exactly everywhere. Daemons ignore all versions below the
+// one in force.
+const maxConfigVersion = 1 << 53
+
 // Config is one complete, validated version of the operators' configuration.
 type Config struct {
 	Version  int64
@@ -24,6 +34,12 @@
 // service; it is empty for a valid configuration.
 func (c *Config) ValidationErrors() []string {
 	var out []string
+	if c.Version < 0 || c.Version > maxConfigVersion {
+		out = append(out, "the version is not from 0 to "+strconv.Itoa(maxConfigVersion))
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.Services)) {
+		out = append(out, serviceErrors(name, c.Services[name].Engine)...)
+	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		if len(r.Targets) == 0 {
