platform: refused records of runners can be told, bounded in rate

What operators could not see: why a runner gets no orders, or why an entry of the server list has no effect. A report that cannot be decoded was a failed read without a line, and a skipped entry none at all.

Refused configurations show in F0100, which is written once per outage, an unreadable lease in F0321 as the name of the holder.

--- a/pkg/eventlog/catalog_gateway.go
+++ b/pkg/eventlog/catalog_gateway.go
@@ -21,6 +21,7 @@
 	ServerPauseBegan       = register(142, log.InfoLevel, "server pause began", "A server refused a request and wants none from this daemon for the time in left. source is the response, age how long ago it can have been given at most.")
 	ServerPauseExtended    = register(143, log.InfoLevel, "server pause extended", "Another refusal makes the pause of a server end later.")
 	ServerPauseEnded       = register(144, log.InfoLevel, "server pause ended", "A pause and the return after it are over; source is the response that showed that the server takes requests again, empty if none did or its incarnation ended. lasted is how long the server was to get no requests.")
+	OutsideRecordRefused   = register(145, log.WarnLevel, "outside record refused", "An entry of the server list names no usable server, or a report of a runner has impossible values (record, key, reason); it changes nothing. Each is told once in ten minutes, ten in ten seconds at most; omitted counts the others.")
 	RequestServed          = register(210, log.InfoLevel, "request served", "A caller received a complete response; candidates and predictions show why this server was chosen.")
 	RequestRefused         = register(211, log.InfoLevel, "request refused", "A request was refused without being run; reason says why and retry_after when the caller may retry.")
 	StreamResumed          = register(212, log.InfoLevel, "stream resumed", "A broken response stream continues at another backend server after the last delivered event.")
