platform: a value without a version is no configuration

What callers could see: with null or {} as the value of the configuration, a daemon that has none yet is ready without any route and answers 404 to everything (by reading). A daemon that has one reads it together with the one before, and takes the empty one, which it then ignores for its lower version.

Cause: JSON that sets no field decodes to an empty configuration, and an empty one has no errors.

Before, with TestOddConfigurationsAreRefused and TestOddRelayedConfigurationsAreRefused: empty configuration: version 0 with 0 routes in force, want it refused no configuration: version 0 with 0 routes in force, want it refused null of no version: configuration &{Version:0 ...}, want an error

Version 0 already stood for no configuration in reports to the lease holder, which never relays it.

--- a/pkg/coordinator/odd_relay_test.go
+++ b/pkg/coordinator/odd_relay_test.go
@@ -88,6 +88,11 @@
 			t.Errorf("%s: configuration %+v, want an error", name, u.Config)
 		}
 	}
+	for _, text := range []string{"null", "{}"} {
+		if u, err := relayUpdate(&ferrypb.FleetView{Config: []byte(text)}, nil, time.Now()); err == nil {
+			t.Errorf("%s of no version: configuration %+v, want an error", text, u.Config)
+		}
+	}
 	if u, err := relayUpdate(&ferrypb.FleetView{ConfigVersion: 7, Config: []byte(`{"Version":7}`)}, nil, time.Now()); err != nil || u.Config.Version != 7 {
 		t.Errorf("usual configuration: %+v, error %v, want version 7", u, err)
 	}
--- a/pkg/coordinator/store_relay.go
+++ b/pkg/coordinator/store_relay.go
@@ -118,7 +118,7 @@
 		return nil, failure.Wrap(failure.RecordInvalid, failure.NotRun, "the relayed configuration cannot be read", err)
 	}
 	problems := config.ValidationErrors()
-	if config.Version != view.ConfigVersion {
+	if config.Version < 1 || config.Version != view.ConfigVersion {
 		problems = append(problems, "it has version "+strconv.FormatInt(config.Version, 10)+" in place of "+strconv.FormatInt(view.ConfigVersion, 10))
 	}
 	if len(problems) > 0 {
