--- a/pkg/coordinator/handover.go
+++ b/pkg/coordinator/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"time"
 
 	"trefoilferry.example/ferry/pkg/eventlog"
@@ -16,6 +17,19 @@
 	Barred []barredPrompt `json:"barred,omitempty"`
 }
 
+const (
+	// maxHandoverBytes bounds the exported state. The platform's store takes records of up to 256 KB; a holder whose state
+	// does not fit into one could not renew the lease.
+	maxHandoverBytes = 64 << 10
+	// maxLoadAge is the age in milliseconds from which a load no longer counts in any window.
+	maxLoadAge = int64(time.Hour / time.Millisecond)
+	// maxHandoverLoads bounds the loads of one service that are taken over.
+	maxHandoverLoads = 1 << 10
+	// maxBarredTime is the longest time in milliseconds for which a decision of the quarantine holds, and the age from which
+	// a crash tells nothing.
+	maxBarredTime = int64(10 * time.Minute / time.Millisecond)
+)
+
 // barredPrompt is an entry of the quarantine; times are in milliseconds before and after the export.
 type barredPrompt struct {
 	Parts     []string `json:"parts"`
@@ -23,23 +37,39 @@
 	Remaining int64    `json:"remaining"`
 }
 
+// exportBarred exports entries, the first ones if they are too long together.
 func exportBarred(entries []quarantine.Entry, now time.Time) []barredPrompt {
 	out := make([]barredPrompt, 0, len(entries))
+	size := 0
 	for _, e := range entries {
+		for _, part := range e.Parts {
+			// A byte that JSON has to escape takes six.
+			size += len(part)*6 + len(`"",`)
+		}
+		if size > maxHandoverBytes/2 {
+			break
+		}
 		out = append(out, barredPrompt{Parts: e.Parts, Age: now.Sub(e.LastCrash).Milliseconds(), Remaining: e.Until.Sub(now).Milliseconds()})
 	}
 	return out
 }
 
+// barredEntries returns the entries of the state. The times are bounded, because the record may come from another writer:
+// an entry must end, and runners that survive its parts must be able to lift it.
 func (s *handoverState) barredEntries(now time.Time) []quarantine.Entry {
 	out := make([]quarantine.Entry, 0, len(s.Barred))
 	for _, b := range s.Barred {
-		out = append(out, quarantine.Entry{Parts: b.Parts, LastCrash: now.Add(-time.Duration(b.Age) * time.Millisecond),
-			Until: now.Add(time.Duration(b.Remaining) * time.Millisecond)})
+		out = append(out, quarantine.Entry{Parts: b.Parts, LastCrash: now.Add(-boundedMillis(b.Age, maxBarredTime)),
+			Until: now.Add(boundedMillis(b.Remaining, maxBarredTime))})
 	}
 	return out
 }
 
+// boundedMillis converts milliseconds to a duration from 0 to limit.
+func boundedMillis(n, limit int64) time.Duration {
+	return time.Duration(min(max(n, 0), limit)) * time.Millisecond
+}
+
 // ExportState implements lease.StateHandover.
 func (c *Coordinator) ExportState() string {
 	c.mu.Lock()
@@ -70,8 +100,9 @@
 	c.judge.Merge(append(state.barredEntries(now), c.config.Board.Entries(now)...))
 	for service, ages := range state.LoadAges {
 		limiter := &loadLimiter{limits: c.config.LoadLimits}
-		for _, age := range ages {
-			limiter.recordStart(now.Add(-time.Duration(age) * time.Millisecond))
+		for _, age := range ages[:min(len(ages), maxHandoverLoads)] {
+			// A load in the future would count for as long, so that no load from the store could start until then.
+			limiter.recordStart(now.Add(-boundedMillis(age, maxLoadAge)))
 		}
 		c.loadLimiters[service] = limiter
 	}
@@ -91,6 +122,10 @@
 	if text == "" {
 		return state
 	}
+	if len(text) > maxHandoverBytes {
+		c.log.Log(eventlog.RecordRefused, "record", "lease", "reason", "the state of the last holder is longer than "+strconv.Itoa(maxHandoverBytes)+" bytes")
+		return state
+	}
 	if err := json.Unmarshal([]byte(text), state); err != nil {
 		c.log.Log(eventlog.RecordRefused, "record", "lease", "reason", err)
 		return &handoverState{}
--- a/pkg/coordinator/store_relay.go
+++ b/pkg/coordinator/store_relay.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"math"
 	"slices"
+	"strconv"
 	"time"
 
 	"trefoilferry.example/ferry/api/ferrypb"
@@ -50,7 +52,11 @@
 	}
 }
 
-func ageMillis(at, now time.Time) uint32 { return uint32(max(now.Sub(at).Milliseconds(), 0)) }
+// ageMillis returns the time from at to now in milliseconds. It is bounded, because the age of a time that was never set
+// would otherwise become an arbitrary one.
+func ageMillis(at, now time.Time) uint32 {
+	return uint32(min(max(now.Sub(at).Milliseconds(), 0), math.MaxUint32))
+}
 
 func serverToProto(s *fleet.Server) *ferrypb.ServerState {
 	m := &ferrypb.ServerState{Id: s.ID, Service: s.Service, Address: s.Address, FailureDomain: s.FailureDomain,
@@ -78,14 +84,23 @@
 		ConfigAt:  sent.Add(-time.Duration(view.ConfigAgeMillis) * time.Millisecond),
 	}
 	if len(view.Config) > 0 {
-		u.Config = &fleet.Config{}
-		if err := json.Unmarshal(view.Config, u.Config); err != nil {
-			return nil, failure.Wrap(failure.RecordInvalid, failure.NotRun, "the relayed configuration cannot be read", err)
+		config, err := configFromRelay(view)
+		if err != nil {
+			return nil, err
 		}
+		u.Config = config
 	}
 	u.Servers.Full = view.ServersFull
 	for _, m := range view.Servers {
-		u.Servers.Changes = append(u.Servers.Changes, gateway.ServerChange{ID: m.Id, Server: serverFromProto(m)})
+		s := serverFromProto(m)
+		if s.RangeError() != "" {
+			// A holder with other rules may relay a server that is not usable here. What is known of it stays in force.
+			var ok bool
+			if s, ok = known[m.Id]; !ok {
+				continue
+			}
+		}
+		u.Servers.Changes = append(u.Servers.Changes, gateway.ServerChange{ID: m.Id, Server: s})
 	}
 	for _, id := range view.Gone {
 		u.Servers.Changes = append(u.Servers.Changes, gateway.ServerChange{ID: id, Removed: true})
@@ -96,6 +111,22 @@
 	return u, nil
 }
 
+// configFromRelay decodes the relayed configuration and validates it as a whole.
+func configFromRelay(view *ferrypb.FleetView) (*fleet.Config, error) {
+	config := &fleet.Config{}
+	if err := json.Unmarshal(view.Config, config); err != nil {
+		return nil, failure.Wrap(failure.RecordInvalid, failure.NotRun, "the relayed configuration cannot be read", err)
+	}
+	problems := config.ValidationErrors()
+	if config.Version < 1 || config.Version != view.ConfigVersion {
+		problems = append(problems, "it has version "+strconv.FormatInt(config.Version, 10)+" in place of "+strconv.FormatInt(view.ConfigVersion, 10))
+	}
+	if len(problems) > 0 {
+		return nil, failure.New(failure.RecordInvalid, failure.NotRun, "the relayed configuration is invalid: "+problems[0])
+	}
+	return config, nil
+}
+
 // missingServers returns the removal of each known server that is missing in a bucket that the view holds completely.
 func missingServers(view *ferrypb.FleetView, known map[string]fleet.Server) []gateway.ServerChange {
 	listed := make(map[string]bool, len(view.Servers))
