agent: refuse absent adapters while their load cannot be ordered

A caller of an adapter could wait until its deadline although the adapter was resident at another runner. Cause: an agent that restarts during a log outage serves under its predecessor's incarnation, but has no fencing token and so sends no orders. It accepted requests for adapters that its engine has not loaded and let them wait for the end of the outage. Its response to a probe did not tell, so an entry host preferred it when it was the nearer holder. Change: without a token, or while the engine refuses the token, the agent refuses such requests as not_loaded, not_run, in its response to a probe too. The entry host goes on to the next holder, or waits for one if there is none. No order is sent earlier than before. Evidence: TestUnannouncedAgentRefusesAbsentAdapters failed before: "answer for an adapter that is not resident: <nil>, want code not_loaded as not_run". Ruled out: orders with the predecessor's token. The records of an agent that restarts during an outage may be old, so a later agent of the runner may be alive; at an engine that ignores fencing, both would fill the same adapter slots. Left: if every holder restarted during the outage and none has the adapter resident, it waits for the log as before.

--- a/pkg/agent/core_adapters.go
+++ b/pkg/agent/core_adapters.go
@@ -20,7 +20,7 @@
 	for _, key := range c.adapters.ordered() {
 		c.resolveWaiters(key)
 	}
-	if !c.authorized() || !c.reportFresh() || c.fenced {
+	if !c.mayOrderAdapters() || !c.reportFresh() {
 		return
 	}
 	for _, key := range c.adapters.ordered() {
@@ -29,6 +29,10 @@
 	c.loadAdapters()
 }
 
+// mayOrderAdapters reports whether the engine would accept adapter orders of this agent. It is false until the agent is
+// announced, which takes until the end of a log outage, and while the engine refuses its fencing token.
+func (c *Core) mayOrderAdapters() bool { return c.authorized() && !c.fenced }
+
 func (c *Core) resolveWaiters(key AdapterKey) {
 	s, ok := c.adapters.states[key]
 	if !ok || len(s.waiters) == 0 {
@@ -66,6 +70,9 @@
 	if c.id.AdapterSlots == 0 {
 		return failure.New(failure.NotLoaded, failure.NotRun, "runner has no adapter slots")
 	}
+	if s.phase == adapterAbsent && !c.mayOrderAdapters() {
+		return failure.New(failure.NotLoaded, failure.NotRun, "adapter is not resident and this agent cannot order its load yet")
+	}
 	return nil
 }
 
--- a/pkg/agent/core_adapters_test.go
+++ b/pkg/agent/core_adapters_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/engine"
 	"trefoilferry.example/ferry/pkg/failure"
 )
@@ -95,3 +96,32 @@
 		t.Fatalf("result of request q1: %v, want outcome not_run", f)
 	}
 }
+
+// Guards against requests that wait until the end of a log outage, at an agent that restarted during it, for an adapter
+// that is resident at another runner: without a fencing token the agent cannot load it.
+func TestUnannouncedAgentRefusesAbsentAdapters(t *testing.T) {
+	s := adapterSim(t)
+	s.requestAdapter("q1", "a1")
+	s.answerOrder(nil)
+	s.report.Models[0].Adapters = []string{"a1"}
+	s.logDown = true
+	s.restart(simIdentity("i2", true))
+	s.advance(time.Second)
+	s.requestAdapter("q2", "a1")
+	s.requestAdapter("q3", "a2")
+	if !s.adapterGranted("q2") {
+		t.Error("request for a resident adapter was not granted before the announcement")
+	}
+	if f := s.adapterAnswers["q3"]; f == nil || f.Code != failure.NotLoaded || f.Outcome != failure.NotRun {
+		t.Errorf("answer for an adapter that is not resident: %v, want code not_loaded as not_run", f)
+	}
+	for adapter, want := range map[string]bool{"a1": false, "a2": true} {
+		refusal := probeRefusal(s.core.view, &ferrypb.ProbeRequest{Target: "m", Adapter: adapter}, nil)
+		if refused := refusal != nil && refusal.Code == failure.NotLoaded; refused != want {
+			t.Errorf("probe for adapter %s: refusal %v, want refused %v", adapter, refusal, want)
+		}
+	}
+	if len(s.unanswered) != 0 {
+		t.Errorf("orders %+v before the announcement, want none", s.unanswered)
+	}
+}
--- a/pkg/agent/core_sim_test.go
+++ b/pkg/agent/core_sim_test.go
@@ -36,7 +36,9 @@
 	pings          []string
 	appends        []*ferrypb.PlacementRecord
 	stopped        bool
-	requestCounts  map[string]int
+	// logDown is set while no append gets a response.
+	logDown       bool
+	requestCounts map[string]int
 }
 
 func newCoreSim(t reporter, id Identity, objects ...*ferrypb.Object) *coreSim {
@@ -82,6 +84,9 @@
 	for _, a := range s.core.Step(s.now, e) {
 		switch a := a.(type) {
 		case AppendRecord:
+			if s.logDown {
+				continue
+			}
 			s.appends = append(s.appends, a.Record)
 			offset := s.append(a.Record)
 			s.step(AppendDone{Ref: a.Ref, Offset: offset})
--- a/pkg/agent/core_view.go
+++ b/pkg/agent/core_view.go
@@ -16,6 +16,7 @@
 	fencing            uint64
 	servingIncarnation string
 	adaptersVersion    uint64
+	loadsAdapters      bool
 	closedTargets      int
 	refusal            *failure.Failure
 	ready              bool
@@ -40,6 +41,7 @@
 		fencing:            c.fencing,
 		servingIncarnation: c.servingIncarnation(),
 		adaptersVersion:    c.adapters.version,
+		loadsAdapters:      c.mayOrderAdapters(),
 		closedTargets:      len(c.closedTargets),
 		refusal:            c.refusal,
 		engineUnreachable:  c.engineUnreachable,
@@ -64,6 +66,7 @@
 		Models:             map[string]ServedModel{},
 		Report:             c.report,
 		Adapters:           c.adapters.resident(),
+		LoadsAdapters:      c.mayOrderAdapters(),
 		MemoryBytes:        c.capacity(),
 		CommittedBytes:     c.committedBytes(),
 		HeldBytes:          c.heldBytes(),
--- a/pkg/agent/twirp_agent.go
+++ b/pkg/agent/twirp_agent.go
@@ -64,6 +64,9 @@
 	if _, ok := view.Models[in.GetTarget()]; !ok {
 		return failure.New(failure.NotLoaded, failure.NotRun, "model is not loaded here")
 	}
+	if in.GetAdapter() != "" && !view.servesAdapter(AdapterKey{Model: in.GetTarget(), Adapter: in.GetAdapter()}) {
+		return failure.New(failure.NotLoaded, failure.NotRun, "adapter is not resident here and cannot be loaded yet")
+	}
 	return predicted
 }
 
--- a/pkg/agent/view.go
+++ b/pkg/agent/view.go
@@ -30,6 +30,8 @@
 	Report engine.LoadReport
 	// Adapters is the set of resident adapters.
 	Adapters map[AdapterKey]bool
+	// LoadsAdapters is set while the agent can load adapters that are not resident.
+	LoadsAdapters bool
 	// CopyStatuses describes the runner's copies for status responses.
 	CopyStatuses []*ferrypb.LoadedModel
 	// MemoryBytes is the memory for models, CommittedBytes the reserved part of it, and HeldBytes the reserved part of
@@ -53,6 +55,9 @@
 	Adapter string
 }
 
+// servesAdapter reports whether an adapter is resident or can be loaded.
+func (v *View) servesAdapter(key AdapterKey) bool { return v.Adapters[key] || v.LoadsAdapters }
+
 // ConfigOffset returns the offset of the current configuration.
 func (v *View) ConfigOffset() uint64 {
 	if v.Config == nil {
