entry: ask a holder for the new version when it no longer serves the old one

Callers waited until their deadline. Cause: an engine serves the newest loaded version of a model. When every holder of the old version has also loaded the new one and the log is out, the records that make the new copies ready cannot be appended. Entry hosts know only the old version as ready, ask for it, and the agents refuse it as not loaded until the log is back. A restart of the agents is not needed for this. Change: after a runner has refused the version of its ready copy as not loaded, the next attempt of that request names the configured version there, and the old one again if that is refused too. The agent still serves only the version that the request names, so a stream is resumed by the version that began it. Evidence: TestVersionThatLoadsDuringALogOutageIsServed failed before: "response of alpha via entry-north not intact after 5.001s: ... context deadline exceeded"; TestRunnerThatReplacedItsVersionIsAskedForTheNewOne: "versions asked for: [v1 v1], want [v1 v2]". Both pass now. Ruled out: loading the new version only where the old one is not, since the memory for that may be missing.

--- a/pkg/entry/request_state.go
+++ b/pkg/entry/request_state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -20,6 +21,8 @@
 	attempts int
 	// tried holds the runners that have been tried or have refused.
 	tried map[string]bool
+	// replaced holds the runners that refused the version of their ready copy as not loaded.
+	replaced map[string]bool
 	// outcome covers all attempts so far.
 	outcome failure.Outcome
 	// reserved is the runner of the next attempt, whose retry is paid for; nil if it is not chosen yet.
@@ -58,7 +61,32 @@
 	if current := withVersion(candidates, rs.request.ModelVersion); len(current) > 0 {
 		return current
 	}
-	return candidates
+	return rs.withReplaced(candidates)
+}
+
+// withReplaced returns the candidates with the configured version at the runners that refused their ready copy's
+// version. Such a runner has loaded the configured version beside or instead of the old one, and engines serve the
+// newest. The placement records show it as ready only after the next append, so not before the end of a log outage.
+func (rs *requestState) withReplaced(candidates []routing.Candidate) []routing.Candidate {
+	if len(rs.replaced) == 0 {
+		return candidates
+	}
+	out := slices.Clone(candidates)
+	for i := range out {
+		if rs.replaced[out[i].Runner] {
+			out[i].Version = rs.request.ModelVersion
+		}
+	}
+	return out
+}
+
+// recordVersionRefusal records whether a runner is asked for the configured version next. It switches between that
+// version and the one of the ready copy as long as the runner refuses each as not loaded.
+func (rs *requestState) recordVersionRefusal(c routing.Candidate, err error) {
+	if rs.hasOutput() || !rs.request.isGeneration() || !failure.HasCode(err, failure.NotLoaded) {
+		return
+	}
+	rs.replaced[c.Runner] = c.Version != rs.request.ModelVersion
 }
 
 func withVersion(candidates []routing.Candidate, version string) []routing.Candidate {
