agent: take the version that was claimed last for the newest

Seen: found while tracing TestModelsStayReachable. While versions 9 and 10 of a model were loaded, an agent answered requests for 10 with not_loaded and served requests for 9, although engines serve the version that was loaded last. Cause: the agent took the last entry of the engine's report for the newest version. Reports list versions by name, and "10" sorts before "9". Change: of the loaded versions, the one with the highest claim in the placement records is the newest, since an agent loads in the order of its claims. Evidence: TestVersionThatWasClaimedLastIsServed failed before: "served models map[m:{9 }] of the loaded ones [...], want version 10".

--- a/pkg/agent/core_missing.go
+++ b/pkg/agent/core_missing.go
@@ -57,12 +57,26 @@
 
 // loadedModel returns the engine report's entry for a model; the newest one if several versions are loaded.
 func (c *Core) loadedModel(model string) (engine.LoadedModel, bool) {
-	for i := len(c.report.Models) - 1; i >= 0; i-- {
-		if c.report.Models[i].Model == model {
-			return c.report.Models[i], true
+	newest, found := engine.LoadedModel{}, false
+	for _, m := range c.report.Models {
+		if m.Model == model && (!found || c.claimOf(m) >= c.claimOf(newest)) {
+			newest, found = m, true
+		}
+	}
+	return newest, found
+}
+
+// claimOf returns the claim of the last copy of a loaded version; 0 if the placement records show none. Versions are
+// loaded in the order of their claims, so the version with the highest claim is the one that the engine serves. Reports
+// have no such order.
+func (c *Core) claimOf(m engine.LoadedModel) uint64 {
+	claim := uint64(0)
+	for _, cp := range c.ownCopies() {
+		if cp.Model == m.Model && cp.Version == m.Version {
+			claim = max(claim, cp.ClaimOffset)
 		}
 	}
-	return engine.LoadedModel{}, false
+	return claim
 }
 
 // loadedVersion reports whether the engine's report contains the model version.
--- a/pkg/agent/core_view.go
+++ b/pkg/agent/core_view.go
@@ -63,7 +63,6 @@
 		Leaving:            c.stopping || c.runnerDraining(),
 		Config:             c.config,
 		PlacementOffset:    c.placementOffset,
-		Models:             map[string]ServedModel{},
 		Report:             c.report,
 		Adapters:           c.adapters.resident(),
 		LoadsAdapters:      c.mayOrderAdapters(),
@@ -71,12 +70,7 @@
 		CommittedBytes:     c.committedBytes(),
 		HeldBytes:          c.heldBytes(),
 	}
-	for _, m := range c.report.Models {
-		key := placement.ModelKey{Model: m.Model, Version: m.Version}
-		if c.servesVersion(key) && !c.closedTargets[versionTarget(key)] && !c.engineUnreachable {
-			v.Models[m.Model] = ServedModel{Version: m.Version, Bytes: m.Bytes}
-		}
-	}
+	v.Models = c.servedModels()
 	v.CopyStatuses = c.copyStatuses()
 	if !c.isEngine() && c.placement != nil {
 		v.ServiceRunners = len(c.placement.ServiceRunners(c.id.Service))
@@ -84,6 +78,22 @@
 	return v
 }
 
+// servedModels returns the models that accept requests, each with the newest of its versions that do.
+func (c *Core) servedModels() map[string]ServedModel {
+	out := map[string]ServedModel{}
+	claims := map[string]uint64{}
+	for _, m := range c.report.Models {
+		key := placement.ModelKey{Model: m.Model, Version: m.Version}
+		claim := c.claimOf(m)
+		if !c.servesVersion(key) || c.closedTargets[versionTarget(key)] || c.engineUnreachable || claim < claims[m.Model] {
+			continue
+		}
+		claims[m.Model] = claim
+		out[m.Model] = ServedModel{Version: m.Version, Bytes: m.Bytes}
+	}
+	return out
+}
+
 func (c *Core) copyStatuses() []*ferrypb.LoadedModel {
 	var out []*ferrypb.LoadedModel
 	for _, cp := range c.ownCopies() {
