agent: count adapters at replaced versions as occupied, not as resident

Seen: found while tracing TestModelsStayReachable. While two versions of a model were loaded, requests for an adapter that only the old version held were refused by the engine as not_loaded, until the old version was unloaded, which a log outage delays. An eviction could also free a slot whose memory the old version still held. Cause: the agent kept one state for each model and adapter and read it from the report of any version. Engines serve the newest version and apply adapter orders to it. Change: the report of the newest version gives the resident adapters. Adapters at other versions keep their slots and bytes until the report lacks them, and an adapter that the newest version lacks is loaded again. If such adapters hold all slots, requests are refused as not_loaded instead of waiting for the unload. Evidence: TestAdapterOfReplacedVersionIsLoadedAgain failed before: "unanswered orders [], want one of kind load_adapter"; TestSlotsHeldByReplacedVersionAreNotWaitedFor: "answer <nil>, want code not_loaded as not_run". TestVersionThatLoadsDuringALogOutageIsServed now asks for an adapter too; it passed before this change as well, since only one of its two holders had the adapter loaded.

--- a/pkg/agent/adapter_table.go
+++ b/pkg/agent/adapter_table.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"trefoilferry.example/ferry/pkg/engine"
 	"trefoilferry.example/ferry/pkg/failure"
 )
 
@@ -47,6 +46,9 @@
 	byRequest map[string]AdapterKey
 	// removedAt holds the time at which an adapter became absent, for reportLag.
 	removedAt map[AdapterKey]time.Time
+	// superseded lists the adapters that the report shows at versions of a model that are not the newest one, once for
+	// each version. They serve no requests but occupy their slots and memory until their version is unloaded.
+	superseded []AdapterKey
 	// version is incremented by every phase change.
 	version uint64
 }
@@ -137,14 +139,10 @@
 	}
 }
 
-// reconcile updates the phases from the engine's report, except where a more recent order contradicts it.
-func (t *adapterTable) reconcile(now time.Time, report engine.LoadReport) {
-	reported := map[AdapterKey]bool{}
-	for _, m := range report.Models {
-		for _, a := range m.Adapters {
-			reported[AdapterKey{Model: m.Model, Adapter: a}] = true
-		}
-	}
+// reconcile updates the phases from the engine's report, except where a more recent order contradicts it. reported
+// holds the adapters at the newest version of each model, superseded those at other versions.
+func (t *adapterTable) reconcile(now time.Time, reported map[AdapterKey]bool, superseded []AdapterKey) {
+	t.superseded = superseded
 	for _, key := range t.ordered() {
 		t.reconcileOne(now, key, reported[key])
 	}
@@ -160,12 +158,15 @@
 func (t *adapterTable) reconcileOne(now time.Time, key AdapterKey, reported bool) {
 	s := t.states[key]
 	reportCurrent := now.Sub(s.phaseSince) > reportLag
+	// Requests that were started with an older version keep their pins, but that does not keep the adapter resident at
+	// the newest one.
+	unpinned := len(s.pins) == 0 || slices.Contains(t.superseded, key)
 	switch {
 	case s.phase == adapterLoading && reported && s.resultUnknown:
 		t.setPhase(key, adapterResident, now)
 	case s.phase == adapterUnloading && !reported && s.resultUnknown && reportCurrent:
 		t.setPhase(key, adapterAbsent, now)
-	case s.phase == adapterResident && !reported && reportCurrent && len(s.pins) == 0:
+	case s.phase == adapterResident && !reported && reportCurrent && unpinned:
 		t.setPhase(key, adapterAbsent, now)
 	}
 }
@@ -204,7 +205,7 @@
 
 // slotsInUse returns the number of slots that are or may be occupied.
 func (t *adapterTable) slotsInUse() int {
-	return t.count(adapterLoading) + t.count(adapterResident) + t.count(adapterUnloading)
+	return t.count(adapterLoading) + t.count(adapterResident) + t.count(adapterUnloading) + len(t.superseded)
 }
 
 // victim returns the least recently used resident adapter that no request uses or waits for.
--- a/pkg/agent/core_adapters.go
+++ b/pkg/agent/core_adapters.go
@@ -33,6 +33,35 @@
 // announced, which takes until the end of a log outage, and while the engine refuses its fencing token.
 func (c *Core) mayOrderAdapters() bool { return c.authorized() && !c.fenced }
 
+// reportedAdapters returns the adapters that the report shows at the newest version of their model, which is the one that
+// serves requests and that adapter orders apply to.
+func (c *Core) reportedAdapters() map[AdapterKey]bool {
+	out := map[AdapterKey]bool{}
+	for _, m := range c.report.Models {
+		if newest, _ := c.loadedModel(m.Model); newest.Version != m.Version {
+			continue
+		}
+		for _, a := range m.Adapters {
+			out[AdapterKey{Model: m.Model, Adapter: a}] = true
+		}
+	}
+	return out
+}
+
+// supersededAdapters returns the adapters that the report shows at other versions than the newest one of their model.
+func (c *Core) supersededAdapters() []AdapterKey {
+	var out []AdapterKey
+	for _, m := range c.report.Models {
+		if newest, _ := c.loadedModel(m.Model); newest.Version == m.Version {
+			continue
+		}
+		for _, a := range m.Adapters {
+			out = append(out, AdapterKey{Model: m.Model, Adapter: a})
+		}
+	}
+	return out
+}
+
 func (c *Core) resolveWaiters(key AdapterKey) {
 	s, ok := c.adapters.states[key]
 	if !ok || len(s.waiters) == 0 {
@@ -70,6 +99,9 @@
 	if c.id.AdapterSlots == 0 {
 		return failure.New(failure.NotLoaded, failure.NotRun, "runner has no adapter slots")
 	}
+	if s.phase == adapterAbsent && len(c.adapters.superseded) >= int(c.id.AdapterSlots) {
+		return failure.New(failure.NotLoaded, failure.NotRun, "adapters of a replaced model version hold all slots")
+	}
 	if s.phase == adapterAbsent && !c.mayOrderAdapters() {
 		return failure.New(failure.NotLoaded, failure.NotRun, "adapter is not resident and this agent cannot order its load yet")
 	}
--- a/pkg/agent/core_events.go
+++ b/pkg/agent/core_events.go
@@ -24,7 +24,7 @@
 		c.updateCapacity()
 		c.ledger.ApplyReport(e.Report)
 	}
-	c.adapters.reconcile(c.now, e.Report)
+	c.adapters.reconcile(c.now, c.reportedAdapters(), c.supersededAdapters())
 }
 
 // resetEngineState discards the state of the previous engine process.
--- a/pkg/agent/core_memory.go
+++ b/pkg/agent/core_memory.go
@@ -78,6 +78,9 @@
 			total += c.adapterBytes(key)
 		}
 	}
+	for _, key := range c.adapters.superseded {
+		total += c.adapterBytes(key)
+	}
 	return total
 }
 
--- a/pkg/agent/core_versions_test.go
+++ b/pkg/agent/core_versions_test.go
@@ -6,6 +6,7 @@
 
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/engine"
+	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/object"
 )
 
@@ -38,3 +39,42 @@
 		t.Errorf("served models %v of the loaded ones %v, want version 10", s.core.view.Models, s.report.Models)
 	}
 }
+
+// Guards against an adapter that counts as resident because the old version of its model still holds it, although the
+// engine serves the new one, and against adapters of the old version whose slots are used for others.
+func TestAdapterOfReplacedVersionIsLoadedAgain(t *testing.T) {
+	s := twoVersionsSim(t,
+		published("adapter", "a1", "model", "m", "bytes", "1GiB"),
+		published("adapter", "a2", "model", "m", "bytes", "1GiB"))
+	s.report.Models[1].Adapters = []string{"a1"}
+	s.advance(time.Second)
+	s.requestAdapter("q1", "a1")
+	load := s.waitOrder(engine.LoadAdapter)
+	if load.Adapter != "a1" || s.adapterGranted("q1") {
+		t.Fatalf("order %+v, request granted %v, want the load of a1 and no grant", load, s.adapterGranted("q1"))
+	}
+	s.answerOrder(nil)
+	if !s.adapterGranted("q1") {
+		t.Error("request for a1 was not granted after the load")
+	}
+	s.requestAdapter("q2", "a2")
+	s.advance(time.Second)
+	if len(s.unanswered) != 0 {
+		t.Errorf("orders %+v while a1 at both versions holds the two slots, want none", s.unanswered)
+	}
+}
+
+// Guards against a request that waits for a slot until the end of a log outage, because the adapters of a version that
+// cannot be unloaded hold all of them.
+func TestSlotsHeldByReplacedVersionAreNotWaitedFor(t *testing.T) {
+	s := twoVersionsSim(t,
+		published("adapter", "a1", "model", "m", "bytes", "1GiB"),
+		published("adapter", "a2", "model", "m", "bytes", "1GiB"),
+		published("adapter", "a3", "model", "m", "bytes", "1GiB"))
+	s.report.Models[1].Adapters = []string{"a1", "a2"}
+	s.advance(time.Second)
+	s.requestAdapter("q", "a3")
+	if f := s.adapterAnswers["q"]; f == nil || f.Code != failure.NotLoaded || f.Outcome != failure.NotRun {
+		t.Errorf("answer %v, want code not_loaded as not_run", f)
+	}
+}
--- a/test/integration/version_outage_test.go
+++ b/test/integration/version_outage_test.go
@@ -10,12 +10,13 @@
 	"trefoilferry.example/ferry/pkg/faultproxy"
 )
 
-// Guards against a model that is unreachable during a log outage because every holder loaded its new version after the
-// outage began: the placement records still show the old version as ready, and the engines serve the new one.
+// Guards against a model or an adapter that is unreachable during a log outage because every holder loaded the new
+// version of the model after the outage began: the placement records still show the old version as ready, the old version
+// still holds the adapter, and the engines serve the new version.
 func TestVersionThatLoadsDuringALogOutageIsServed(t *testing.T) {
 	ctx := context.Background()
 	spec := smallSpec()
-	spec.Entries = spec.Entries[:1]
+	spec.Entries = spec.Entries[:2]
 	spec.Runners = []cluster.RunnerSpec{spec.Runners[0], spec.Runners[3]}
 	spec.Store.LoadTime = 2 * time.Second
 	c, err := cluster.Start(ctx, binaries, t.TempDir(), spec)
@@ -23,8 +24,10 @@
 	t.Cleanup(func() { finish(t, c) })
 	must(t, c.WaitReady(ctx, readyTimeout))
 	config := strings.ReplaceAll(strings.ReplaceAll(bigModelConfig("alpha"), "30GiB", "20GiB"), "min_copies = 1", "min_copies = 2")
+	config += "[adapter \"alpha-notes\"]\nmodel = alpha\nbytes = 64MiB\n"
 	must(t, c.PublishReplaceAll(ctx, config))
 	waitModelState(t, c, "v1", "ready")
+	requireAlpha(t, c)
 	must(t, c.PublishReplaceAll(ctx, strings.ReplaceAll(config, "v1", "v2")))
 	waitModelState(t, c, "v2", "claimed")
 	must(t, c.LogProxy.SetFaults(faultproxy.Faults{Refuse: true}))
@@ -39,10 +42,19 @@
 		return true
 	}))
 	time.Sleep(500 * time.Millisecond)
-	requireResponse(t, c.Entries[0], "alpha", "", 5*time.Second)
+	requireAlpha(t, c)
 	must(t, c.LogProxy.SetFaults(faultproxy.Faults{}))
 	waitModelState(t, c, "v2", "ready")
-	requireResponse(t, c.Entries[0], "alpha", "", 5*time.Second)
+	requireAlpha(t, c)
+}
+
+// requireAlpha requests the model and its adapter from both entry hosts, each of which prefers the holder in its region.
+func requireAlpha(t *testing.T, c *cluster.Cluster) {
+	t.Helper()
+	for _, e := range c.Entries {
+		requireResponse(t, e, "alpha", "", 5*time.Second)
+		requireResponse(t, e, "alpha", "alpha-notes", 5*time.Second)
+	}
 }
 
 // waitModelState waits until every runner has a copy of a version in a state.
