test/integration: size the engines of the stop tests for any placement

Cause: the test, not the prediction. It sends 6 streams of 3 to 4.5 s each 500 ms, up to 54 at once. Copies are placed by rendezvous hash, so both models may be on the same two runners. While one of them stops, all streams need the other one, whose engine runs 32 at once. The others wait in the agent's queue and are refused when their target of 620 ms passes, which is why the lateness is small. The comment in the test counted on one model on the remaining runner. Change: the engines of these tests run 64 requests at once. Load, checks and bounds stay as they were.

--- a/test/integration/stop_test.go
+++ b/test/integration/stop_test.go
@@ -14,6 +14,11 @@
 // exitTimeout limits a planned stop: the longest request, the drain grace and a margin.
 const exitTimeout = 10 * time.Second
 
+// stopSlots is the batch size of the engines. TestAgentStopFinishesItsWork sends 6 streams each 500 ms, which last at most
+// 4.5 s, so at most 54 run at once. The placement may put both models on the same two runners, and all streams then run
+// on the one that is left.
+const stopSlots = "64"
+
 // stopSpec returns a system whose service calls last callDuration, long enough to be in progress at a stop. The drain
 // grace of its entry hosts is 1 s; the tests send late requests during the first half of it.
 func stopSpec(callDuration string) cluster.Spec {
@@ -23,6 +28,8 @@
 	for i := range spec.Runners {
 		if spec.Runners[i].Service != "" {
 			spec.Runners[i].BackendArgs = []string{"--delay", callDuration}
+		} else {
+			spec.Runners[i].BackendArgs = append([]string{"--max-running", stopSlots}, engineArgs...)
 		}
 	}
 	spec.EntrySettings = map[string]string{"drain.grace": "1s"}
@@ -162,7 +169,7 @@
 				b.startStreams(e, 2)
 				b.startCalls(e, 2)
 			}
-			// More requests would overload the remaining runner with a ready copy, which would then reject some.
+			// More requests would exceed stopSlots on the remaining runner with a ready copy, which would then reject some.
 			time.Sleep(500 * time.Millisecond)
 		}
 	})
