entry: remember which version a runner serves in place of its ready copy's

Cause: during a log outage in which a runner had loaded a new version, each request was refused once for the old version before it named the new one. Each of these refusals takes a retry from the budget, which is empty after a few requests. Change: an entry host remembers that a runner served the configured version and names it at once from then on. It forgets that when the runner refuses a request without an adapter for that version. A request for an adapter may be refused because the adapter is absent, and does not count. Evidence: TestVersionThatARunnerServesIsRemembered failed before: "attempts refused for the old version: 40 of 40 requests, want 1". Ruled out: retries for not_loaded outside the budget, since the budget is what bounds the attempts of a failing fleet.

--- a/pkg/entry/dispatcher.go
+++ b/pkg/entry/dispatcher.go
@@ -41,6 +41,7 @@
 	ring          *timeline.Ring
 	log           *eventlog.Logger
 	metrics       *Metrics
+	versions      *replacedVersions
 	seed          uint64
 	requestCount  atomic.Uint64
 }
@@ -84,6 +85,7 @@
 		ring:          p.Ring,
 		log:           p.Log,
 		metrics:       p.Metrics,
+		versions:      newReplacedVersions(),
 		seed:          p.Seed,
 	}, nil
 }
@@ -109,13 +111,14 @@
 
 func (d *Dispatcher) newRequestState(r *Request, sink Sink) *requestState {
 	return &requestState{
-		request:  r,
-		sink:     sink,
-		rand:     rand.New(rand.NewPCG(d.seed, d.requestCount.Add(1))),
-		backoff:  retry.NewBackoff(d.settings.Retry.Base, d.settings.Retry.Cap),
-		tried:    map[string]bool{},
-		replaced: map[string]bool{},
-		outcome:  failure.NotRun,
+		request:        r,
+		sink:           sink,
+		rand:           rand.New(rand.NewPCG(d.seed, d.requestCount.Add(1))),
+		backoff:        retry.NewBackoff(d.settings.Retry.Base, d.settings.Retry.Cap),
+		tried:          map[string]bool{},
+		asksConfigured: map[string]bool{},
+		versions:       d.versions,
+		outcome:        failure.NotRun,
 	}
 }
 
--- a/pkg/entry/request_state.go
+++ b/pkg/entry/request_state.go
@@ -21,8 +21,11 @@
 	attempts int
 	// tried holds the runners that have been tried or have refused.
 	tried map[string]bool
-	// replaced holds the runners that refused the version of their ready copy as not loaded.
-	replaced map[string]bool
+	// asksConfigured holds, by runner that refused a version as not loaded, whether it is asked for the configured
+	// version next.
+	asksConfigured map[string]bool
+	// versions is shared by all requests.
+	versions *replacedVersions
 	// outcome covers all attempts so far.
 	outcome failure.Outcome
 	// reserved is the runner of the next attempt, whose retry is paid for; nil if it is not chosen yet.
@@ -68,25 +71,37 @@
 // version. Such a runner has loaded the configured version beside or instead of the old one, and engines serve the
 // newest. The placement records show it as ready only after the next append, so not before the end of a log outage.
 func (rs *requestState) withReplaced(candidates []routing.Candidate) []routing.Candidate {
-	if len(rs.replaced) == 0 {
-		return candidates
-	}
 	out := slices.Clone(candidates)
-	for i := range out {
-		if rs.replaced[out[i].Runner] {
+	for i, c := range out {
+		configured, refused := rs.asksConfigured[c.Runner]
+		if !refused {
+			configured = rs.versions.serves(c.Runner, rs.request.Target, rs.request.ModelVersion)
+		}
+		if configured {
 			out[i].Version = rs.request.ModelVersion
 		}
 	}
 	return out
 }
 
-// recordVersionRefusal records whether a runner is asked for the configured version next. It switches between that
-// version and the one of the ready copy as long as the runner refuses each as not loaded.
-func (rs *requestState) recordVersionRefusal(c routing.Candidate, err error) {
-	if rs.hasOutput() || !rs.request.isGeneration() || !failure.HasCode(err, failure.NotLoaded) {
+// recordVersion records from the result of an attempt which version the runner is asked for next. It switches between
+// the configured version and the one of the ready copy as long as the runner refuses each as not loaded.
+func (rs *requestState) recordVersion(c routing.Candidate, err error) {
+	if !rs.request.isGeneration() || rs.request.ModelVersion == "" {
 		return
 	}
-	rs.replaced[c.Runner] = c.Version != rs.request.ModelVersion
+	configured := c.Version == rs.request.ModelVersion
+	if err == nil && configured && rs.asksConfigured[c.Runner] {
+		rs.versions.recordServed(c.Runner, rs.request.Target, c.Version)
+	}
+	if rs.hasOutput() || !failure.HasCode(err, failure.NotLoaded) {
+		return
+	}
+	rs.asksConfigured[c.Runner] = !configured
+	// A request for an adapter may have been refused because the adapter is absent.
+	if configured && rs.request.Adapter == "" {
+		rs.versions.recordRefused(c.Runner, rs.request.Target, c.Version)
+	}
 }
 
 func withVersion(candidates []routing.Candidate, version string) []routing.Candidate {
--- a/pkg/entry/select_runner.go
+++ b/pkg/entry/select_runner.go
@@ -22,7 +22,7 @@
 	rs.attempts++
 	rs.tried[chosen.Runner] = true
 	err = d.attempt(ctx, snapshot, rs, chosen)
-	rs.recordVersionRefusal(chosen, err)
+	rs.recordVersion(chosen, err)
 	if err != nil && !d.modelPolicy.UsesProbes && rs.request.isGeneration() && isCapacityRefusal(failure.From(err).Code) {
 		// Without probes, unmet demand shows only in the refusals of exec calls.
 		d.hints.recordUnmet(ctx, snapshot, rs.request.Target)
