test/integration: list each runner with a copy once

Seen: TestModelsStayReachable/two_holders_drain_at_once failed: "drain of runner-south-1: exit code 4, want 0", with "drain/runner-south-1 was changed at offset 5 after this change was prepared". Cause: a runner on which two versions of a model are ready was listed twice, and the test drained it twice at once. The second drain is rightly refused as a conflict. Change: the list names each runner once. The subtest still drains every holder at once.

--- a/test/integration/reach_test.go
+++ b/test/integration/reach_test.go
@@ -94,7 +94,7 @@
 	}
 }
 
-// runnersWithCopy returns the runners with a ready copy of a model.
+// runnersWithCopy returns the runners with a ready copy of a model, each once, also while two versions are ready on it.
 func runnersWithCopy(t *testing.T, c *cluster.Cluster, model string) []*cluster.Runner {
 	t.Helper()
 	var out []*cluster.Runner
@@ -104,6 +104,7 @@
 		for _, m := range status.GetModels() {
 			if m.GetModel() == model && m.GetState() == "ready" {
 				out = append(out, r)
+				break
 			}
 		}
 	}
