--- a/pkg/agent/core_view.go
+++ b/pkg/agent/core_view.go
@@ -16,6 +16,7 @@
 	fencing            uint64
 	servingIncarnation string
 	adaptersVersion    uint64
+	loadsAdapters      bool
 	closedTargets      int
 	refusal            *failure.Failure
 	ready              bool
@@ -40,6 +41,7 @@
 		fencing:            c.fencing,
 		servingIncarnation: c.servingIncarnation(),
 		adaptersVersion:    c.adapters.version,
+		loadsAdapters:      c.mayOrderAdapters(),
 		closedTargets:      len(c.closedTargets),
 		refusal:            c.refusal,
 		engineUnreachable:  c.engineUnreachable,
@@ -61,19 +63,14 @@
 		Leaving:            c.stopping || c.runnerDraining(),
 		Config:             c.config,
 		PlacementOffset:    c.placementOffset,
-		Models:             map[string]ServedModel{},
 		Report:             c.report,
 		Adapters:           c.adapters.resident(),
+		LoadsAdapters:      c.mayOrderAdapters(),
 		MemoryBytes:        c.capacity(),
 		CommittedBytes:     c.committedBytes(),
 		HeldBytes:          c.heldBytes(),
 	}
-	for _, m := range c.report.Models {
-		key := placement.ModelKey{Model: m.Model, Version: m.Version}
-		if c.servesVersion(key) && !c.closedTargets[versionTarget(key)] && !c.engineUnreachable {
-			v.Models[m.Model] = ServedModel{Version: m.Version, Bytes: m.Bytes}
-		}
-	}
+	v.Models = c.servedModels()
 	v.CopyStatuses = c.copyStatuses()
 	if !c.isEngine() && c.placement != nil {
 		v.ServiceRunners = len(c.placement.ServiceRunners(c.id.Service))
@@ -81,6 +78,22 @@
 	return v
 }
 
+// servedModels returns the models that accept requests, each with the newest of its versions that do.
+func (c *Core) servedModels() map[string]ServedModel {
+	out := map[string]ServedModel{}
+	claims := map[string]uint64{}
+	for _, m := range c.report.Models {
+		key := placement.ModelKey{Model: m.Model, Version: m.Version}
+		claim := c.claimOf(m)
+		if !c.servesVersion(key) || c.closedTargets[versionTarget(key)] || c.engineUnreachable || claim < claims[m.Model] {
+			continue
+		}
+		claims[m.Model] = claim
+		out[m.Model] = ServedModel{Version: m.Version, Bytes: m.Bytes}
+	}
+	return out
+}
+
 func (c *Core) copyStatuses() []*ferrypb.LoadedModel {
 	var out []*ferrypb.LoadedModel
 	for _, cp := range c.ownCopies() {
