--- a/pkg/gatewaydaemon/clients.go
+++ b/pkg/gatewaydaemon/clients.go
@@ -10,7 +10,7 @@
 // Clients gives the daemon access to the platform: the codec of its headers and the clients of its services.
 type Clients struct {
 	Codec   gateway.Codec
-	Store   StoreMonitor
+	Monitor Monitor
 	Config  gateway.ConfigSource
 	Servers gateway.ServerSource
 	Lease   lease.Store
--- a/pkg/gatewaydaemon/module.go
+++ b/pkg/gatewaydaemon/module.go
@@ -45,7 +45,7 @@
 			newForwarder,
 			newDaemon,
 		),
-		fx.Invoke(watchStore, func(lifecycle fx.Lifecycle, d *Daemon) {
+		fx.Invoke(watchRecords, func(lifecycle fx.Lifecycle, d *Daemon) {
 			lifecycle.Append(fx.Hook{OnStart: d.Start, OnStop: d.Stop})
 		}),
 	)
