coordinator: a view cannot stop the reports, and a refused relay is told once

What could be seen: a daemon that reports next in months, because a view names 2^32-1 daemons, and a log line for each of some sixteen relayed configurations a second that it cannot use.

The number of daemons in a view is bounded to ten times the target size, and a refusal is logged once for each reason.

--- a/pkg/coordinator/reporter.go
+++ b/pkg/coordinator/reporter.go
@@ -34,6 +34,10 @@
 	reportTimeout = 800 * time.Millisecond
 )
 
+// maxDaemons bounds the number of daemons that a view names, and with it the time between reports. It is ten times the
+// target size.
+const maxDaemons = 3500
+
 // localHolder is the source of views while this daemon itself holds the lease.
 const localHolder = "local"
 
@@ -70,6 +74,8 @@
 	limits     *limitReporter
 	source     string
 	holderLost bool
+	// refusedRelay is why the last relayed configuration was refused that a line was written for.
+	refusedRelay string
 }
 
 // NewReporter returns a reporter for the named daemon; local is the coordinator of this process.
@@ -217,7 +223,7 @@
 // applyPlacement applies what the holder knows of the runners. It is also used of a holder that does not reach the store:
 // while the store is away for all there is no other holder, and without its view every daemon would route blindly.
 func (r *Reporter) applyPlacement(ctx context.Context, view *ferrypb.FleetView) {
-	r.daemons = int(view.Daemons)
+	r.daemons = int(min(view.Daemons, maxDaemons))
 	r.lease.SetDaemons(r.daemons)
 	r.view.apply(view)
 	r.control.SetPlacement(ctx, r.view.placement(view))
@@ -238,7 +244,10 @@
 	}
 	update, err := relayUpdate(view, r.control.View().Servers, sent)
 	if err != nil {
-		r.log.Log(eventlog.RecordRefused, "record", "relayed configuration", "reason", err)
+		if reason := err.Error(); reason != r.refusedRelay {
+			r.refusedRelay = reason
+			r.log.Log(eventlog.RecordRefused, "record", "relayed configuration", "reason", err)
+		}
 		r.control.SetRelayActive(false)
 		return
 	}
