serverlimit: totals are used for half a second, longer than the holder delays them

Cause: a total was used for 250 ms. The holder delays its response to a daemon with waiting requests by up to 200 ms (longPollTimeout), and that daemon reports again after 25 ms and the round trip, so its totals were out of date just while requests waited for a limit, and it kept to its share for 250 ms after each.

Now they are used for 500 ms, which covers two such reports. TestLimitHoldsWhileTheHolderIsLost passes as before.

--- a/pkg/serverlimit/server.go
+++ b/pkg/serverlimit/server.go
@@ -35,11 +35,11 @@
 }
 
 const (
-	// minTotalTime covers three reports of a daemon in a small fleet, and perDaemonTotalTime the longer times between them in
-	// larger ones. A total must not be used for longer: each daemon takes all that it leaves of a limit for its own. In a
-	// fleet of 29, eight daemons sent ten requests to a server with a limit of 3.5 a second in the 0.7 s after the loss of
-	// the holder, and 32 requests reached it in 4 s.
-	minTotalTime       = 250 * time.Millisecond
+	// minTotalTime covers two reports of a daemon in a small fleet, of which the holder delays those of daemons with waiting
+	// requests by 200 ms, and perDaemonTotalTime the longer times between them in larger fleets. A total must not be used for
+	// longer: each daemon takes all that it leaves of a limit for its own. In a fleet of 29, eight daemons sent ten requests
+	// to a server with a limit of 3.5 a second in the 0.7 s after the loss of the holder, and 32 requests reached it in 4 s.
+	minTotalTime       = 500 * time.Millisecond
 	perDaemonTotalTime = 5 * time.Millisecond
 	smallFleet         = 30
 	// maxTotalTime bounds the age of a total that is used. The largest fleets report about once a second.
