gateway: a daemon's own read of the server list does not count as relayed

Callers could get 503 for up to 2 s for a server that lives, when the store is restored between two own reads of a daemon without a failed one. The source was told that the list had been relayed also if the newest news came from the daemon's own read, and a restore since then counted as known to the holder, without the grace for servers that the restored store lacks.

The source is told so only if the relayed list is newer.

--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -86,8 +86,10 @@
 	failed := false
 	var lastRead time.Time
 	for ctx.Err() == nil {
-		if c.relayFresh(c.View().ServersAt) || c.relayFresh(lastRead) {
-			source.Restart()
+		if at := c.View().ServersAt; c.relayFresh(at) || c.relayFresh(lastRead) {
+			if at.After(lastRead) {
+				source.Restart()
+			}
 			sleep(ctx, relayCheckInterval)
 			continue
 		}
--- a/pkg/gateway/follow_test.go
+++ b/pkg/gateway/follow_test.go
@@ -162,3 +162,34 @@
 		return
 	}
 }
+
+// restartedServers is a ServerSource that counts its restarts.
+type restartedServers struct {
+	hangingServers
+	restarts atomic.Int32
+}
+
+func (s *restartedServers) Restart() { s.restarts.Add(1) }
+
+// Guards against a daemon whose own read is the newest news of the servers and counts as relayed: a restore of the store
+// right after it would then pass for one that the lease holder has applied, and servers that the restored store lacks
+// would be removed at once.
+func TestOwnReadDoesNotCountAsRelayed(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	control := NewControl(eventlog.Discard(), NewPollTiming(2500*time.Millisecond))
+	control.SetRelayActive(true)
+	servers := &restartedServers{}
+	done := make(chan struct{})
+	go func() { control.Follow(ctx, &hangingConfig{}, servers); close(done) }()
+	time.Sleep(3 * relayCheckInterval)
+	if n := servers.restarts.Load(); !control.View().ServersKnown || n != 0 {
+		t.Errorf("restarts after the daemon's own read: %d, servers known %v, want none and known", n, control.View().ServersKnown)
+	}
+	control.ApplyRelayUpdate(ctx, &RelayUpdate{ServersAt: time.Now()})
+	time.Sleep(3 * relayCheckInterval)
+	if n := servers.restarts.Load(); n == 0 {
+		t.Error("no restart after the list was relayed, want one")
+	}
+	cancel()
+	<-done
+}
