--- a/pkg/coordinator/reporter.go
+++ b/pkg/coordinator/reporter.go
@@ -187,6 +187,9 @@
 }
 
 func (r *Reporter) buildReport() (*ferrypb.LoadReport, bool) {
+	if r.control.TakeListWanted() {
+		r.view.serversVersion = 0
+	}
 	m := &ferrypb.LoadReport{Daemon: r.name, Tenure: r.view.tenure, ViewVersion: r.view.version, ServersVersion: r.view.serversVersion}
 	if config := r.control.View().Config; config != nil {
 		m.ConfigVersion = config.Version
@@ -229,9 +232,6 @@
 	r.control.SetPlacement(ctx, r.view.placement(view))
 }
 
-// isComplete reports whether a view tells by omission which servers are gone.
-func isComplete(view *ferrypb.FleetView) bool { return view.ServersFull || len(view.ServerBuckets) > 0 }
-
 // applyStoreState applies what the holder has read from the store.
 func (r *Reporter) applyStoreState(ctx context.Context, view *ferrypb.FleetView, sent time.Time) {
 	if r.source == localHolder {
@@ -251,12 +251,7 @@
 		r.control.SetRelayActive(false)
 		return
 	}
-	if isComplete(view) && update.ServersAt.Before(r.control.View().ServersAt) {
-		// The daemon's own list is newer, so nothing is removed from it. The next report asks again.
-		r.view.serversVersion = 0
-	} else {
-		r.view.serversVersion = view.ServersVersion
-	}
+	r.view.serversVersion = view.ServersVersion
 	r.control.ApplyRelayUpdate(ctx, update)
 	r.control.SetRelayActive(true)
 }
--- a/pkg/coordinator/store_relay.go
+++ b/pkg/coordinator/store_relay.go
@@ -91,6 +91,7 @@
 		u.Config = config
 	}
 	u.Servers.Full = view.ServersFull
+	u.Complete = view.ServersFull || len(view.ServerBuckets) > 0
 	for _, m := range view.Servers {
 		s := serverFromProto(m)
 		if s.RangeError() != "" {
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -31,6 +31,8 @@
 	relayActive atomic.Bool
 	// storeUnavailable is set while reads of the configuration from the store fail.
 	storeUnavailable atomic.Bool
+	// listWanted is set when removals of a complete relayed list were not applied, because the daemon's own list is newer.
+	listWanted atomic.Bool
 	// fastPollUntil is the end of the fast polling of the server list, in Unix nanoseconds.
 	fastPollUntil atomic.Int64
 }
@@ -48,6 +50,10 @@
 // SetRelayActive sets whether another daemon holds the lease and relays changes of the store to this one.
 func (c *Control) SetRelayActive(active bool) { c.relayActive.Store(active) }
 
+// TakeListWanted reports whether the lease holder must be asked for its complete list again, since the last call: removals
+// that follow from an older list than the daemon's own were not applied.
+func (c *Control) TakeListWanted() bool { return c.listWanted.Swap(false) }
+
 // PollServersFastUntil makes the daemon poll the server list more often until the given time, because servers are
 // expected to return.
 func (c *Control) PollServersFastUntil(until time.Time) { c.fastPollUntil.Store(until.UnixNano()) }
@@ -171,6 +177,7 @@
 	changes := u.Servers
 	if u.ServersAt.Before(c.View().ServersAt) {
 		changes = changes.withoutOmissions()
+		c.listWanted.Store(c.listWanted.Load() || u.Complete)
 	}
 	c.applyServers(&serverEvent{changes: changes, sentAt: u.ServersAt}, now)
 	c.confirm(u.ServersAt, u.ConfigAt)
--- a/pkg/gateway/relay_update.go
+++ b/pkg/gateway/relay_update.go
@@ -11,6 +11,8 @@
 	// Config is nil if the receiving daemon's version is current.
 	Config  *fleet.Config
 	Servers ServerChanges
+	// Complete is set if the servers tell by omission which ones have left.
+	Complete bool
 	// ServersAt and ConfigAt are when the lease holder read the store.
 	ServersAt time.Time
 	ConfigAt  time.Time
