ferry-gateway: a reload during the start does not end the daemon

What could be seen: a daemon that ends by itself, with no reason in its log, when its settings file changes while it starts. SIGHUP was handled only after the start; until then it ends a process.

SIGHUP is handled before the settings are read. What remains are the milliseconds before main. TestReloadDuringTheStartDoesNotEndTheDaemon holds the start at the reading of the settings: the daemon had ended before (signal: hangup).

--- a/cmd/ferry-gateway/main.go
+++ b/cmd/ferry-gateway/main.go
@@ -48,6 +48,9 @@
 
 // run serves until SIGTERM or SIGINT, then drains the requests in progress for at most the stop timeout.
 func run(ctx context.Context, command *cli.Command) error {
+	// A SIGHUP that comes during the start must not end the process.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	path := command.String("settings")
 	file, err := platform.ReadSettings(path)
 	if err != nil || command.Bool("check-settings") {
@@ -69,8 +72,6 @@
 	if err := app.Start(ctx); err != nil {
 		return err
 	}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	go watchSettings(path, reload, out)
 	shutdown := <-app.Wait()
 	stopCtx, cancel := context.WithTimeout(ctx, app.StopTimeout())
