entry: remember the version to ask for as soon as a runner refuses the old one

Seen: three of ten runs of TestModelsStayReachable failed with: "status 503 code retry_budget_exhausted" within 8 ms, for alpha and alpha-notes during a log outage. Cause: the entry host remembered the new version of a runner only after it had served a request with it. If another holder still had the old version, each request was refused by the first one for the old version and served by the other. None asked the first one for the new version, and each took a retry from the budget. Change: the refusal itself sets the version that all further requests name at that runner. A refusal of that version sets it back. Evidence: TestVersionThatARunnerServesIsRemembered with a second holder failed before: "status 503, want 200: ... retry budget is used up because too many attempts fail".

--- a/pkg/entry/dispatcher.go
+++ b/pkg/entry/dispatcher.go
@@ -111,14 +111,13 @@
 
 func (d *Dispatcher) newRequestState(r *Request, sink Sink) *requestState {
 	return &requestState{
-		request:        r,
-		sink:           sink,
-		rand:           rand.New(rand.NewPCG(d.seed, d.requestCount.Add(1))),
-		backoff:        retry.NewBackoff(d.settings.Retry.Base, d.settings.Retry.Cap),
-		tried:          map[string]bool{},
-		asksConfigured: map[string]bool{},
-		versions:       d.versions,
-		outcome:        failure.NotRun,
+		request:  r,
+		sink:     sink,
+		rand:     rand.New(rand.NewPCG(d.seed, d.requestCount.Add(1))),
+		backoff:  retry.NewBackoff(d.settings.Retry.Base, d.settings.Retry.Cap),
+		tried:    map[string]bool{},
+		versions: d.versions,
+		outcome:  failure.NotRun,
 	}
 }
 
--- a/pkg/entry/replaced_versions.go
+++ b/pkg/entry/replaced_versions.go
@@ -2,12 +2,12 @@
 
 import "sync"
 
-// replacedVersions holds, by runner and model, the version that the runner served in place of the one of its ready copy.
-// Without it, each request would first be refused for the old version, which costs a retry. It is safe for concurrent
-// use.
+// replacedVersions holds, by runner and model, the version to ask for in place of the one of the ready copy. It is shared
+// by all requests: each would otherwise be refused once for the old version, which costs a retry. It is safe for
+// concurrent use.
 type replacedVersions struct {
-	mu     sync.Mutex
-	served map[runnerModel]string
+	mu  sync.Mutex
+	ask map[runnerModel]string
 }
 
 type runnerModel struct {
@@ -16,29 +16,26 @@
 }
 
 func newReplacedVersions() *replacedVersions {
-	return &replacedVersions{served: map[runnerModel]string{}}
+	return &replacedVersions{ask: map[runnerModel]string{}}
 }
 
-// serves reports whether the runner served that version of the model.
-func (r *replacedVersions) serves(runner, model, version string) bool {
+// asks reports whether the runner is to be asked for that version.
+func (r *replacedVersions) asks(runner, model, version string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.served[runnerModel{runner: runner, model: model}] == version
+	return r.ask[runnerModel{runner: runner, model: model}] == version
 }
 
-// recordServed records that the runner serves that version of the model.
-func (r *replacedVersions) recordServed(runner, model, version string) {
+// set makes further requests ask the runner for that version.
+func (r *replacedVersions) set(runner, model, version string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.served[runnerModel{runner: runner, model: model}] = version
+	r.ask[runnerModel{runner: runner, model: model}] = version
 }
 
-// recordRefused records that the runner does not serve that version of the model.
-func (r *replacedVersions) recordRefused(runner, model, version string) {
+// clear makes further requests ask the runner for the version of its ready copy.
+func (r *replacedVersions) clear(runner, model string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	key := runnerModel{runner: runner, model: model}
-	if r.served[key] == version {
-		delete(r.served, key)
-	}
+	delete(r.ask, runnerModel{runner: runner, model: model})
 }
--- a/pkg/entry/request_state.go
+++ b/pkg/entry/request_state.go
@@ -21,10 +21,7 @@
 	attempts int
 	// tried holds the runners that have been tried or have refused.
 	tried map[string]bool
-	// asksConfigured holds, by runner that refused a version as not loaded, whether it is asked for the configured
-	// version next.
-	asksConfigured map[string]bool
-	// versions is shared by all requests.
+	// versions holds the runners that have replaced the version of their ready copy; it is shared by all requests.
 	versions *replacedVersions
 	// outcome covers all attempts so far.
 	outcome failure.Outcome
@@ -73,11 +70,7 @@
 func (rs *requestState) withReplaced(candidates []routing.Candidate) []routing.Candidate {
 	out := slices.Clone(candidates)
 	for i, c := range out {
-		configured, refused := rs.asksConfigured[c.Runner]
-		if !refused {
-			configured = rs.versions.serves(c.Runner, rs.request.Target, rs.request.ModelVersion)
-		}
-		if configured {
+		if rs.versions.asks(c.Runner, rs.request.Target, rs.request.ModelVersion) {
 			out[i].Version = rs.request.ModelVersion
 		}
 	}
@@ -87,21 +80,14 @@
 // recordVersion records from the result of an attempt which version the runner is asked for next. It switches between
 // the configured version and the one of the ready copy as long as the runner refuses each as not loaded.
 func (rs *requestState) recordVersion(c routing.Candidate, err error) {
-	if !rs.request.isGeneration() || rs.request.ModelVersion == "" {
+	if rs.hasOutput() || !rs.request.isGeneration() || !failure.HasCode(err, failure.NotLoaded) {
 		return
 	}
-	configured := c.Version == rs.request.ModelVersion
-	if err == nil && configured && rs.asksConfigured[c.Runner] {
-		rs.versions.recordServed(c.Runner, rs.request.Target, c.Version)
-	}
-	if rs.hasOutput() || !failure.HasCode(err, failure.NotLoaded) {
+	if c.Version == rs.request.ModelVersion {
+		rs.versions.clear(c.Runner, rs.request.Target)
 		return
 	}
-	rs.asksConfigured[c.Runner] = !configured
-	// A request for an adapter may have been refused because the adapter is absent.
-	if configured && rs.request.Adapter == "" {
-		rs.versions.recordRefused(c.Runner, rs.request.Target, c.Version)
-	}
+	rs.versions.set(c.Runner, rs.request.Target, rs.request.ModelVersion)
 }
 
 func withVersion(candidates []routing.Candidate, version string) []routing.Candidate {
--- a/pkg/entry/version_refusal_test.go
+++ b/pkg/entry/version_refusal_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"slices"
 	"testing"
+	"time"
 
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/object"
@@ -36,29 +37,34 @@
 }
 
 // Guards against a retry budget that is used up during a log outage, because each request is refused once for the old
-// version before it is served by the new one.
+// version, whether the same runner then serves it with the new version or another one with the old version.
 func TestVersionThatARunnerServesIsRemembered(t *testing.T) {
-	refused := 0
-	agent := newFakeAgent(t, "a", 0, func(t *testing.T, c *execCall) {
-		if c.request.GetModelVersion() != "v2" {
-			refused++
-			_ = c.w.WriteFail(failure.New(failure.NotLoaded, failure.NotRun, "another version is loaded"))
-			return
+	for _, others := range []int{0, 1} {
+		refused := 0
+		agents := []*fakeAgent{newFakeAgent(t, "a", 0, func(t *testing.T, c *execCall) {
+			if c.request.GetModelVersion() != "v2" {
+				refused++
+				_ = c.w.WriteFail(failure.New(failure.NotLoaded, failure.NotRun, "another version is loaded"))
+				return
+			}
+			generateAll(t, c)
+		})}
+		for range others {
+			agents = append(agents, newFakeAgent(t, "b", time.Millisecond, generateAll))
 		}
-		generateAll(t, c)
-	})
-	f := newFixture(t, nil, agent)
-	f.snapshots.Store(&Snapshot{
-		Config:   fakeConfig{models: map[string]*object.Model{"m": {Name: "m", Version: "v2", MaxTokens: 100}}},
-		Routes:   fakeRoutes{agents: []*fakeAgent{agent}},
-		CaughtUp: true,
-	})
-	for range 40 {
-		if response, body := f.call(t, http.MethodPost, "/v1/chat/completions", chatBody+`"n":1}`); response.StatusCode != http.StatusOK {
-			t.Fatalf("status %d, want 200: %s", response.StatusCode, body)
+		f := newFixture(t, nil, agents...)
+		f.snapshots.Store(&Snapshot{
+			Config:   fakeConfig{models: map[string]*object.Model{"m": {Name: "m", Version: "v2", MaxTokens: 100}}},
+			Routes:   fakeRoutes{agents: agents},
+			CaughtUp: true,
+		})
+		for range 40 {
+			if response, body := f.call(t, http.MethodPost, "/v1/chat/completions", chatBody+`"n":1}`); response.StatusCode != http.StatusOK {
+				t.Fatalf("status %d, want 200: %s", response.StatusCode, body)
+			}
+		}
+		if refused != 1 {
+			t.Errorf("attempts refused for the old version, with %d other holders: %d of 40 requests, want 1", others, refused)
 		}
-	}
-	if refused != 1 {
-		t.Errorf("attempts refused for the old version: %d of 40 requests, want 1", refused)
 	}
 }
