agent: load the adapters of a new model version ahead of requests

The agent that was asked refused with "adapter is not resident and this agent cannot order its load yet". Cause: adapters are loaded for requests, into the model version that serves them. When a new version replaces the old one, the new copies have no adapters until the next request for each. If the log goes out and all agents restart in between, no agent has a fencing token, and no holder can load the adapter until the log is back. Change: a floor copy that replaces an older version loads the published adapters of its model as soon as its engine has loaded it, while the old version still serves. Each adapter is ordered once for each copy, into free slots only and up to half of the slots, through the same checks of slots, memory and orders in flight as loads for requests. Nothing is evicted for it. Copies that replace no version load nothing ahead, so that moves of adapters do not grow otherwise. Evidence: TestAdaptersOfNewVersionAreLoadedAheadOfRequests failed before: "unanswered orders [], want one of kind load_adapter". Ruled out: adapter orders without a fencing token. At an engine that ignores fencing, an agent with old records cannot exclude a later agent that fills the same slots. Left: an adapter beyond half of the slots, or one that no runner had loaded before the outage, waits for the log.

--- a/pkg/agent/adapter_table.go
+++ b/pkg/agent/adapter_table.go
@@ -192,6 +192,12 @@
 	})
 }
 
+// known reports whether an adapter occupies a slot or requests wait for it.
+func (t *adapterTable) known(key AdapterKey) bool {
+	s, ok := t.states[key]
+	return ok && (s.phase != adapterAbsent || len(s.waiters) > 0)
+}
+
 // count returns the number of adapters in a phase.
 func (t *adapterTable) count(phase adapterPhase) int {
 	n := 0
--- a/pkg/agent/core.go
+++ b/pkg/agent/core.go
@@ -72,7 +72,9 @@
 	// lastHeldBytes is the number of held bytes in the last log event.
 	lastHeldBytes uint64
 
-	adapters      adapterTable
+	adapters adapterTable
+	// preloaded holds, by claim, the adapters that were considered for loading ahead of requests.
+	preloaded     map[uint64]map[AdapterKey]bool
 	watch         watchState
 	demand        demandState
 	inFlight      RequestsCounted
@@ -93,6 +95,7 @@
 		planner:       plan,
 		missingSince:  map[placement.ModelKey]time.Time{},
 		adapters:      newAdapterTable(),
+		preloaded:     map[uint64]map[AdapterKey]bool{},
 		watch:         newWatchState(),
 		demand:        newDemandState(),
 		closedTargets: map[string]bool{},
--- a/pkg/agent/core_adapters.go
+++ b/pkg/agent/core_adapters.go
@@ -12,21 +12,22 @@
 // takes 5 to 10 ms.
 const adapterResendDelay = time.Second
 
-// decideAdapters resolves requests whose adapter is resident and sends load and unload orders for the others.
+// decideAdapters resolves requests whose adapter is resident and sends load and unload orders for the others, and load
+// orders for the adapters of new versions.
 func (c *Core) decideAdapters() {
-	if len(c.adapters.byRequest) == 0 && len(c.adapters.states) == 0 {
-		return
-	}
 	for _, key := range c.adapters.ordered() {
 		c.resolveWaiters(key)
 	}
-	if !c.mayOrderAdapters() || !c.reportFresh() {
+	if !c.isEngine() || !c.mayOrderAdapters() || !c.reportFresh() {
 		return
 	}
 	for _, key := range c.adapters.ordered() {
 		c.resendAdapter(key)
 	}
 	c.loadAdapters()
+	if !c.stopping {
+		c.preloadAdapters()
+	}
 }
 
 // mayOrderAdapters reports whether the engine would accept adapter orders of this agent. It is false until the agent is
--- a/pkg/agent/core_events.go
+++ b/pkg/agent/core_events.go
@@ -49,6 +49,7 @@
 	c.placementOffset = e.Offset
 	c.placementKnown = c.placementKnown || e.CaughtUp
 	c.trackReadyCopies()
+	c.forgetPreloaded()
 	c.trackPredecessor()
 	c.applyOwnStart()
 }
--- a/pkg/agent/core_versions_test.go
+++ b/pkg/agent/core_versions_test.go
@@ -78,3 +78,23 @@
 		t.Errorf("answer %v, want code not_loaded as not_run", f)
 	}
 }
+
+// Guards against an adapter that no runner has loaded after a new version of its model has replaced the old one. If the
+// log goes out and all agents restart before the next request, none of them can load it.
+func TestAdaptersOfNewVersionAreLoadedAheadOfRequests(t *testing.T) {
+	s := twoVersionsSim(t,
+		published("adapter", "a1", "model", "m", "bytes", "1GiB"),
+		published("adapter", "a2", "model", "m", "bytes", "1GiB"))
+	if load := s.waitOrder(engine.LoadAdapter); load.Adapter != "a1" {
+		t.Fatalf("order %+v, want the load of a1", load)
+	}
+	s.answerOrder(nil)
+	s.advance(time.Second)
+	if len(s.unanswered) != 0 {
+		t.Errorf("orders %+v without a request while half of the slots are in use, want none", s.unanswered)
+	}
+	s.requestAdapter("q", "a2")
+	if load := s.waitOrder(engine.LoadAdapter); load.Adapter != "a2" {
+		t.Errorf("order %+v, want the load of a2, which a request asks for", load)
+	}
+}
