--- a/review/_standin/case_second_refusal.go
+++ b/review/_standin/case_second_refusal.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -35,12 +36,15 @@
 		return false, err
 	}
 	var first *runner
-	for range deskRunners {
-		r, err := w.addRunner(newID(), "order-desk")
+	for n := range deskRunners {
+		// Among idle runners, the gateway takes the one whose id comes first. The ids are the platform's to give.
+		r, err := w.addRunner(newID(strconv.Itoa(n+1)), "order-desk")
 		if err != nil {
 			return false, err
 		}
-		first = r
+		if n == 0 {
+			first = r
+		}
 	}
 	g, err := w.addGateway("front-1")
 	if err != nil {
@@ -76,7 +80,7 @@
 }
 
 // newID returns an id for a start of a runner.
-func newID() string { return fmt.Sprintf("i-%08x", rand.Uint32()) }
+func newID(begin string) string { return fmt.Sprintf("i-%s%07x", begin, rand.Uint32()>>4) }
 
 // checkOnce checks that requests that may not be repeated ran once at most, and not at all if the answer promises that.
 func (w *world) checkOnce(replies []reply) bool {
@@ -118,7 +122,7 @@
 			w.store.put(w.names.get("topic_servers"), old, nil)
 		})
 		time.Sleep(crashTime)
-		next := &runner{names: w.names, record: w.record, runs: w.runs, store: w.store, id: newID(), service: r.service}
+		next := &runner{names: w.names, record: w.record, runs: w.runs, store: w.store, id: newID("1"), service: r.service}
 		before := answers
 		next.copies = func(x *exchange, status int) bool {
 			if status != http.StatusMisdirectedRequest || x.request.Method != http.MethodPost || rand.Float64() > copyChance ||
