--- a/review/_standin/runner.go
+++ b/review/_standin/runner.go
@@ -95,6 +95,7 @@
 
 	mu     sync.Mutex
 	beats  int64
+	beatAt time.Time
 	orders int64
 	conns  map[net.Conn]bool
 	down   bool
@@ -149,12 +150,14 @@
 
 func (r *runner) announce() {
 	r.mu.Lock()
-	r.beats++
-	seq, down := r.beats, r.down
-	r.mu.Unlock()
-	if down {
+	if r.down {
+		r.mu.Unlock()
 		return
 	}
+	r.beats++
+	r.beatAt = time.Now()
+	seq := r.beats
+	r.mu.Unlock()
 	data, err := json.Marshal(map[string]any{"service": r.service, "address": r.address, "zone": "zone-a", "version": "v1",
 		"slots": runnerSlots, "state": "ready", "cold_remaining_ms": 0, "stage": "unified", "models": r.modelList(), "seq": seq, "born": r.born})
 	if err != nil {
@@ -273,6 +276,13 @@
 	}
 }
 
+// answered returns the number of answers that the runner has given, apart from those that it has spoiled.
+func (r *runner) answered() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.answers
+}
+
 func contains(list []string, one string) bool {
 	for _, s := range list {
 		if s == one {
