--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -29,6 +29,7 @@
 var cases = map[string]func(w *world) (held bool, err error){
 	"encoded-stream": encodedStream,
 	"second-refusal": secondRefusal,
+	"old-config":     oldConfig,
 }
 
 // limit ends a case that hangs.
--- a/review/_standin/store.go
+++ b/review/_standin/store.go
@@ -25,6 +25,10 @@
 	mu      sync.Mutex
 	topics  map[string][]entry
 	changed chan struct{}
+	// first holds the offset of the first record of a topic that can still be read; the newest of each key are kept.
+	first map[string]int
+	// busy is set while the store turns all calls away with 503.
+	busy bool
 }
 
 func startStore(n names) (*store, error) {
@@ -32,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{names: n, listener: listener, topics: map[string][]entry{}, changed: make(chan struct{})}
+	s := &store{names: n, listener: listener, topics: map[string][]entry{}, changed: make(chan struct{}), first: map[string]int{}}
 	go func() { _ = http.Serve(listener, s) }()
 	return s, nil
 }
@@ -52,6 +56,28 @@
 	s.changed = make(chan struct{})
 }
 
+// setBusy begins or ends the time in which the store turns all calls away.
+func (s *store) setBusy(busy bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy = busy
+}
+
+func (s *store) isBusy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.busy
+}
+
+// dropHistory deletes all records that were written so far; the newest of each key are kept.
+func (s *store) dropHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for topic := range s.topics {
+		s.first[topic] = len(s.topics[topic])
+	}
+}
+
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -60,6 +86,10 @@
 	// An answer takes 4 ms on the deployments.
 	time.Sleep(4 * time.Millisecond)
 	w.Header().Set(s.names.get("store_era"), "0")
+	if s.isBusy() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	topic := r.URL.Query().Get("topic")
 	switch r.URL.Path {
 	case s.names.get("path_append"):
@@ -134,13 +164,17 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if from > len(s.topics[topic]) {
+	if s.busy {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if from < s.first[topic] || from > len(s.topics[topic]) {
 		w.WriteHeader(http.StatusGone)
-		_ = json.NewEncoder(w).Encode(map[string]int{"first": 0})
+		_ = json.NewEncoder(w).Encode(map[string]int{"first": s.first[topic]})
 		return
 	}
 	out := binary.BigEndian.AppendUint64(nil, uint64(len(s.topics[topic])))
-	out = binary.BigEndian.AppendUint64(out, 0)
+	out = binary.BigEndian.AppendUint64(out, uint64(s.first[topic]))
 	for _, e := range s.topics[topic][from:] {
 		out = binary.BigEndian.AppendUint32(out, uint32(1+len(e.key)+len(e.value)))
 		out = append(out, byte(len(e.key)))
