gateway: a refusal tells how many requests its connection had carried

Nor does any metric count responses that belong to no request.

The reason of a refused attempt now names the requests that its connection had carried before. ferry_gateway_skipped_responses_total counts responses that did not belong to the waiting request, ferry_gateway_server_connections_total the connections.

--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -45,6 +45,8 @@
 	maxIdle int
 	// sent counts the requests that the connection has carried, the current one included.
 	sent int
+	// skipped counts the responses to other requests that were skipped while the current one waited for its response.
+	skipped int
 }
 
 func newConn(c net.Conn, address string) *conn {
@@ -56,6 +58,7 @@
 // both.
 func (c *conn) roundTrip(ctx context.Context, req *Request) (*responseHead, error) {
 	c.sent++
+	c.skipped = 0
 	c.send(req.encode())
 	for range maxStaleResponses + 1 {
 		a, err := c.readHead(req.Method)
@@ -66,6 +69,7 @@
 			c.recordKeepAlive(a.header)
 			return a, nil
 		}
+		c.skipped++
 		if a.length < 0 && a.closesConn {
 			break
 		}
--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -31,6 +31,8 @@
 	// opened counts all connections, open those that are not closed yet.
 	opened atomic.Int64
 	open   atomic.Int64
+	// skipped counts responses that belonged to no request that waited for one.
+	skipped atomic.Int64
 }
 
 // NewPool returns an empty pool.
@@ -44,6 +46,9 @@
 // OpenConns returns the number of connections that are currently open, idle or in use.
 func (p *Pool) OpenConns() int64 { return p.open.Load() }
 
+// TotalSkipped returns the total number of responses that did not belong to the request that waited for one.
+func (p *Pool) TotalSkipped() int64 { return p.skipped.Load() }
+
 // Send sends a request and returns its response when the head has arrived; the caller must close the response. It sends
 // the request at most once. Errors are of type *failure.Failure, with outcome NotRun if no byte was written and Unknown
 // otherwise.
@@ -58,13 +63,14 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	a, err := c.roundTrip(ctx, req)
+	p.skipped.Add(int64(c.skipped))
 	if err != nil {
 		stop()
 		p.countClosed()
 		return nil, err
 	}
 	return &Response{
-		Status: a.status, Header: a.header, Length: a.length, Unframed: a.unframed,
+		Status: a.status, Header: a.header, Length: a.length, Unframed: a.unframed, Earlier: c.sent - 1,
 		ctx: ctx, pool: p, conn: c, body: a.body, stopCancel: stop, reusable: !a.closesConn,
 	}, nil
 }
--- a/pkg/exchange/response.go
+++ b/pkg/exchange/response.go
@@ -18,6 +18,8 @@
 	Length int64
 	// Unframed is set if only the end of the connection ends the body: a server that crashes may end it the same way.
 	Unframed bool
+	// Earlier is the number of requests that the connection carried before this one.
+	Earlier int
 
 	ctx  context.Context
 	pool *Pool
--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -66,7 +66,7 @@
 			// The body is drained so that the connection can be reused; errors do not matter.
 			_, _ = io.Copy(io.Discard, resp)
 		}
-		return nil, meta, refusalFailure(resp.Status)
+		return nil, meta, refusalFailure(resp)
 	}
 	return resp, meta, nil
 }
@@ -78,12 +78,14 @@
 	}
 }
 
-// refusalFailure returns the failure for the status of a request that the server did not execute.
-func refusalFailure(status int) *failure.Failure {
-	if status == http.StatusMisdirectedRequest {
-		return failure.New(failure.WrongIncarnation, failure.NotRun, "the server at the address is another incarnation or has not loaded the model")
+// refusalFailure returns the failure for a response that declares that the request was not executed. It names the requests
+// before it on the connection: a faulty server may write the response to one of them once more.
+func refusalFailure(resp *exchange.Response) *failure.Failure {
+	connection := ", on a connection that had carried " + strconv.Itoa(resp.Earlier) + " requests"
+	if resp.Status == http.StatusMisdirectedRequest {
+		return failure.New(failure.WrongIncarnation, failure.NotRun, "the server at the address is another incarnation or has not loaded the model"+connection)
 	}
-	return failure.New(failure.Overloaded, failure.NotRun, "the server refused the request with status "+strconv.Itoa(status))
+	return failure.New(failure.Overloaded, failure.NotRun, "the server refused the request with status "+strconv.Itoa(resp.Status)+connection)
 }
 
 // readFullResponse reads a whole response within the budget. Responses without the signature, or with a content coding,
--- a/pkg/gatewaydaemon/module.go
+++ b/pkg/gatewaydaemon/module.go
@@ -45,7 +45,7 @@
 			newForwarder,
 			newDaemon,
 		),
-		fx.Invoke(watchRecords, func(lifecycle fx.Lifecycle, d *Daemon) {
+		fx.Invoke(watchRecords, watchConnections, func(lifecycle fx.Lifecycle, d *Daemon) {
 			lifecycle.Append(fx.Hook{OnStart: d.Start, OnStop: d.Stop})
 		}),
 	)
@@ -61,6 +61,14 @@
 	return gateway.NewMetrics(r)
 }
 
+// watchConnections registers the metrics of the connections to backend servers.
+func watchConnections(r *prometheus.Registry, clients *Clients) {
+	r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "ferry_gateway_server_connections_total", Help: "Connections opened to backend servers."},
+		func() float64 { return float64(clients.Pool.TotalOpened()) }))
+	r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "ferry_gateway_skipped_responses_total", Help: "Responses of backend servers that did not belong to the request that waited for one."},
+		func() float64 { return float64(clients.Pool.TotalSkipped()) }))
+}
+
 func newElector(s *Settings, clients *Clients, ref *coordinatorRef, l *eventlog.Logger) *lease.Elector {
 	timing := lease.NewTiming(s.HolderGap)
 	if s.FencingEnforced {
