--- a/pkg/exchange/attribution_test.go
+++ b/pkg/exchange/attribution_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 // as well, so that only Unnamed tells them apart.
 func namedRequest(id string) *Request {
 	req := request(id, "x")
+	req.ID = id
 	req.Matches = func(h http.Header) bool { return h.Get("Id") == "" || h.Get("Id") == id }
 	req.Unnamed = func(h http.Header) bool { return h.Get("Id") == "" }
 	return req
@@ -115,7 +117,7 @@
 	if _, err := exchangeOnce(t, p, address, namedRequest("a")); err != nil {
 		t.Fatal(err)
 	}
-	c := p.takeIdle(address, false, time.Now())
+	c := p.takeIdle(address, namedRequest("b"), time.Now())
 	if c == nil {
 		t.Fatal("the connection is not idle")
 	}
@@ -127,3 +129,63 @@
 		t.Errorf("response %+v, %v, want status 200", a, err)
 	}
 }
+
+// Guards against a request that runs twice: a server refuses its first attempt and writes the refusal once more, late, where
+// the response to the next attempt is due. Both attempts have the same id and go to the same address, so that the copy
+// passed for a refusal of the server that ran the request.
+func TestCopyOfTheResponseToAnEarlierAttemptIsNotTheAnswer(t *testing.T) {
+	const refusal = "HTTP/1.1 421 Misdirected Request\r\nId: a\r\nContent-Length: 0\r\n\r\n"
+	for name, between := range map[string][]string{"on the next request": nil, "after another request": {"b"}} {
+		t.Run(name, func(t *testing.T) {
+			var first net.Conn
+			steps := []func(net.Conn, *bufio.Reader){func(c net.Conn, in *bufio.Reader) {
+				first = c
+				respond(refusal)(c, in)
+			}}
+			for _, id := range between {
+				steps = append(steps, respond(okResponse(id, "other")))
+			}
+			steps = append(steps, func(c net.Conn, in *bufio.Reader) {
+				copied := ""
+				if c == first {
+					copied = refusal
+				}
+				respond(copied+okResponse("a", "ran"))(c, in)
+			})
+			p, address := NewPool(), serveScript(t, steps...)
+			for _, id := range append([]string{"a"}, between...) {
+				if _, err := exchangeOnce(t, p, address, namedRequest(id)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if body, err := exchangeOnce(t, p, address, namedRequest("a")); err != nil || body != "ran" {
+				t.Errorf("response to the second attempt: %q, %v, want that of the server that ran it", body, err)
+			}
+		})
+	}
+}
+
+// Guards against a connection whose memory grows with each request that it carries.
+func TestConnectionIsReplacedBeforeItRemembersTooManyRequests(t *testing.T) {
+	const requests = 3 * maxCarriedIDs
+	var steps []func(net.Conn, *bufio.Reader)
+	for range requests {
+		steps = append(steps, func(c net.Conn, in *bufio.Reader) {
+			if r, err := http.ReadRequest(in); err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(c, okResponse(r.Header.Get("Id"), "ok"))
+			}
+		})
+	}
+	p, address := NewPool(), serveScript(t, steps...)
+	for n := range requests {
+		req := namedRequest(strconv.Itoa(n))
+		req.Header.Set("Id", req.ID)
+		if body, err := exchangeOnce(t, p, address, req); err != nil || body != "ok" {
+			t.Fatalf("response to request %d: %q, %v, want ok", n, body, err)
+		}
+	}
+	if n := p.TotalOpened(); n != 3 {
+		t.Errorf("%d connections opened for %d requests, want one for each %d", n, requests, maxCarriedIDs)
+	}
+}
--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -47,6 +47,8 @@
 	sent int
 	// skipped counts the responses to other requests that were skipped while the current one waited for its response.
 	skipped int
+	// carried holds the ids of the requests with one.
+	carried carriedIDs
 }
 
 func newConn(c net.Conn, address string) *conn {
@@ -59,6 +61,9 @@
 func (c *conn) roundTrip(ctx context.Context, req *Request) (*responseHead, error) {
 	c.sent++
 	c.skipped = 0
+	if req.ID != "" {
+		c.carried.add(req.ID)
+	}
 	c.send(req.encode())
 	for range maxStaleResponses + 1 {
 		a, err := c.readHead(req.Method)
@@ -67,6 +72,7 @@
 		}
 		if c.accepts(req, a) {
 			c.recordKeepAlive(a.header)
+			a.closesConn = a.closesConn || c.carried.full()
 			return a, nil
 		}
 		c.skipped++
@@ -155,6 +161,9 @@
 	}
 }
 
+// mayCarry reports whether the responses to a request can be told from those to the earlier requests on the connection.
+func (c *conn) mayCarry(req *Request) bool { return req.ID == "" || !c.carried.contains(req.ID) }
+
 // usable reports whether the idle connection can carry another request. With fresh set, it must have been idle for less
 // than maxFreshIdle.
 func (c *conn) usable(now time.Time, fresh bool) bool {
--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -53,7 +54,7 @@
 // the request at most once. Errors are of type *failure.Failure, with outcome NotRun if no byte was written and Unknown
 // otherwise.
 func (p *Pool) Send(ctx context.Context, address string, req *Request) (*Response, error) {
-	c, err := p.get(ctx, address, req.FreshConn)
+	c, err := p.get(ctx, address, req)
 	if err != nil {
 		return nil, err
 	}
@@ -76,8 +77,8 @@
 }
 
 // get returns an idle connection or opens one.
-func (p *Pool) get(ctx context.Context, address string, fresh bool) (*conn, error) {
-	if c := p.takeIdle(address, fresh, time.Now()); c != nil {
+func (p *Pool) get(ctx context.Context, address string, req *Request) (*conn, error) {
+	if c := p.takeIdle(address, req, time.Now()); c != nil {
 		return c, nil
 	}
 	c, err := p.dialer.DialContext(ctx, "tcp", address)
@@ -105,17 +106,20 @@
 	return false
 }
 
-// takeIdle returns the most recently used idle connection that is usable, and closes the unusable ones that it finds;
-// nil if there is none.
-func (p *Pool) takeIdle(address string, fresh bool, now time.Time) *conn {
+// takeIdle returns the most recently used idle connection that is usable and may carry the request, and closes the
+// unusable ones that it finds; nil if there is none.
+func (p *Pool) takeIdle(address string, req *Request, now time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	for len(list) > 0 {
-		c := list[len(list)-1]
-		list = list[:len(list)-1]
+	for n := len(list) - 1; n >= 0; n-- {
+		c := list[n]
+		if !c.mayCarry(req) {
+			continue
+		}
+		list = slices.Delete(list, n, n+1)
 		p.idle[address] = list
-		if c.usable(now, fresh) {
+		if c.usable(now, req.FreshConn) {
 			return c
 		}
 		_ = c.Close()
--- a/pkg/exchange/request.go
+++ b/pkg/exchange/request.go
@@ -14,6 +14,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// ID is what the responses name the request by; empty if they name none. Attempts of one request share it, so no
+	// connection carries it twice: a second copy of the response to one attempt could pass for that to another.
+	ID string
 	// Matches reports whether a response with this header belongs to the request; nil accepts every response.
 	Matches func(http.Header) bool
 	// Unnamed reports whether a response with this header names no request, in a protocol whose responses do; nil if they
--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -43,6 +43,7 @@
 			ServerID: c.server.ID, Remaining: j.remaining(time.Now()), Priority: -1, LastEventID: lastEvent,
 		}),
 		Body:      j.body,
+		ID:        j.meta.RequestID,
 		FreshConn: !j.route.Retryable(),
 		MaxIdle:   j.maxIdle,
 		Matches: func(h http.Header) bool {
