platform: orders and reports go over connections that carried nothing before

What could happen: the second copy of a response to an order or a report, late on a kept connection, was taken for the answer of the next one. A refused order counted as accepted, an accepted one as refused or fenced; a copied 412 gave the lease up, and an old report could hide an adapter that fills the last slot.

Change: such a call takes a connection that has carried no request, and leaves it to requests, whose responses are named.

--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -162,7 +162,12 @@
 }
 
 // mayCarry reports whether the responses to a request can be told from those to the earlier requests on the connection.
-func (c *conn) mayCarry(req *Request) bool { return req.ID == "" || !c.carried.contains(req.ID) }
+func (c *conn) mayCarry(req *Request) bool {
+	if req.UnusedConn && c.sent > 0 {
+		return false
+	}
+	return req.ID == "" || !c.carried.contains(req.ID)
+}
 
 // usable reports whether the idle connection can carry another request. With fresh set, it must have been idle for less
 // than maxFreshIdle.
--- a/pkg/exchange/request.go
+++ b/pkg/exchange/request.go
@@ -26,6 +26,9 @@
 	// FreshConn requires a connection that is new or was used within maxFreshIdle: a server may drop an idle connection
 	// without notice, and then it is unknown whether the request was executed.
 	FreshConn bool
+	// UnusedConn requires a connection that has carried no request, for a call whose responses name no request: on any
+	// other one, a second copy of an earlier response could pass for its own.
+	UnusedConn bool
 	// MaxIdle bounds the idle connections to the server that are kept when the response is complete; 0 for the default.
 	MaxIdle int
 }
