platform: each call to the store has a connection of its own

What could happen: the second copy of a response of the store passed for the response to the next call on its connection, whatever that was about: an older configuration for the newest one, a lease for a configuration, an empty read for a current one, a refusal for an append that took effect. Copies of appends and of reads with records were recognized by the offsets that they state.

Cause: the class of: responses of the store name no call at all.

Ruled out: more checks of the offsets that a response states. One that belongs to a call about another topic states an end that is too high, and would make all sound responses after it look old.

Change: exchange.Request.SingleUse. Pool.CloseIdle has no callers any more.

--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -72,7 +72,7 @@
 		}
 		if c.accepts(req, a) {
 			c.recordKeepAlive(a.header)
-			a.closesConn = a.closesConn || c.carried.full()
+			a.closesConn = a.closesConn || req.SingleUse || c.carried.full()
 			return a, nil
 		}
 		c.skipped++
@@ -163,7 +163,7 @@
 
 // mayCarry reports whether the responses to a request can be told from those to the earlier requests on the connection.
 func (c *conn) mayCarry(req *Request) bool {
-	if req.UnusedConn && c.sent > 0 {
+	if (req.UnusedConn || req.SingleUse) && c.sent > 0 {
 		return false
 	}
 	return req.ID == "" || !c.carried.contains(req.ID)
--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -141,18 +141,6 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
-// CloseIdle closes the idle connections to a server. After a request without a response they have probably gone silent as
-// well.
-func (p *Pool) CloseIdle(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.idle[address] {
-		_ = c.Close()
-		p.countClosed()
-	}
-	delete(p.idle, address)
-}
-
 // CloseExpired closes connections that have been idle for longer than the server's keep-alive timeout permits.
 func (p *Pool) CloseExpired(now time.Time) {
 	p.mu.Lock()
--- a/pkg/exchange/request.go
+++ b/pkg/exchange/request.go
@@ -29,6 +29,9 @@
 	// UnusedConn requires a connection that has carried no request, for a call whose responses name no request: on any
 	// other one, a second copy of an earlier response could pass for its own.
 	UnusedConn bool
+	// SingleUse is UnusedConn with a connection that carries no other request afterwards either, for a server whose
+	// responses never name their request.
+	SingleUse bool
 	// MaxIdle bounds the idle connections to the server that are kept when the response is complete; 0 for the default.
 	MaxIdle int
 }
@@ -38,6 +41,9 @@
 	var b bytes.Buffer
 	b.Grow(len(r.Body) + headBytesEstimate)
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	if r.SingleUse {
+		b.WriteString("Connection: close\r\n")
+	}
 	// Writing to a bytes.Buffer cannot fail.
 	_ = r.Header.Write(&b)
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
