agent: each request to the backend server has a connection of its own

What could happen on the product's own way: a backend server that writes a response a second time, late, answered the next call with it. A caller of a plain service got the answer to another call; a report of before counted as current; a copied 503 told that a generation had not run.

Plain services need not name the request, engines name it in event streams only, and net/http drops a connection only if the copy arrives while it is idle.

Ruled out: ids in all responses of the engine protocol. They would not help with plain services, whose protocol is not ours.

Change: the clients of both use one connection a request by default. Agent and backend server are on one host, so a connection costs a loopback handshake.

--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -24,9 +24,12 @@
 
 var _ Engine = (*Client)(nil)
 
-// NewClient returns a client of the engine at baseURL. A nil client means oncehttp.NewClient(). A Timeout of the HTTP
-// client would also end streams.
+// NewClient returns a client of the engine at baseURL. A nil client means oncehttp.NewSingleUseClient().
+// A Timeout of the HTTP client would also end streams.
 func NewClient(baseURL string, client *http.Client) *Client {
+	if client == nil {
+		client = oncehttp.NewSingleUseClient()
+	}
 	return &Client{baseURL: strings.TrimSuffix(baseURL, "/"), sender: oncehttp.New(client)}
 }
 
--- a/pkg/oncehttp/client.go
+++ b/pkg/oncehttp/client.go
@@ -31,3 +31,11 @@
 		MaxResponseHeaderBytes: MaxHeaderBytes,
 	}}
 }
+
+// NewSingleUseClient is NewClient with a connection of its own for each request: a faulty server may write a response a
+// second time, late, and on a connection in use again it would pass for the response to the next request.
+func NewSingleUseClient() *http.Client {
+	client := NewClient()
+	client.Transport.(*http.Transport).DisableKeepAlives = true
+	return client
+}
--- a/pkg/service/client.go
+++ b/pkg/service/client.go
@@ -18,8 +18,11 @@
 	sender  *oncehttp.Sender
 }
 
-// NewClient returns a client of the service at baseURL. A nil client means oncehttp.NewClient().
+// NewClient returns a client of the service at baseURL. A nil client means oncehttp.NewSingleUseClient().
 func NewClient(baseURL string, client *http.Client) *Client {
+	if client == nil {
+		client = oncehttp.NewSingleUseClient()
+	}
 	return &Client{baseURL: strings.TrimSuffix(baseURL, "/"), sender: oncehttp.New(client)}
 }
 
