gateway: each failed read of the store is logged with the delay after it

Hypotheses: a read fails for another reason than the outage; the backoff after the outage is too long by itself; the store answers, but with an older version; the lease holder relays an older one.

F0107 names each failed read with its reason and the time until the next one.

--- a/pkg/eventlog/catalog.go
+++ b/pkg/eventlog/catalog.go
@@ -22,6 +22,7 @@
 	StoredConfigOlder = register(106, log.WarnLevel, "stored configuration older", "The store holds an older configuration (stored) than the one in force, which stays in force: the store has lost an acknowledged one.")
 	CheckpointWritten = register(103, log.InfoLevel, "checkpoint written", "The daemon appended a checkpoint of a stream's state before the records that it replaces expire.")
 	CheckpointFailed  = register(104, log.WarnLevel, "checkpoint failed", "A checkpoint could not be appended; it will be retried.")
+	LogReadFailed     = register(107, log.InfoLevel, "log read failed", "One read of the platform log failed, for the reason given; failures counts those in a row, and the next read is next_in later.")
 	ConfigApplied     = register(110, log.InfoLevel, "configuration applied", "A published change set is in force at this daemon.")
 	ConfigRefused     = register(111, log.WarnLevel, "configuration refused", "A published change set conflicts with the configuration in force or is invalid; none of it is applied.")
 )
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -55,7 +55,7 @@
 		}
 		switch {
 		case err != nil:
-			sleep(ctx, dependency.backoff(c.View().Ready()))
+			sleep(ctx, dependency.retryDelay(err, c.View().Ready()))
 		case config != nil:
 			c.send(ctx, controlEvent{config: config, configAt: sent})
 		case c.View().Config == nil:
@@ -98,7 +98,7 @@
 		dependency.record(err)
 		if err != nil {
 			failed = true
-			sleep(ctx, dependency.backoff(c.View().Ready()))
+			sleep(ctx, dependency.retryDelay(err, c.View().Ready()))
 			continue
 		}
 		c.send(ctx, controlEvent{servers: &serverEvent{changes: changes, afterOutage: failed, sentAt: sent}})
@@ -142,6 +142,13 @@
 	return retry.DoublingDelay(minReadBackoff, limit, d.failures-1)
 }
 
+// retryDelay returns the delay after a failed read and logs it with the failure.
+func (d *dependencyState) retryDelay(err error, ready bool) time.Duration {
+	delay := d.backoff(ready)
+	d.log.Log(eventlog.LogReadFailed, "dependency", d.name, "failures", d.failures, "next_in", delay, "reason", err)
+	return delay
+}
+
 func (d *dependencyState) record(err error) {
 	if err == nil {
 		d.failures = 0
