gateway: a read that the store has served does not lengthen the backoff

What could happen: an operator's configuration that cannot be used, written by another writer, or a list that cannot be decoded, counted as one more failure of an outage. The next read came up to 3 s later and timed out later too, though the store had answered. With 2.5 s to apply a change that is too late.

Change: an error with outcome ran, which means that the store has served the read, ends the row of failures. The next read comes after the shortest delay, 250 ms, so that content that stays unusable is not read in a loop. F0100 is for a store that does not answer or refuses.

Test: TestServedReadDoesNotLengthenTheBackoff fails on the code before.

--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"trefoilferry.example/ferry/pkg/eventlog"
+	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/fleet"
 	"trefoilferry.example/ferry/pkg/retry"
 )
@@ -40,7 +41,7 @@
 		sent := time.Now()
 		config, err := c.readConfig(ctx, source, wait, dependency.failures)
 		dependency.record(err)
-		c.storeUnavailable.Store(err != nil)
+		c.storeUnavailable.Store(dependency.unavailable)
 		if err == nil {
 			lastRead = sent
 		}
@@ -132,6 +133,10 @@
 	failures int
 }
 
+// answered reports whether the dependency has answered a read. One that it has served, but whose content cannot be used,
+// says nothing about its state.
+func answered(err error) bool { return err == nil || failure.From(err).Outcome == failure.Ran }
+
 // backoff returns the delay after the last failure. ready is set when the daemon can serve with what it has read
 // before.
 func (d *dependencyState) backoff(ready bool) time.Duration {
@@ -150,16 +155,17 @@
 }
 
 func (d *dependencyState) record(err error) {
-	if err == nil {
+	available := answered(err)
+	if available {
 		d.failures = 0
 	} else {
 		d.failures++
 	}
 	switch {
-	case err != nil && !d.unavailable:
+	case !available && !d.unavailable:
 		d.unavailable, d.since = true, time.Now()
 		d.log.Log(eventlog.LogUnavailable, "dependency", d.name, "reason", err)
-	case err == nil && d.unavailable:
+	case available && d.unavailable:
 		d.unavailable = false
 		d.log.Log(eventlog.LogRecovered, "dependency", d.name, "after", time.Since(d.since).Round(time.Millisecond))
 	}
--- a/pkg/gateway/follow_test.go
+++ b/pkg/gateway/follow_test.go
@@ -121,6 +121,26 @@
 	}
 }
 
+// Guards against a change that is applied too late because a read that the store has served, with content that cannot be
+// used, counts as one more failure of an outage: the next read then came only after the longest delay, or timed out late.
+func TestServedReadDoesNotLengthenTheBackoff(t *testing.T) {
+	d := dependencyState{log: eventlog.Discard()}
+	for range 8 {
+		d.record(failure.New(failure.LogUnavailable, failure.NotRun, "away"))
+	}
+	if delay := d.backoff(true); delay != maxReadBackoff {
+		t.Fatalf("delay after 8 failures: %v, want %v", delay, maxReadBackoff)
+	}
+	d.record(failure.New(failure.RecordInvalid, failure.Ran, "a record of another writer"))
+	if delay := d.backoff(true); delay != minReadBackoff || d.failures != 0 || d.unavailable {
+		t.Errorf("after a read that was served: delay %v, %d failures, unavailable %v, want %v, none and available", delay, d.failures, d.unavailable, minReadBackoff)
+	}
+	d.record(failure.New(failure.LogUnavailable, failure.Unknown, "no answer"))
+	if delay := d.backoff(true); delay != minReadBackoff || !d.unavailable {
+		t.Errorf("after a failure: delay %v, unavailable %v, want %v and unavailable", delay, d.unavailable, minReadBackoff)
+	}
+}
+
 // changingConfig is a ConfigSource with version 1 at the first read and version 2 in the middle of the first long poll.
 // It sends the wait of each read after that to waits.
 type changingConfig struct {
