lease: a call that the store has served does not lengthen the backoff

What could happen: a lease record that is read with content that cannot be decoded counted as one more failure of an outage, so that the holder renewed, or another daemon took over, up to 1.5 s later.

A lost condition was already no failure.

Change: an error with outcome ran ends the row of failures; the call is repeated after the first delay, 300 ms.

Test: TestServedCallDoesNotLengthenTheBackoff; its first case fails on the code before (6 failures).

--- a/pkg/lease/elector.go
+++ b/pkg/lease/elector.go
@@ -53,14 +53,18 @@
 	maxBackoff     = 1500 * time.Millisecond
 )
 
-// recordStoreCall updates the backoff with the result of a call to the store.
-func (e *Elector) recordStoreCall(ok bool) {
-	if ok {
+// recordStoreCall updates the backoff with the result of a call to the store. A call that the store has served, with
+// content that cannot be used, is repeated after the first delay and does not lengthen the next ones.
+func (e *Elector) recordStoreCall(err error) {
+	switch {
+	case err == nil || failure.HasCode(err, failure.PublishConflict):
 		e.failures, e.retryAt = 0, 0
-		return
+	case failure.From(err).Outcome == failure.Ran:
+		e.failures, e.retryAt = 0, e.now()+initialBackoff
+	default:
+		e.retryAt = e.now() + retry.DoublingDelay(initialBackoff, maxBackoff, e.failures)
+		e.failures++
 	}
-	e.retryAt = e.now() + retry.DoublingDelay(initialBackoff, maxBackoff, e.failures)
-	e.failures++
 }
 
 // NewElector returns an elector for the daemon of that name and address on a host with that many cores (0 if unknown);
@@ -134,7 +138,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.recordStoreCall(err == nil)
+	e.recordStoreCall(err)
 	if err != nil || !found {
 		return
 	}
@@ -158,7 +162,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.recordStoreCall(err == nil)
+	e.recordStoreCall(err)
 	if err != nil {
 		return
 	}
@@ -219,13 +223,13 @@
 	defer e.mu.Unlock()
 	if err != nil {
 		e.machine.ApplyWriteFailure(sent)
-		e.recordStoreCall(failure.HasCode(err, failure.PublishConflict))
+		e.recordStoreCall(err)
 		if !failure.HasCode(err, failure.PublishConflict) {
 			e.log.Log(eventlog.LeaseNotWritten, "token", rec.Token, "reason", err)
 		}
 		return
 	}
-	e.recordStoreCall(true)
+	e.recordStoreCall(nil)
 	e.machine.ApplyWrite(rec, position, sent)
 	if !wasHeld && e.machine.held {
 		e.log.Log(eventlog.LeaseTaken, "token", rec.Token, "first_order_in", e.machine.ordersFrom-sent)
