gateway: the time of a hanging read counts towards the delay after it

What could happen: in an outage without answers, a read that was sent just before its end took its whole timeout, and up to 3 s of delay followed. By the constants that is 5 s between two reads; the deadline for changes starts 4 s after an outage.

Change: the delay is the time between the starts of two reads, and at least 250 ms.

Test: TestHangingReadCountsTowardsTheDelayAfterIt fails on the code before (5 s, at most 3 s).

--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -56,7 +56,7 @@
 		}
 		switch {
 		case err != nil:
-			sleep(ctx, dependency.retryDelay(err, c.View().Ready()))
+			sleep(ctx, dependency.retryDelay(err, c.View().Ready(), time.Since(sent)))
 		case config != nil:
 			c.send(ctx, controlEvent{config: config, configAt: sent})
 		case c.View().Config == nil:
@@ -99,7 +99,7 @@
 		dependency.record(err)
 		if err != nil {
 			failed = true
-			sleep(ctx, dependency.retryDelay(err, c.View().Ready()))
+			sleep(ctx, dependency.retryDelay(err, c.View().Ready(), time.Since(sent)))
 			continue
 		}
 		c.send(ctx, controlEvent{servers: &serverEvent{changes: changes, afterOutage: failed, sentAt: sent}})
@@ -147,9 +147,10 @@
 	return retry.DoublingDelay(minReadBackoff, limit, d.failures-1)
 }
 
-// retryDelay returns the delay after a failed read and logs it with the failure.
-func (d *dependencyState) retryDelay(err error, ready bool) time.Duration {
-	delay := d.backoff(ready)
+// retryDelay returns the delay after a failed read and logs it with the failure. The time that the read took counts towards
+// it: a read that hangs until its timeout may have been sent just before the end of an outage.
+func (d *dependencyState) retryDelay(err error, ready bool, took time.Duration) time.Duration {
+	delay := max(d.backoff(ready)-took, minReadBackoff)
 	d.log.Log(eventlog.LogReadFailed, "dependency", d.name, "failures", d.failures, "next_in", delay, "reason", err)
 	return delay
 }
--- a/pkg/gateway/follow_test.go
+++ b/pkg/gateway/follow_test.go
@@ -141,6 +141,24 @@
 	}
 }
 
+// Guards against a change that is applied too late after an outage in which reads hang: the read that was sent just before
+// its end took its whole timeout, and the longest delay followed.
+func TestHangingReadCountsTowardsTheDelayAfterIt(t *testing.T) {
+	d := dependencyState{log: eventlog.Discard()}
+	timing := NewPollTiming(2500 * time.Millisecond)
+	away := failure.New(failure.LogUnavailable, failure.Unknown, "no answer")
+	for range 10 {
+		took := timing.readTimeout(d.failures)
+		d.record(away)
+		if between := took + d.retryDelay(away, true, took); between > maxReadBackoff {
+			t.Errorf("time between two reads after %d failures: %v, want at most %v", d.failures, between, maxReadBackoff)
+		}
+	}
+	if delay := d.retryDelay(away, true, maxReadTimeout+maxReadBackoff); delay < minReadBackoff {
+		t.Errorf("delay after a read that took longer than the delay: %v, want at least %v", delay, minReadBackoff)
+	}
+}
+
 // changingConfig is a ConfigSource with version 1 at the first read and version 2 in the middle of the first long poll.
 // It sends the wait of each read after that to waits.
 type changingConfig struct {
