--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -93,7 +93,7 @@
 // are rejected unread: they do not come from a backend server, and their body may have no end.
 func readFullResponse(resp *exchange.Response, meta ResponseMeta, budget *bufferBudget) attemptResult {
 	defer resp.Close()
-	if !meta.Signed || resp.Header.Get("Content-Encoding") != "" {
+	if !meta.Signed || hasContentCoding(resp.Header) {
 		return attemptResult{fail: failure.New(failure.FrameMismatch, failure.Unknown, "the response is not signed by a backend server or has a content coding")}
 	}
 	body, reserved, err := budget.readAll(resp)
--- a/pkg/gateway/resumption.go
+++ b/pkg/gateway/resumption.go
@@ -23,7 +23,7 @@
 	if !r.started {
 		return &resumption{begun: true}, nil
 	}
-	if got := mediaType(resp.Header); got != r.mediaType || resp.Header.Get("Content-Encoding") != "" {
+	if got := mediaType(resp.Header); got != r.mediaType || hasContentCoding(resp.Header) {
 		return nil, notResumed(r.lastEvent, "the response is of type "+strconv.Quote(got))
 	}
 	return &resumption{lastEvent: r.lastEvent}, nil
--- a/pkg/gateway/run_attempt.go
+++ b/pkg/gateway/run_attempt.go
@@ -66,7 +66,7 @@
 	}
 	prompt.begun = true
 	f.backend.tracker.RecordResponse(c.server.ID)
-	if j.bufferResponse() || resp.Status != 200 || !respMeta.Signed {
+	if j.bufferResponse() || resp.Status != 200 || !respMeta.Signed || hasContentCoding(resp.Header) {
 		a := readFullResponse(resp, respMeta, &f.buffers)
 		if a.fail != nil {
 			a.fail = f.classifyFailure(ctx, j, c, prompt, a.fail)
