--- a/pkg/availability/table.go
+++ b/pkg/availability/table.go
@@ -39,7 +39,9 @@
 	// Leaving is final: a response without the mark was given before it, or the mark was forgotten in it.
 	if a.Leaving {
 		r := t.get(server)
-		r.lastAt = a.At
+		if a.At.After(r.lastAt) {
+			r.lastAt = a.At
+		}
 		if !r.leaving {
 			r.leaving, r.leavingSince = true, a.At
 			changes = append(changes, Change{Kind: LeavingBegan, Server: server, Source: a.Source, Age: a.At.Sub(a.SentAt)})
@@ -189,6 +191,22 @@
 	return !current && !mayReturn
 }
 
+// Marks returns the incarnations that have said that they leave and for which wanted returns true, in no order.
+func (t *Table) Marks(wanted func(Mark) bool) []Mark {
+	if t == nil {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Mark
+	for server, r := range t.records {
+		if m := (Mark{Server: server, Since: r.leavingSince}); r.leaving && wanted(m) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // Count returns the numbers of servers that have said that they leave and of those that pause now.
 func (t *Table) Count(now time.Time) (leaving, paused int) {
 	if t == nil {
--- a/pkg/coordinator/report.go
+++ b/pkg/coordinator/report.go
@@ -100,6 +100,7 @@
 	c.setReport(report.Daemon, &daemonReport{receivedAt: now, work: decodeWork(report.Work)})
 	c.applyEvidence(report, now)
 	c.applyLimits(report, now)
+	c.applyLeaving(report, now)
 	if now.Sub(c.judgedAt) >= minJudgeInterval && c.judge.Pending(now) {
 		c.judgeCrashes(now)
 	}
@@ -165,6 +166,7 @@
 	now := time.Now()
 	c.addQuarantine(out, now)
 	c.addLimits(out, report.Daemon, now)
+	c.addLeaving(out, now)
 	addStoreState(out, c.fleet.View(), report, now)
 	return out
 }
--- a/pkg/coordinator/reporter.go
+++ b/pkg/coordinator/reporter.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/availability"
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/gateway"
@@ -72,18 +73,21 @@
 	view       *runnerView
 	evidence   *evidenceReporter
 	limits     *limitReporter
+	leaving    *leavingReporter
 	source     string
 	holderLost bool
 	// refusedRelay is why the last relayed configuration was refused that a line was written for.
 	refusedRelay string
 }
 
-// NewReporter returns a reporter for the named daemon; local is the coordinator of this process.
-func NewReporter(name string, l Lease, local *Coordinator, control *gateway.Control, demand *gateway.Demand, tracker *gateway.Tracker, board *quarantine.Board, limits *serverlimit.Table, log *eventlog.Logger) *Reporter {
+// NewReporter returns a reporter for the named daemon; local is the coordinator of this process, and servers holds what
+// backend servers have said about taking requests.
+func NewReporter(name string, l Lease, local *Coordinator, control *gateway.Control, demand *gateway.Demand, tracker *gateway.Tracker, board *quarantine.Board, limits *serverlimit.Table, servers *availability.Table, log *eventlog.Logger) *Reporter {
 	return &Reporter{name: name, lease: l, local: local, demand: demand, tracker: tracker, control: control, log: log,
 		client: &http.Client{Timeout: reportTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true,
 			IdleConnTimeout: 5 * time.Second, MaxResponseHeaderBytes: oncehttp.MaxHeaderBytes}},
-		clients: map[string]ferrypb.Coordinator{}, view: newRunnerView(), evidence: newEvidenceReporter(board, log), limits: &limitReporter{table: limits}}
+		clients: map[string]ferrypb.Coordinator{}, view: newRunnerView(), evidence: newEvidenceReporter(board, log), limits: &limitReporter{table: limits},
+		leaving: &leavingReporter{table: servers}}
 }
 
 // Run sends reports until ctx ends.
@@ -123,6 +127,7 @@
 	sent := time.Now()
 	r.evidence.addTo(message, sent)
 	r.limits.addTo(message, sent)
+	r.leaving.addTo(message, sent)
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	view, err := target.Report(ctx, message)
@@ -141,6 +146,7 @@
 	r.applyPlacement(ctx, view)
 	r.evidence.apply(view, message, sent)
 	r.limits.apply(view, time.Now())
+	r.leaving.apply(view, time.Now())
 	if !cutOff {
 		r.applyStoreState(ctx, view, sent)
 	}
--- a/pkg/coordinator/two_holders_test.go
+++ b/pkg/coordinator/two_holders_test.go
@@ -138,7 +138,7 @@
 		if self > 0 {
 			clients[holderName(self)] = local
 		}
-		reporter := NewReporter(fmt.Sprint("d", self), l, local, control, gateway.NewDemand(), gateway.NewTracker(), quarantine.NewBoard(), serverlimit.NewTable(rand.Float64), eventlog.Discard())
+		reporter := NewReporter(fmt.Sprint("d", self), l, local, control, gateway.NewDemand(), gateway.NewTracker(), quarantine.NewBoard(), serverlimit.NewTable(rand.Float64), nil, eventlog.Discard())
 		reporter.clients = clients
 		reporters = append(reporters, reporter)
 		time.AfterFunc(firstCut, func() { source.hangs.Store(1) })
