--- a/pkg/gateway/choice.go
+++ b/pkg/gateway/choice.go
@@ -21,6 +21,9 @@
 	limited bool
 	// limitWait is how long the request will then wait for one of them.
 	limitWait time.Duration
+	// leaving and paused are set if a server that holds what the request needs was passed over for that reason.
+	leaving bool
+	paused  bool
 	// pause is set, without a server, if all servers that can run the request pause or leave.
 	pause *pausedServers
 }
--- a/pkg/gateway/chooser.go
+++ b/pkg/gateway/chooser.go
@@ -97,6 +97,8 @@
 	return choice{
 		server: view.Servers[best.Runner], candidates: len(candidates), predicted: best.Prediction.FirstToken,
 		prefill: prefill[best.Runner], reportAge: now.Sub(view.ServersAt),
+		leaving: slices.ContainsFunc(known, func(c routing.Candidate) bool { return c.Draining }),
+		paused:  slices.ContainsFunc(known, func(c routing.Candidate) bool { return c.PauseLeft > 0 }),
 	}, true
 }
 
--- a/pkg/gateway/chooser_test.go
+++ b/pkg/gateway/chooser_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"trefoilferry.example/ferry/pkg/availability"
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/fleet"
 )
@@ -203,3 +204,27 @@
 		t.Errorf("no runner chosen %v after the refusals, want one", notLoadedTTL)
 	}
 }
+
+// Guards against operators that cannot see how many requests go elsewhere because servers leave or pause.
+func TestChoiceTellsWhatWasPassedOver(t *testing.T) {
+	view, work, c := modelView(3), NewTracker(), testChooser()
+	c.availability = availability.NewTable(func() float64 { return 0 }, func(availability.Change) {})
+	passedOver := func() (leaving, paused bool) {
+		got, ok := c.choose(modelJob("id", "", 100, 100), view, work, now)
+		if !ok {
+			t.Fatal("no runner chosen, want one")
+		}
+		return got.leaving, got.paused
+	}
+	if leaving, paused := passedOver(); leaving || paused {
+		t.Errorf("while all servers take requests: leaving %v, paused %v, want neither", leaving, paused)
+	}
+	c.availability.Record(availability.Incarnation{ID: "r0", StartMillis: 1}, availability.Answer{Leaving: true, SentAt: now, At: now})
+	if leaving, paused := passedOver(); !leaving || paused {
+		t.Errorf("while a server leaves: leaving %v, paused %v, want the first", leaving, paused)
+	}
+	c.availability.Record(availability.Incarnation{ID: "r1", StartMillis: 1}, availability.Answer{Pause: time.Second, SentAt: now, At: now})
+	if leaving, paused := passedOver(); !leaving || !paused {
+		t.Errorf("while one leaves and one pauses: leaving %v, paused %v, want both", leaving, paused)
+	}
+}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -20,6 +20,7 @@
 	crashes    prometheus.Counter
 	suspects   prometheus.Histogram
 	pauses     prometheus.Counter
+	turned     *prometheus.CounterVec
 }
 
 // latencyBuckets are bucket bounds in seconds, from plain responses of some milliseconds to long streams.
@@ -39,7 +40,8 @@
 	m.crashes = prometheus.NewCounter(prometheus.CounterOpts{Name: "ferry_gateway_server_crashes_total", Help: "Servers that ended with requests of this daemon in progress."})
 	m.suspects = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "ferry_gateway_crash_suspects", Help: "Requests at a server that crashed without a response that it survived.", Buckets: prometheus.ExponentialBuckets(1, 2, 7)})
 	m.pauses = prometheus.NewCounter(prometheus.CounterOpts{Name: "ferry_gateway_pause_refusals_total", Help: "Requests refused because all servers that can run them pause or leave."})
-	registry.MustRegister(m.requests, m.results, m.attempts, m.durations, m.firstEvent, m.aborted, m.silences, m.crashes, m.suspects, m.pauses)
+	m.turned = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_turned_attempts_total", Help: "Attempts for which a server that could run the request was passed over, because it leaves or pauses."}, []string{"reason"})
+	registry.MustRegister(m.requests, m.results, m.attempts, m.durations, m.firstEvent, m.aborted, m.silences, m.crashes, m.suspects, m.pauses, m.turned)
 	return m
 }
 
@@ -79,6 +81,16 @@
 
 func (m *Metrics) recordPauseRefusal() { m.pauses.Inc() }
 
+// recordTurned counts an attempt for which servers were passed over.
+func (m *Metrics) recordTurned(c *choice) {
+	if c.leaving {
+		m.turned.WithLabelValues("leaving").Inc()
+	}
+	if c.paused {
+		m.turned.WithLabelValues("paused").Inc()
+	}
+}
+
 func (m *Metrics) recordCrash(suspects int) {
 	m.crashes.Inc()
 	m.suspects.Observe(float64(suspects))
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -203,6 +203,7 @@
 		return f.pickServer(ctx, j, p)
 	}
 	f.backend.limits.RecordSend(c.server.ID, time.Now())
+	f.metrics.recordTurned(&c)
 	return &c, nil
 }
 
