--- a/pkg/eventlog/async_writer_test.go
+++ b/pkg/eventlog/async_writer_test.go
@@ -55,3 +55,34 @@
 		t.Errorf("lines written of 500 at a limit of 50 a second: %d, want at most 100", n)
 	}
 }
+
+// Guards against a stopping process that ends with a panic, because something still in progress logs after the log is
+// closed.
+func TestLineAfterCloseEndsNoProcess(t *testing.T) {
+	var out strings.Builder
+	w := NewAsyncWriter(&out, 1_000_000)
+	var writers sync.WaitGroup
+	stop := make(chan struct{})
+	for range 4 {
+		writers.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					_, _ = w.Write([]byte("late\n"))
+				}
+			}
+		})
+	}
+	_, _ = w.Write([]byte("line\n"))
+	w.Close(5 * time.Second)
+	written := out.Len()
+	_, _ = w.Write([]byte("after\n"))
+	close(stop)
+	writers.Wait()
+	w.Close(5 * time.Second)
+	if out.Len() != written || strings.Contains(out.String(), "after") {
+		t.Errorf("%d bytes were written after the log was closed, want none", out.Len()-written)
+	}
+}
