--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -79,14 +79,14 @@
 	}
 }
 
-// refusalFailure returns the failure for a response that declares that the request was not executed. It names the requests
-// before it on the connection: a faulty server may write the response to one of them once more.
+// refusalFailure returns the failure for a response that declares that the request was not executed. Its cause, which only
+// logs show, names the requests before it on the connection: a faulty server may write the response to one of them again.
 func refusalFailure(resp *exchange.Response) *failure.Failure {
-	connection := ", on a connection that had carried " + strconv.Itoa(resp.Earlier) + " requests"
+	code, text := failure.Overloaded, "the server refused the request with status "+strconv.Itoa(resp.Status)
 	if resp.Status == http.StatusMisdirectedRequest {
-		return failure.New(failure.WrongIncarnation, failure.NotRun, "the server at the address is another incarnation or has not loaded the model"+connection)
+		code, text = failure.WrongIncarnation, "the server at the address is another incarnation or has not loaded the model"
 	}
-	return failure.New(failure.Overloaded, failure.NotRun, "the server refused the request with status "+strconv.Itoa(resp.Status)+connection)
+	return failure.Wrap(code, failure.NotRun, text, failure.New(code, failure.NotRun, "the connection had carried "+strconv.Itoa(resp.Earlier)+" requests"))
 }
 
 // readFullResponse reads a whole response within the budget. Responses without the signature, or with a content coding,
