--- a/pkg/gateway/attempt_result.go
+++ b/pkg/gateway/attempt_result.go
@@ -4,12 +4,15 @@
 	"net/http"
 
 	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/verdict"
 )
 
 // attemptResult is the result of sending a request to one server.
 type attemptResult struct {
 	// fail is nil when the stream was delivered completely, or when response holds a successful response.
 	fail *failure.Failure
+	// head is that of the server's response; its zero value stands for none.
+	head verdict.Response
 	// response is a complete response that has not been written to the caller yet. It is also set, together with fail,
 	// for a signed error response of the server.
 	response *bufferedResponse
--- a/pkg/gateway/availability.go
+++ b/pkg/gateway/availability.go
@@ -37,7 +37,7 @@
 // recordAvailability records what a response says for the incarnation to which the request was sent.
 func (b *backend) recordAvailability(server *fleet.Server, j *job, meta *ResponseMeta, sentAt, now time.Time) {
 	b.availability.Record(incarnationOf(server), availability.Answer{
-		Leaving: meta.Leaving, Pause: meta.Pause, Accepted: !meta.NotRun, SentAt: sentAt, At: now, Source: "response to " + j.meta.RequestID,
+		Leaving: meta.Leaving, Pause: meta.Pause, Accepted: !meta.Head.NotRun(), SentAt: sentAt, At: now, Source: "response to " + j.meta.RequestID,
 	})
 }
 
--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -12,6 +12,7 @@
 	"trefoilferry.example/ferry/pkg/exchange"
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/serverlimit"
+	"trefoilferry.example/ferry/pkg/verdict"
 )
 
 // maxBufferedBytes bounds a response body that is buffered, and a request body when the configuration sets no limit.
@@ -57,11 +58,12 @@
 		return nil, ResponseMeta{}, failure.From(err)
 	}
 	meta := b.codec.DecodeResponse(resp.Status, resp.Header)
+	meta.Head.Encoded = hasContentCoding(resp.Header)
 	now := time.Now()
 	b.tracker.RecordLoad(c.server.ID, meta.Load, now)
 	b.recordLimit(c.server.ID, meta.Limit, now)
 	b.recordAvailability(&c.server, j, &meta, sentAt, now)
-	if meta.NotRun {
+	if meta.Head.NotRun() {
 		defer resp.Close()
 		if resp.Length >= 0 && resp.Length <= maxRefusalBytes {
 			// The body is drained so that the connection can be reused; errors do not matter.
@@ -91,9 +93,9 @@
 
 // readFullResponse reads a whole response within the budget. Responses without the signature, or with a content coding,
 // are rejected unread: they do not come from a backend server, and their body may have no end.
-func readFullResponse(resp *exchange.Response, meta ResponseMeta, budget *bufferBudget) attemptResult {
+func readFullResponse(resp *exchange.Response, head verdict.Response, budget *bufferBudget) attemptResult {
 	defer resp.Close()
-	if !meta.Signed || hasContentCoding(resp.Header) {
+	if !head.Signed || head.Encoded {
 		return attemptResult{fail: failure.New(failure.FrameMismatch, failure.Unknown, "the response is not signed by a backend server or has a content coding")}
 	}
 	body, reserved, err := budget.readAll(resp)
--- a/pkg/gateway/backend_test.go
+++ b/pkg/gateway/backend_test.go
@@ -13,6 +13,7 @@
 	"trefoilferry.example/ferry/pkg/exchange"
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/serverlimit"
+	"trefoilferry.example/ferry/pkg/verdict"
 )
 
 // namedCodec reads the request id from the header Id, and a refusal from the header Refused.
@@ -20,8 +21,8 @@
 
 func (namedCodec) AttemptHeader(h http.Header, _ AttemptMeta) http.Header { return h }
 
-func (namedCodec) DecodeResponse(_ int, h http.Header) ResponseMeta {
-	return ResponseMeta{RequestID: h.Get("Id"), NotRun: h.Get("Refused") != "", Signed: h.Get("Signed") != ""}
+func (namedCodec) DecodeResponse(status int, h http.Header) ResponseMeta {
+	return ResponseMeta{RequestID: h.Get("Id"), Head: verdict.Response{Status: status, Declared: h.Get("Refused") != "", Signed: h.Get("Signed") != ""}}
 }
 
 // serveAnswers starts a server that writes answers[n] for the nth request of a connection and then closes it. It returns
--- a/pkg/gateway/endless_test.go
+++ b/pkg/gateway/endless_test.go
@@ -17,6 +17,7 @@
 	"trefoilferry.example/ferry/pkg/exchange"
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/serverlimit"
+	"trefoilferry.example/ferry/pkg/verdict"
 )
 
 // repeatReader returns the same bytes without end.
@@ -104,7 +105,7 @@
 	defer cancel()
 	address := serveRaw(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", time.Millisecond)
 	began := time.Now()
-	a := readFullResponse(sendTo(ctx, t, address), ResponseMeta{}, &bufferBudget{})
+	a := readFullResponse(sendTo(ctx, t, address), verdict.Response{Status: http.StatusOK}, &bufferBudget{})
 	if a.fail == nil || a.fail.Code != failure.FrameMismatch || a.fail.Outcome != failure.Unknown || time.Since(began) > time.Second {
 		t.Errorf("unsigned body without end: %v after %v, want code %s at once", a.fail, time.Since(began), failure.FrameMismatch)
 	}
@@ -131,7 +132,7 @@
 func (refusingCodec) AttemptHeader(h http.Header, _ AttemptMeta) http.Header { return h }
 
 func (refusingCodec) DecodeResponse(_ int, h http.Header) ResponseMeta {
-	return ResponseMeta{NotRun: h.Get("Refused") != ""}
+	return ResponseMeta{Head: verdict.Response{Status: http.StatusServiceUnavailable, Declared: h.Get("Refused") != ""}}
 }
 
 // plainCodec passes response headers on unchanged.
--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -50,7 +50,7 @@
 	}
 	f.metrics.recordServed(j, time.Since(j.arrived), p.relay.firstEvent(j.arrived))
 	f.log.Log(eventlog.RequestServed, "request", j.meta.RequestID, "route", j.route.Name, "version", j.version,
-		"server", c.server.ID, "candidates", c.candidates, "predicted", c.predicted, "took", time.Since(j.arrived),
+		"server", c.server.ID, "status", a.head.Status, "candidates", c.candidates, "predicted", c.predicted, "took", time.Since(j.arrived),
 		"first_event", p.relay.firstEvent(j.arrived), "longest_pause", p.relay.longestPause, "prefill", c.prefill,
 		"sent", p.sent+1, "refused", p.refused, "unreached", p.unreached,
 		"superseded", strings.Join(a.superseded, ","))
@@ -71,7 +71,8 @@
 // with an error of the gateway. A stream that has begun is aborted.
 func (f *Forwarder) failRequest(w http.ResponseWriter, j *job, p *progress, fail *failure.Failure) {
 	f.metrics.recordFailure(j, fail)
-	f.logFailure(j, p, fail)
+	told := p.callersFailure(fail)
+	f.logFailure(j, p, fail, p.toldStatus(told))
 	if p.relay.started {
 		f.metrics.recordAborted(fail)
 		// The response header has been sent, so only an aborted connection shows the caller that the stream is incomplete.
@@ -81,19 +82,38 @@
 		f.writeResponse(w, p.failureResponse)
 		return
 	}
+	f.writeFailure(w, told)
+}
+
+// callersFailure returns the failure that the caller of a request is told when its last step failed.
+func (p *progress) callersFailure(fail *failure.Failure) *failure.Failure {
 	if p.outcome != failure.NotRun && fail.Outcome == failure.NotRun {
-		fail = failure.Wrap(p.last.Code, p.outcome, "an earlier attempt may have been executed", fail)
+		return failure.Wrap(p.last.Code, p.outcome, "an earlier attempt may have been executed", fail)
+	}
+	return fail
+}
+
+// toldStatus returns the status of the response that ends a failed request; 0 if a stream is aborted.
+func (p *progress) toldStatus(told *failure.Failure) int {
+	switch {
+	case p.relay.started:
+		return 0
+	case p.failureResponse != nil:
+		return p.failureResponse.status
+	default:
+		return failureStatus(told)
 	}
-	f.writeFailure(w, fail)
 }
 
-func (f *Forwarder) logFailure(j *job, p *progress, fail *failure.Failure) {
+// logFailure logs a failed request with the status that its caller is told.
+func (f *Forwarder) logFailure(j *job, p *progress, fail *failure.Failure, told int) {
+	f.metrics.recordTold(told, p.outcome)
 	event := eventlog.RequestFailed
 	if p.outcome == failure.NotRun && fail.Outcome == failure.NotRun {
 		event = eventlog.RequestRefused
 	}
 	f.log.Log(event, "request", j.meta.RequestID, "route", j.route.Name, "version", j.version, "model", j.meta.Model,
-		"adapter", j.meta.Adapter, "code", fail.Code, "outcome", p.outcome, "took", time.Since(j.arrived),
+		"adapter", j.meta.Adapter, "code", fail.Code, "outcome", p.outcome, "told", told, "took", time.Since(j.arrived),
 		"sent", p.sent, "refused", p.refused, "unreached", p.unreached, "retry_after", fail.RetryAfter,
 		"not_retried", p.obstacle, "aborted", p.relay.started, "reason", fail)
 }
@@ -101,8 +121,9 @@
 // rejectRequest responds to a request that failed before its first attempt.
 func (f *Forwarder) rejectRequest(w http.ResponseWriter, j *job, fail *failure.Failure) {
 	f.log.Log(eventlog.RequestRefused, "request", j.meta.RequestID, "host", j.host, "path", requestPath(j.target), "code", fail.Code,
-		"version", f.control.configVersion(), "reason", fail)
+		"told", failureStatus(fail), "version", f.control.configVersion(), "reason", fail)
 	f.metrics.recordRefusal(fail)
+	f.metrics.recordTold(failureStatus(fail), fail.Outcome)
 	if fail.Code == failure.ClientCancelled {
 		f.metrics.recordAborted(fail)
 		panic(http.ErrAbortHandler)
--- a/pkg/gateway/hedged_request.go
+++ b/pkg/gateway/hedged_request.go
@@ -171,7 +171,7 @@
 func (s *hedgedRequest) recordFailure(a *hedgedAttempt) {
 	s.p.record(a.result)
 	s.p.recordTried(s.j, &a.choice, a.result.fail)
-	s.f.logAttempt(s.j, &a.choice, s.p, a.result.fail)
+	s.f.logAttempt(s.j, &a.choice, s.p, &a.result)
 }
 
 // cancelOthers ends the attempts in progress and returns their servers. It waits for them, so that none outlasts the
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -20,6 +21,7 @@
 	crashes    prometheus.Counter
 	suspects   prometheus.Histogram
 	pauses     prometheus.Counter
+	told       *prometheus.CounterVec
 	turned     *prometheus.CounterVec
 }
 
@@ -41,7 +43,8 @@
 	m.suspects = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "ferry_gateway_crash_suspects", Help: "Requests at a server that crashed without a response that it survived.", Buckets: prometheus.ExponentialBuckets(1, 2, 7)})
 	m.pauses = prometheus.NewCounter(prometheus.CounterOpts{Name: "ferry_gateway_pause_refusals_total", Help: "Requests refused because all servers that can run them pause or leave."})
 	m.turned = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_turned_attempts_total", Help: "Attempts for which a server that could run the request was passed over, because it leaves or pauses."}, []string{"reason"})
-	registry.MustRegister(m.requests, m.results, m.attempts, m.durations, m.firstEvent, m.aborted, m.silences, m.crashes, m.suspects, m.pauses, m.turned)
+	m.told = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_failures_told_total", Help: "Failed requests by the status that callers were told, 0 for an aborted stream, and by whether a backend server may have run them."}, []string{"status", "outcome"})
+	registry.MustRegister(m.told, m.requests, m.results, m.attempts, m.durations, m.firstEvent, m.aborted, m.silences, m.crashes, m.suspects, m.pauses, m.turned)
 	return m
 }
 
@@ -79,6 +82,11 @@
 	m.attempts.WithLabelValues(string(fail.Code), string(fail.Outcome)).Inc()
 }
 
+// recordTold counts a failed request by the status that its caller is told.
+func (m *Metrics) recordTold(status int, outcome failure.Outcome) {
+	m.told.WithLabelValues(strconv.Itoa(status), string(outcome)).Inc()
+}
+
 func (m *Metrics) recordPauseRefusal() { m.pauses.Inc() }
 
 // recordTurned counts an attempt for which servers were passed over.
--- a/pkg/gateway/run_attempt.go
+++ b/pkg/gateway/run_attempt.go
@@ -62,12 +62,13 @@
 		if fail.Code == failure.WrongIncarnation {
 			f.backend.tracker.RecordNotLoaded(c.server.ID, j.meta.Model, j.meta.Adapter, time.Now())
 		}
-		return attemptResult{fail: f.classifyFailure(ctx, j, c, prompt, fail)}
+		return attemptResult{fail: f.classifyFailure(ctx, j, c, prompt, fail), head: respMeta.Head}
 	}
 	prompt.begun = true
 	f.backend.tracker.RecordResponse(c.server.ID)
-	if j.bufferResponse() || resp.Status != 200 || !respMeta.Signed || hasContentCoding(resp.Header) {
-		a := readFullResponse(resp, respMeta, &f.buffers)
+	if j.bufferResponse() || resp.Status != 200 || !respMeta.Head.Signed || respMeta.Head.Encoded {
+		a := readFullResponse(resp, respMeta.Head, &f.buffers)
+		a.head = respMeta.Head
 		if a.fail != nil {
 			a.fail = f.classifyFailure(ctx, j, c, prompt, a.fail)
 		}
@@ -81,10 +82,10 @@
 	fail = p.relay.run(ctx, resp, watch, eventTimeout(j), first)
 	if fail != nil {
 		suspect := ctx.Err() == nil && prompt.suspect(time.Now()) != nil
-		return attemptResult{fail: f.classifyFailure(ctx, j, c, prompt, fail), delivered: p.relay.started, suspect: suspect}
+		return attemptResult{fail: f.classifyFailure(ctx, j, c, prompt, fail), delivered: p.relay.started, suspect: suspect, head: respMeta.Head}
 	}
 	complete = true
-	return attemptResult{delivered: true}
+	return attemptResult{delivered: true, head: respMeta.Head}
 }
 
 // stallTimeout returns the time without an event after which a stream counts as stalled; 0 if the stream cannot be
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -68,7 +68,7 @@
 			fail = a.fail
 			p.record(a)
 			p.recordTried(j, c, fail)
-			f.logAttempt(j, c, p, fail)
+			f.logAttempt(j, c, p, &a)
 			if f.allowRetry(j, p, fail) {
 				continue
 			}
@@ -266,9 +266,10 @@
 	}
 }
 
-func (f *Forwarder) logAttempt(j *job, c *choice, p *progress, fail *failure.Failure) {
+func (f *Forwarder) logAttempt(j *job, c *choice, p *progress, a *attemptResult) {
 	f.log.Log(eventlog.AttemptFailed, "request", j.meta.RequestID, "route", j.route.Name, "server", c.server.ID,
-		"code", fail.Code, "outcome", fail.Outcome, "sent", p.sent, "refused", p.refused, "unreached", p.unreached, "predicted", c.predicted,
-		"report_age", c.reportAge, "reason", fail)
-	f.metrics.recordAttemptFailure(fail)
+		"code", a.fail.Code, "outcome", a.fail.Outcome, "status", a.head.Status, "declared", a.head.Declared, "signed", a.head.Signed,
+		"sent", p.sent, "refused", p.refused, "unreached", p.unreached, "predicted", c.predicted,
+		"report_age", c.reportAge, "reason", a.fail)
+	f.metrics.recordAttemptFailure(a.fail)
 }
