--- a/pkg/entry/dispatcher.go
+++ b/pkg/entry/dispatcher.go
@@ -12,6 +12,7 @@
 	"trefoilferry.example/ferry/pkg/retry"
 	"trefoilferry.example/ferry/pkg/routing"
 	"trefoilferry.example/ferry/pkg/timeline"
+	"trefoilferry.example/ferry/pkg/verdict"
 )
 
 // Reporter receives what request goroutines learn about other processes. Its methods never block.
@@ -128,7 +129,7 @@
 		f = d.contextFailure(ctx, f)
 	}
 	f = d.asNoBackend(rs, asNotLoaded(f))
-	rs.outcome = retry.CombineOutcomes(rs.outcome, f.Outcome)
+	rs.outcome = verdict.Combine(rs.outcome, f.Outcome)
 	decision := retry.Next(d.retryState(rs), f, rs.request.retryable(), rs.request.Deadline)
 	d.recordFailed(rs, f, decision)
 	if decision.Action == retry.GiveUp {
--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/verdict"
 )
 
 const (
@@ -116,17 +117,16 @@
 	go write()
 }
 
-// classify closes the connection and returns the failure for a failed exchange. The request was certainly not executed
-// if none of its bytes were written.
+// classify closes the connection and returns the failure for a failed exchange.
 func (c *conn) classify(ctx context.Context, cause error) error {
 	_ = c.Close()
 	<-c.written
-	code, outcome := failure.ConnectionLost, failure.Unknown
+	code, outcome := failure.ConnectionLost, verdict.Exchange{Connected: true, WriteFailed: c.writeErr != nil, Written: c.bytesWritten}.Outcome()
 	if failure.HasCode(cause, failure.FrameMismatch) {
 		code = failure.FrameMismatch
 	}
-	if c.writeErr != nil && c.bytesWritten == 0 {
-		code, outcome = failure.ConnectFailed, failure.NotRun
+	if outcome == failure.NotRun {
+		code = failure.ConnectFailed
 	}
 	switch ctx.Err() {
 	case nil:
--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/verdict"
 )
 
 const (
@@ -83,10 +84,11 @@
 	}
 	c, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
+		outcome := verdict.Exchange{}.Outcome()
 		if ctx.Err() == context.Canceled {
-			return nil, failure.Wrap(failure.ClientCancelled, failure.NotRun, "cancelled before a connection to "+address+" was open", err)
+			return nil, failure.Wrap(failure.ClientCancelled, outcome, "cancelled before a connection to "+address+" was open", err)
 		}
-		return nil, failure.Wrap(failure.ConnectFailed, failure.NotRun, "cannot connect to "+address, err)
+		return nil, failure.Wrap(failure.ConnectFailed, outcome, "cannot connect to "+address, err)
 	}
 	p.opened.Add(1)
 	p.open.Add(1)
--- a/pkg/gateway/availability.go
+++ b/pkg/gateway/availability.go
@@ -34,10 +34,11 @@
 	return availability.Incarnation{ID: s.ID, StartMillis: s.StartMillis}
 }
 
-// recordAvailability records what a response says for the incarnation to which the request was sent.
-func (b *backend) recordAvailability(server *fleet.Server, j *job, meta *ResponseMeta, sentAt, now time.Time) {
+// recordAvailability records what a response says for the incarnation to which the request was sent. accepted is set if
+// the server has not refused the request.
+func (b *backend) recordAvailability(server *fleet.Server, j *job, meta *ResponseMeta, accepted bool, sentAt, now time.Time) {
 	b.availability.Record(incarnationOf(server), availability.Answer{
-		Leaving: meta.Leaving, Pause: meta.Pause, Accepted: !meta.Head.NotRun(), SentAt: sentAt, At: now, Source: "response to " + j.meta.RequestID,
+		Leaving: meta.Leaving, Pause: meta.Pause, Accepted: accepted, SentAt: sentAt, At: now, Source: "response to " + j.meta.RequestID,
 	})
 }
 
--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -33,9 +33,9 @@
 	log          *eventlog.Logger
 }
 
-// send sends the request to the chosen server and returns the response with its decoded header. A response that
-// declares that the request was not executed is returned as a failure with outcome NotRun.
-func (b *backend) send(ctx context.Context, j *job, c *choice, lastEvent string) (*exchange.Response, ResponseMeta, *failure.Failure) {
+// send sends the request to the chosen server and returns the response with its decoded header and what follows from it. A
+// response that shows that the request was not run is returned as a failure.
+func (b *backend) send(ctx context.Context, j *job, c *choice, lastEvent string) (*exchange.Response, ResponseMeta, verdict.Judgement, *failure.Failure) {
 	req := &exchange.Request{
 		Method: j.method,
 		Target: j.target,
@@ -55,23 +55,28 @@
 	sentAt := time.Now()
 	resp, err := b.pool.Send(ctx, c.server.Address, req)
 	if err != nil {
-		return nil, ResponseMeta{}, failure.From(err)
+		return nil, ResponseMeta{}, verdict.Judgement{}, failure.From(err)
 	}
 	meta := b.codec.DecodeResponse(resp.Status, resp.Header)
 	meta.Head.Encoded = hasContentCoding(resp.Header)
+	judged := verdict.Judge(meta.Head)
 	now := time.Now()
 	b.tracker.RecordLoad(c.server.ID, meta.Load, now)
 	b.recordLimit(c.server.ID, meta.Limit, now)
-	b.recordAvailability(&c.server, j, &meta, sentAt, now)
-	if meta.Head.NotRun() {
+	b.recordAvailability(&c.server, j, &meta, judged.Outcome != failure.NotRun, sentAt, now)
+	if judged.Outcome == failure.NotRun {
 		defer resp.Close()
-		if resp.Length >= 0 && resp.Length <= maxRefusalBytes {
-			// The body is drained so that the connection can be reused; errors do not matter.
-			_, _ = io.Copy(io.Discard, resp)
-		}
-		return nil, meta, refusalFailure(resp)
+		drain(resp)
+		return nil, meta, judged, withheldFailure(resp, judged)
+	}
+	return resp, meta, judged, nil
+}
+
+// drain reads a short body that nobody gets, so that the connection can be reused; errors do not matter.
+func drain(resp *exchange.Response) {
+	if resp.Length >= 0 && resp.Length <= maxRefusalBytes {
+		_, _ = io.Copy(io.Discard, resp)
 	}
-	return resp, meta, nil
 }
 
 // recordLimit records the limit in a response of a server, 0 for none.
@@ -81,31 +86,37 @@
 	}
 }
 
-// refusalFailure returns the failure for a response that declares that the request was not executed. Its cause, which only
-// logs show, names the requests before it on the connection: a faulty server may write the response to one of them again.
-func refusalFailure(resp *exchange.Response) *failure.Failure {
-	code, text := failure.Overloaded, "the server refused the request with status "+strconv.Itoa(resp.Status)
-	if resp.Status == http.StatusMisdirectedRequest {
-		code, text = failure.WrongIncarnation, "the server at the address is another incarnation or has not loaded the model"
-	}
-	return failure.Wrap(code, failure.NotRun, text, failure.New(code, failure.NotRun, "the connection had carried "+strconv.Itoa(resp.Earlier)+" requests"))
+// withheldTexts are the messages for responses that callers do not get.
+var withheldTexts = map[verdict.Evidence]string{
+	verdict.EvidenceDeclared:    "the server refused the request",
+	verdict.EvidenceMisdirected: "the server at the address is another incarnation or has not loaded the model",
+	verdict.EvidenceUndeclared:  "the server refused the request without declaring that it did not run it",
+	verdict.EvidenceForeign:     "the response is not signed by a backend server or has a content coding",
+}
+
+// withheldFailure returns the failure for a response that the caller does not get. Its cause, which only logs show, names
+// the requests before it on the connection: a faulty server may write the response to one of them again.
+func withheldFailure(resp *exchange.Response, judged verdict.Judgement) *failure.Failure {
+	return failure.Wrap(judged.Code, judged.Outcome, withheldTexts[judged.Evidence]+" (status "+strconv.Itoa(resp.Status)+")",
+		failure.New(judged.Code, judged.Outcome, "the connection had carried "+strconv.Itoa(resp.Earlier)+" requests"))
 }
 
-// readFullResponse reads a whole response within the budget. Responses without the signature, or with a content coding,
-// are rejected unread: they do not come from a backend server, and their body may have no end.
-func readFullResponse(resp *exchange.Response, head verdict.Response, budget *bufferBudget) attemptResult {
+// readFullResponse reads a whole response within the budget. The body of one that the caller does not get may have no end,
+// so it is read only if it is short.
+func readFullResponse(resp *exchange.Response, judged verdict.Judgement, budget *bufferBudget) attemptResult {
 	defer resp.Close()
-	if !head.Signed || head.Encoded {
-		return attemptResult{fail: failure.New(failure.FrameMismatch, failure.Unknown, "the response is not signed by a backend server or has a content coding")}
+	if !judged.Deliverable {
+		drain(resp)
+		return attemptResult{fail: withheldFailure(resp, judged)}
 	}
 	body, reserved, err := budget.readAll(resp)
 	if err != nil {
 		return attemptResult{fail: failure.From(err), reserved: reserved}
 	}
 	buffered := &bufferedResponse{status: resp.Status, header: resp.Header, body: body}
-	if resp.Status >= http.StatusInternalServerError {
+	if judged.Code != "" {
 		return attemptResult{response: buffered, reserved: reserved,
-			fail: failure.New(failure.EngineFailed, failure.Ran, "the server answered with status "+strconv.Itoa(resp.Status))}
+			fail: failure.New(judged.Code, judged.Outcome, "the server answered with status "+strconv.Itoa(resp.Status))}
 	}
 	return attemptResult{response: buffered, reserved: reserved}
 }
--- a/pkg/gateway/chooser_test.go
+++ b/pkg/gateway/chooser_test.go
@@ -8,6 +8,7 @@
 	"trefoilferry.example/ferry/pkg/availability"
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/fleet"
+	"trefoilferry.example/ferry/pkg/verdict"
 )
 
 var now = time.Unix(5000, 0)
@@ -165,11 +166,11 @@
 	for _, code := range []failure.Code{failure.Overloaded, failure.NoBackend, failure.ConnectionLost, failure.Truncated, failure.DeadlineExceeded,
 		failure.EngineFailed, failure.NotReady, failure.TargetMissed, failure.RequestTimeout, failure.CapExceeded, failure.Leaving} {
 		for _, outcome := range []failure.Outcome{failure.Unknown, failure.Ran} {
-			if status := failureStatus(failure.New(code, outcome, "")); notExecuted[status] {
+			if status := verdict.CallerStatus(code, outcome); notExecuted[status] {
 				t.Errorf("%s with outcome %s: status %d, which means not executed", code, outcome, status)
 			}
 		}
-		if status := failureStatus(failure.New(code, failure.NotRun, "")); !notExecuted[status] {
+		if status := verdict.CallerStatus(code, failure.NotRun); !notExecuted[status] {
 			t.Errorf("%s with outcome not_run: status %d, want one that means not executed", code, status)
 		}
 	}
--- a/pkg/gateway/endless_test.go
+++ b/pkg/gateway/endless_test.go
@@ -105,7 +105,7 @@
 	defer cancel()
 	address := serveRaw(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", time.Millisecond)
 	began := time.Now()
-	a := readFullResponse(sendTo(ctx, t, address), verdict.Response{Status: http.StatusOK}, &bufferBudget{})
+	a := readFullResponse(sendTo(ctx, t, address), verdict.Judge(verdict.Response{Status: http.StatusOK}), &bufferBudget{})
 	if a.fail == nil || a.fail.Code != failure.FrameMismatch || a.fail.Outcome != failure.Unknown || time.Since(began) > time.Second {
 		t.Errorf("unsigned body without end: %v after %v, want code %s at once", a.fail, time.Since(began), failure.FrameMismatch)
 	}
@@ -117,7 +117,7 @@
 	c.server.ID, c.server.Address = "r0", address
 	b := &backend{pool: exchange.NewPool(), codec: refusingCodec{}, tracker: NewTracker(), limits: serverlimit.NewTable(rand.Float64), log: eventlog.Discard()}
 	began = time.Now()
-	_, _, fail := b.send(ctx, j, c, "")
+	_, _, _, fail := b.send(ctx, j, c, "")
 	if fail == nil || fail.Outcome != failure.NotRun || time.Since(began) > time.Second {
 		t.Errorf("refusal with a body without end: %v after %v, want outcome %s at once", fail, time.Since(began), failure.NotRun)
 	}
--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -9,6 +9,7 @@
 
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/verdict"
 )
 
 const (
@@ -101,7 +102,7 @@
 	case p.failureResponse != nil:
 		return p.failureResponse.status
 	default:
-		return failureStatus(told)
+		return verdict.CallerStatus(told.Code, told.Outcome)
 	}
 }
 
@@ -121,9 +122,9 @@
 // rejectRequest responds to a request that failed before its first attempt.
 func (f *Forwarder) rejectRequest(w http.ResponseWriter, j *job, fail *failure.Failure) {
 	f.log.Log(eventlog.RequestRefused, "request", j.meta.RequestID, "host", j.host, "path", requestPath(j.target), "code", fail.Code,
-		"told", failureStatus(fail), "version", f.control.configVersion(), "reason", fail)
+		"told", verdict.CallerStatus(fail.Code, fail.Outcome), "version", f.control.configVersion(), "reason", fail)
 	f.metrics.recordRefusal(fail)
-	f.metrics.recordTold(failureStatus(fail), fail.Outcome)
+	f.metrics.recordTold(verdict.CallerStatus(fail.Code, fail.Outcome), fail.Outcome)
 	if fail.Code == failure.ClientCancelled {
 		f.metrics.recordAborted(fail)
 		panic(http.ErrAbortHandler)
@@ -133,7 +134,7 @@
 
 // writeFailure responds to the caller with a failure as JSON.
 func (f *Forwarder) writeFailure(w http.ResponseWriter, fail *failure.Failure) {
-	status := failureStatus(fail)
+	status := verdict.CallerStatus(fail.Code, fail.Outcome)
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
@@ -151,22 +152,6 @@
 	_, _ = w.Write(body)
 }
 
-// failureStatus returns the HTTP status for a failure. Statuses that imply that the request was not executed are used
-// only for outcome NotRun.
-func failureStatus(fail *failure.Failure) int {
-	status := fail.Code.Status()
-	if fail.Outcome == failure.NotRun {
-		if status >= http.StatusInternalServerError {
-			return http.StatusServiceUnavailable
-		}
-		return status
-	}
-	if fail.Code == failure.DeadlineExceeded {
-		return http.StatusGatewayTimeout
-	}
-	return http.StatusBadGateway
-}
-
 // retryAfter returns the Retry-After of a failure, or a default if it has none.
 func retryAfter(fail *failure.Failure) time.Duration {
 	switch {
--- a/pkg/gateway/not_ready_test.go
+++ b/pkg/gateway/not_ready_test.go
@@ -10,6 +10,7 @@
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/fleet"
+	"trefoilferry.example/ferry/pkg/verdict"
 )
 
 // unavailableConfig is a ConfigSource whose reads fail.
@@ -34,7 +35,7 @@
 	f := &Forwarder{control: control, codec: deadlineCodec{}, log: eventlog.Discard()}
 	retryAfterOfRequest := func() time.Duration {
 		_, fail := f.accept(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil), time.Now())
-		if fail == nil || fail.Code != failure.NotReady || failureStatus(fail) != http.StatusServiceUnavailable {
+		if fail == nil || fail.Code != failure.NotReady || verdict.CallerStatus(fail.Code, fail.Outcome) != http.StatusServiceUnavailable {
 			t.Fatalf("failure without a configuration: %v, want not_ready with status 503", fail)
 		}
 		return retryAfter(fail)
--- a/pkg/gateway/run_attempt.go
+++ b/pkg/gateway/run_attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"trefoilferry.example/ferry/pkg/eventlog"
@@ -57,7 +58,7 @@
 		lastEvent = p.relay.lastEvent
 		f.log.Log(eventlog.StreamResumed, "request", j.meta.RequestID, "server", c.server.ID, "after_event", lastEvent)
 	}
-	resp, respMeta, fail := f.backend.send(ctx, j, c, lastEvent)
+	resp, respMeta, judged, fail := f.backend.send(ctx, j, c, lastEvent)
 	if fail != nil {
 		if fail.Code == failure.WrongIncarnation {
 			f.backend.tracker.RecordNotLoaded(c.server.ID, j.meta.Model, j.meta.Adapter, time.Now())
@@ -66,8 +67,8 @@
 	}
 	prompt.begun = true
 	f.backend.tracker.RecordResponse(c.server.ID)
-	if j.bufferResponse() || resp.Status != 200 || !respMeta.Head.Signed || respMeta.Head.Encoded {
-		a := readFullResponse(resp, respMeta.Head, &f.buffers)
+	if j.bufferResponse() || resp.Status != http.StatusOK || !judged.Deliverable {
+		a := readFullResponse(resp, judged, &f.buffers)
 		a.head = respMeta.Head
 		if a.fail != nil {
 			a.fail = f.classifyFailure(ctx, j, c, prompt, a.fail)
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -8,6 +8,7 @@
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/retry"
+	"trefoilferry.example/ferry/pkg/verdict"
 )
 
 const (
@@ -79,7 +80,7 @@
 }
 
 func (p *progress) record(a attemptResult) {
-	p.outcome = retry.CombineOutcomes(p.outcome, a.fail.Outcome)
+	p.outcome = verdict.Combine(p.outcome, a.fail.Outcome)
 	p.last = a.fail
 	p.suspect = p.suspect || a.suspect
 	if a.response != nil {
--- a/pkg/oncehttp/sender.go
+++ b/pkg/oncehttp/sender.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 
 	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/verdict"
 )
 
 // Sender sends requests through one HTTP client. It is safe for concurrent use.
@@ -55,9 +56,9 @@
 // classify converts a transport error to a failure. Once the request has been assigned a connection, it counts as sent,
 // because the transport buffers writes and does not tell whether a byte has reached the connection.
 func classify(ctx context.Context, err error, connected bool) error {
-	code, outcome := failure.ConnectFailed, failure.NotRun
+	code, outcome := failure.ConnectFailed, verdict.Exchange{Connected: connected}.Outcome()
 	if connected {
-		code, outcome = failure.ConnectionLost, failure.Unknown
+		code = failure.ConnectionLost
 	}
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -83,18 +83,6 @@
 	}
 }
 
-// Guards against a not_run that hides an earlier attempt that may have been executed.
-func TestCombineKeepsUncertainty(t *testing.T) {
-	order := []failure.Outcome{failure.NotRun, failure.Unknown, failure.Ran}
-	for i, a := range order {
-		for j, b := range order {
-			if got := CombineOutcomes(a, b); got != order[max(i, j)] {
-				t.Errorf("CombineOutcomes(%s, %s) = %s, want %s", a, b, got, order[max(i, j)])
-			}
-		}
-	}
-}
-
 // Guards against a retry storm: if every attempt fails, the budget permits only the configured share of retries.
 func TestBudgetBoundsRetries(t *testing.T) {
 	const seconds, perSecond = 100, 100
