--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -88,10 +88,11 @@
 
 // withheldTexts are the messages for responses that callers do not get.
 var withheldTexts = map[verdict.Evidence]string{
-	verdict.EvidenceDeclared:    "the server refused the request",
-	verdict.EvidenceMisdirected: "the server at the address is another incarnation or has not loaded the model",
-	verdict.EvidenceUndeclared:  "the server refused the request without declaring that it did not run it",
-	verdict.EvidenceForeign:     "the response is not signed by a backend server or has a content coding",
+	verdict.EvidenceDeclared:      "the server refused the request",
+	verdict.EvidenceMisdirected:   "the server at the address is another incarnation or has not loaded the model",
+	verdict.EvidenceContradictory: "the server declares that it did not run the request, and its status says the opposite",
+	verdict.EvidenceUndeclared:    "the server refused the request without declaring that it did not run it",
+	verdict.EvidenceForeign:       "the response is not signed by a backend server or has a content coding",
 }
 
 // withheldFailure returns the failure for a response that the caller does not get. Its cause, which only logs show, names
--- a/pkg/verdict/response.go
+++ b/pkg/verdict/response.go
@@ -31,10 +31,12 @@
 type Evidence string
 
 const (
-	// EvidenceDeclared is a response that declares that the request was not run.
+	// EvidenceDeclared is a refusal that declares that the request was not run.
 	EvidenceDeclared Evidence = "declared"
 	// EvidenceMisdirected is status 421, which needs no declaration: the request was for another server.
 	EvidenceMisdirected Evidence = "misdirected"
+	// EvidenceContradictory is a declaration in a response whose status says that the request was run.
+	EvidenceContradictory Evidence = "contradictory"
 	// EvidenceUndeclared is a status that promises callers "not run", from a server that does not declare it.
 	EvidenceUndeclared Evidence = "undeclared"
 	// EvidenceForeign is a response that does not come from a backend server.
@@ -52,8 +54,10 @@
 	switch {
 	case r.Status == http.StatusMisdirectedRequest:
 		return Judgement{Outcome: failure.NotRun, Code: failure.WrongIncarnation, Evidence: EvidenceMisdirected}
-	case r.Declared:
+	case r.Declared && refuses(r.Status):
 		return Judgement{Outcome: failure.NotRun, Code: failure.Overloaded, Evidence: EvidenceDeclared}
+	case r.Declared:
+		return Judgement{Outcome: failure.Unknown, Code: failure.FrameMismatch, Evidence: EvidenceContradictory}
 	case !r.Signed || r.Encoded:
 		return Judgement{Outcome: failure.Unknown, Code: failure.FrameMismatch, Evidence: EvidenceForeign}
 	case PromisesNotRun(r.Status):
@@ -64,3 +68,9 @@
 		return Judgement{Outcome: failure.Ran, Deliverable: true, Evidence: EvidenceAnswered}
 	}
 }
+
+// refuses reports whether a server refuses requests with the status before it runs them. Every other status says that the
+// request was run, or was taken for something else.
+func refuses(status int) bool {
+	return status == http.StatusBadRequest || PromisesNotRun(status)
+}
--- a/pkg/verdict/response_test.go
+++ b/pkg/verdict/response_test.go
@@ -1,13 +1,15 @@
 package verdict
 
 import (
+	"net/http"
 	"testing"
 
 	"trefoilferry.example/ferry/pkg/failure"
 )
 
 // Guards against a request that counts as not run, or whose caller is told so, though its server may have run it: by a
-// status without the declaration, or by something else at the address of the server.
+// status without the declaration, by a declaration in a response that says the opposite, or by something else at the
+// address of the server.
 func TestJudgementOfEveryResponse(t *testing.T) {
 	const declared, signed, encoded = 1, 2, 4
 	type row struct {
@@ -31,7 +33,7 @@
 		rows = append(rows, row{status, []int{signed}, failure.Ran, false, EvidenceUndeclared})
 	}
 	for _, status := range []int{200, 204, 206, 301, 304, 404, 409, 410, 413, 425, 499, 500, 501, 502, 504, 507, 599} {
-		rows = append(rows, row{status, foreign, failure.Unknown, false, EvidenceForeign},
+		rows = append(rows, row{status, withDeclaration, failure.Unknown, false, EvidenceContradictory}, row{status, foreign, failure.Unknown, false, EvidenceForeign},
 			row{status, []int{signed}, failure.Ran, true, EvidenceAnswered})
 	}
 	rows = append(rows, row{400, []int{signed}, failure.Ran, true, EvidenceAnswered})
@@ -51,3 +53,14 @@
 		}
 	}
 }
+
+// Guards against an unlisted status that counts as a refusal, with or without the declaration.
+func TestNoOtherStatusIsARefusal(t *testing.T) {
+	refusals := map[int]bool{http.StatusBadRequest: true, http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true, http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true}
+	for status := 200; status < 600; status++ {
+		got := Judge(Response{Status: status, Declared: true, Signed: true})
+		if (got.Outcome == failure.NotRun) != refusals[status] {
+			t.Errorf("status %d with the declaration: %+v", status, got)
+		}
+	}
+}
