bytebudget: what all responses of a daemon hold together is bounded (bytes without end)

What callers saw: while servers send bytes without end to 250 requests at a time, sound requests to another service on the same daemon are answered 502 ("the response bodies that are being read exceed bytes") or late. The users saw the heap of a daemon grow from 10 to 208 MB with 150 streams.

Cause: bodies that are buffered shared a bound, first come, first served, so that three of them shut all others out. Events of streams, heads, reports of runners and reads of the store had bounds of their own only, and the search for the end of an event began anew with each 4 KB.

Change: package bytebudget. Each response has a share of one budget, a quarter of the host's memory, which counts its head and what is kept of its body. The first 8 KB of each are free, and the larger a share, the more has to be left for others. A response that gets no more fails with an unknown outcome (events, heads) or as too long. Only bytes that were not searched before are searched for the end of an event.

Weighed: a bound for each kind of bytes. Together they must fit, so each would be a small part of the memory that is free at most times. To cut the longest response when memory runs out: needs a reference to all of them, and a lock.

--- a/pkg/exchange/attribution_test.go
+++ b/pkg/exchange/attribution_test.go
@@ -124,7 +124,7 @@
 	defer func() { _ = c.Close() }()
 	close(checked)
 	<-copied
-	a, err := c.roundTrip(t.Context(), namedRequest("b"))
+	a, err := c.roundTrip(t.Context(), namedRequest("b"), p.Budget().Share())
 	if err != nil || a.status != http.StatusOK {
 		t.Errorf("response %+v, %v, want status 200", a, err)
 	}
--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"trefoilferry.example/ferry/pkg/bytebudget"
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/verdict"
 )
@@ -57,9 +58,9 @@
 	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, keepAlive: defaultKeepAlive, maxIdle: DefaultMaxIdle}
 }
 
-// roundTrip sends the request and reads the head of its response, skipping responses to earlier requests. ctx bounds
-// both.
-func (c *conn) roundTrip(ctx context.Context, req *Request) (*responseHead, error) {
+// roundTrip sends the request and reads the head of its response into the share, skipping responses to earlier requests.
+// ctx bounds both.
+func (c *conn) roundTrip(ctx context.Context, req *Request, share *bytebudget.Share) (*responseHead, error) {
 	c.sent++
 	c.skipped = 0
 	if req.ID != "" {
@@ -67,11 +68,12 @@
 	}
 	c.send(req.encode())
 	for range maxStaleResponses + 1 {
-		a, err := c.readHead(req.Method)
+		a, err := c.readHead(req.Method, share)
 		if err != nil {
 			return nil, c.classify(ctx, err)
 		}
 		if c.accepts(req, a) {
+			share.Keep()
 			c.recordKeepAlive(a.header)
 			a.closesConn = a.closesConn || req.SingleUse || c.carried.full()
 			return a, nil
@@ -88,8 +90,8 @@
 }
 
 // readHead reads a response head and skips informational (1xx) responses. It reads at most about maxHeadBytes.
-func (c *conn) readHead(method string) (*responseHead, error) {
-	c.head.begin()
+func (c *conn) readHead(method string, share *bytebudget.Share) (*responseHead, error) {
+	c.head.begin(share)
 	defer c.head.end()
 	for {
 		//nolint:bodyclose // The body is read from the connection, whose owner closes or reuses it.
--- a/pkg/exchange/head_limiter.go
+++ b/pkg/exchange/head_limiter.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 
+	"trefoilferry.example/ferry/pkg/bytebudget"
 	"trefoilferry.example/ferry/pkg/failure"
 )
 
@@ -17,15 +18,19 @@
 	// inHead is set while a head is read; left is the number of bytes that it may still have.
 	inHead bool
 	left   int
+	// share holds the head.
+	share *bytebudget.Share
 }
 
-// begin starts a head of at most maxHeadBytes.
-func (l *headLimiter) begin() { l.inHead, l.left = true, maxHeadBytes }
+// begin starts a head of at most maxHeadBytes that the share holds.
+func (l *headLimiter) begin(share *bytebudget.Share) {
+	l.inHead, l.left, l.share = true, maxHeadBytes, share
+}
 
 // end lifts the bound.
 func (l *headLimiter) end() { l.inHead = false }
 
-// Read fails with code FrameMismatch once a head is longer than maxHeadBytes.
+// Read fails with code FrameMismatch once a head is longer than maxHeadBytes or exceeds the budget.
 func (l *headLimiter) Read(p []byte) (int, error) {
 	if !l.inHead {
 		return l.in.Read(p)
@@ -35,5 +40,8 @@
 	}
 	n, err := l.in.Read(p)
 	l.left -= n
+	if holdErr := l.share.Hold(int64(maxHeadBytes - l.left)); holdErr != nil {
+		return 0, failure.Wrap(failure.FrameMismatch, failure.Unknown, "the head of the response cannot be held", holdErr)
+	}
 	return n, err
 }
--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"trefoilferry.example/ferry/pkg/bytebudget"
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/verdict"
 )
@@ -27,6 +28,7 @@
 // Pool keeps idle connections to backend servers. It is safe for concurrent use.
 type Pool struct {
 	dialer net.Dialer
+	budget *bytebudget.Budget
 	mu     sync.Mutex
 	// idle holds the idle connections by address, the most recently used one last.
 	idle map[string][]*conn
@@ -37,11 +39,20 @@
 	skipped atomic.Int64
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool {
-	return &Pool{dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1}, idle: map[string][]*conn{}}
+// defaultBudgetBytes is a quarter of the memory of the smallest entry hosts, because a buffer that grows is copied.
+const defaultBudgetBytes = 46 << 20
+
+// NewPool returns an empty pool with a budget of its own.
+func NewPool() *Pool { return NewPoolWithin(bytebudget.New(defaultBudgetBytes)) }
+
+// NewPoolWithin returns an empty pool whose responses share a budget.
+func NewPoolWithin(budget *bytebudget.Budget) *Pool {
+	return &Pool{dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1}, budget: budget, idle: map[string][]*conn{}}
 }
 
+// Budget returns the budget for the bytes that all responses hold.
+func (p *Pool) Budget() *bytebudget.Budget { return p.budget }
+
 // TotalOpened returns the total number of connections opened by the pool.
 func (p *Pool) TotalOpened() int64 { return p.opened.Load() }
 
@@ -64,16 +75,18 @@
 		c.maxIdle = min(req.MaxIdle, DefaultMaxIdle)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	a, err := c.roundTrip(ctx, req)
+	share := p.budget.Share()
+	a, err := c.roundTrip(ctx, req, share)
 	p.skipped.Add(int64(c.skipped))
 	if err != nil {
 		stop()
+		share.Release()
 		p.countClosed()
 		return nil, err
 	}
 	return &Response{
 		Status: a.status, Header: a.header, Length: a.length, Unframed: a.unframed, Earlier: c.sent - 1,
-		ctx: ctx, pool: p, conn: c, body: a.body, stopCancel: stop, reusable: !a.closesConn,
+		ctx: ctx, pool: p, conn: c, body: a.body, share: share, stopCancel: stop, reusable: !a.closesConn,
 	}, nil
 }
 
--- a/pkg/exchange/response.go
+++ b/pkg/exchange/response.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"trefoilferry.example/ferry/pkg/bytebudget"
 	"trefoilferry.example/ferry/pkg/failure"
 )
 
@@ -25,6 +26,9 @@
 	pool *Pool
 	conn *conn
 	body io.Reader
+	// share is what the response holds of the pool's budget; Close releases it unless it was detached.
+	share    *bytebudget.Share
+	detached bool
 	// stopCancel detaches the connection from the cancellation of ctx; it returns false if ctx has already ended.
 	stopCancel func() bool
 	// reusable is set if the server keeps the connection open after the response.
@@ -59,12 +63,28 @@
 	return failure.Wrap(code, failure.Unknown, "the response of "+r.conn.address+" was cut off", cause)
 }
 
+// ReadAll reads the whole body, which counts towards the budget of the pool until Close, or until the release of what Detach
+// returns. It fails with code BodyTooLarge for a body that is longer than limit bytes or exceeds the budget.
+func (r *Response) ReadAll(limit int64) ([]byte, error) { return r.share.ReadAll(r, limit) }
+
+// Hold makes the response count with size bytes beside its head, for a reader that keeps a part of the body.
+func (r *Response) Hold(size int64) error { return r.share.Hold(size) }
+
+// Detach returns what the response holds of the budget for a caller that keeps it beyond Close and releases it then.
+func (r *Response) Detach() *bytebudget.Share {
+	r.detached = true
+	return r.share
+}
+
 // Complete reports whether the body has been read to its end.
 func (r *Response) Complete() bool { return r.complete }
 
 // Close returns the connection to the pool if the request was written and the response read completely; otherwise it
 // closes the connection.
 func (r *Response) Close() {
+	if !r.detached {
+		r.share.Release()
+	}
 	stopped := r.stopCancel()
 	clean := r.complete && r.reusable && stopped && r.conn.requestWritten() && r.conn.reader.Buffered() == 0
 	if !clean {
--- a/pkg/gateway/attempt_result.go
+++ b/pkg/gateway/attempt_result.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"trefoilferry.example/ferry/pkg/bytebudget"
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/verdict"
 )
@@ -21,8 +22,6 @@
 	// suspect is set if the connection broke soon after the response had begun, so that the prompt may have crashed the
 	// server.
 	suspect bool
-	// reserved is what response, or an attempt to read one, holds of the buffer budget, in bytes.
-	reserved int64
 	// superseded holds the ids of the servers that had the request as well and were cancelled because of this response.
 	superseded []string
 }
@@ -32,4 +31,6 @@
 	status int
 	header http.Header
 	body   []byte
+	// share is what the response holds of the budget for received bytes.
+	share *bytebudget.Share
 }
--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -15,7 +15,8 @@
 	"trefoilferry.example/ferry/pkg/verdict"
 )
 
-// maxBufferedBytes bounds a response body that is buffered, and a request body when the configuration sets no limit.
+// maxBufferedBytes bounds a response body that is buffered, and a request body when the configuration sets no limit. All
+// together are bounded by the budget of the pool.
 const maxBufferedBytes = 16 << 20
 
 // maxRefusalBytes is the longest body of a refusal that is read to reuse the connection. The refused request is retried
@@ -102,22 +103,22 @@
 		failure.New(judged.Code, judged.Outcome, "the connection had carried "+strconv.Itoa(resp.Earlier)+" requests"))
 }
 
-// readFullResponse reads a whole response within the budget. The body of one that the caller does not get may have no end,
+// readFullResponse reads a whole response. The body of one that the caller does not get may have no end,
 // so it is read only if it is short.
-func readFullResponse(resp *exchange.Response, judged verdict.Judgement, budget *bufferBudget) attemptResult {
+func readFullResponse(resp *exchange.Response, judged verdict.Judgement) attemptResult {
 	defer resp.Close()
 	if !judged.Deliverable {
 		drain(resp)
 		return attemptResult{fail: withheldFailure(resp, judged)}
 	}
-	body, reserved, err := budget.readAll(resp)
+	body, err := resp.ReadAll(maxBufferedBytes)
 	if err != nil {
-		return attemptResult{fail: failure.From(err), reserved: reserved}
+		return attemptResult{fail: failure.From(err)}
 	}
-	buffered := &bufferedResponse{status: resp.Status, header: resp.Header, body: body}
+	buffered := &bufferedResponse{status: resp.Status, header: resp.Header, body: body, share: resp.Detach()}
 	if judged.Code != "" {
-		return attemptResult{response: buffered, reserved: reserved,
+		return attemptResult{response: buffered,
 			fail: failure.New(judged.Code, judged.Outcome, "the server answered with status "+strconv.Itoa(resp.Status))}
 	}
-	return attemptResult{response: buffered, reserved: reserved}
+	return attemptResult{response: buffered}
 }
--- a/pkg/gateway/endless_test.go
+++ b/pkg/gateway/endless_test.go
@@ -9,10 +9,11 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
 	"testing"
+	"testing/iotest"
 	"time"
 
+	"trefoilferry.example/ferry/pkg/bytebudget"
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/exchange"
 	"trefoilferry.example/ferry/pkg/failure"
@@ -67,34 +68,75 @@
 	return resp
 }
 
-// Load pattern: servers in trouble send bodies without end to many requests at once. Guards against bodies that fill
-// the memory of the process together although each of them is bounded.
-func TestEndlessBodiesShareABound(t *testing.T) {
-	const bodies = 24
-	budget := &bufferBudget{}
-	var work sync.WaitGroup
-	for range bodies {
-		work.Go(func() {
-			_, reserved, err := budget.readAll(repeatReader{})
-			if !failure.HasCode(err, failure.BodyTooLarge) || failure.From(err).Outcome != failure.Ran {
-				t.Errorf("error of a body without end: %v, want code %s and outcome %s", err, failure.BodyTooLarge, failure.Ran)
-			}
-			if reserved > maxBufferedBytes+bufferStep {
-				t.Errorf("one body reserved %d bytes, want at most %d", reserved, maxBufferedBytes+bufferStep)
-			}
-			if used := budget.used.Load(); used > maxBufferedTotal+bodies*bufferStep {
-				t.Errorf("reserved at once: %d bytes, want at most %d", used, maxBufferedTotal)
-			}
-			budget.release(reserved)
-		})
+// Load pattern: 150 streams get an event without end at the same time. Guards against events that fill the memory of the
+// process together although each of them is bounded, and against a sound stream beside them that is cut.
+func TestEndlessEventsShareABound(t *testing.T) {
+	const streams = 150
+	budget := bytebudget.New(46 << 20)
+	var readers []*eventReader
+	for range streams {
+		// The reader stalls before its event is too long, so that all of them are held at the same time.
+		in := io.MultiReader(io.LimitReader(repeatReader{}, maxEventBytes-eventReadBytes), errorReader{})
+		r := &eventReader{in: in, hold: budget.Share().Hold}
+		if _, err := r.next(); err == nil {
+			t.Fatal("an event without end was returned")
+		}
+		readers = append(readers, r)
+	}
+	held := 0
+	for _, r := range readers {
+		held += cap(r.pending)
+	}
+	if limit := 46<<20 + streams*2*eventReadBytes; held > limit {
+		t.Errorf("%d events without end hold %d bytes, want at most %d", streams, held, limit)
+	}
+	sound := &eventReader{in: strings.NewReader("id: 1\ndata: a\n\n"), hold: budget.Share().Hold}
+	if events, err := sound.next(); err != nil || len(events) == 0 {
+		t.Errorf("event of a sound stream: %q, %v", events, err)
+	}
+}
+
+// errorReader fails like a connection that is cut off.
+type errorReader struct{}
+
+func (errorReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// countingReader returns small pieces of an event without end and counts them.
+type countingReader struct{ reads int }
+
+func (c *countingReader) Read(p []byte) (int, error) {
+	c.reads++
+	n := min(len(p), 64)
+	for i := range n {
+		p[i] = 'e'
 	}
-	work.Wait()
-	if used := budget.used.Load(); used != 0 {
-		t.Errorf("reserved after all bodies: %d bytes, want 0", used)
+	return n, nil
+}
+
+// Load pattern: an event without end arrives in 16,000 pieces. Guards against a search for its end that begins anew with
+// each piece: its cost grew with the square of the length, on hosts with a third of a core.
+func TestEndOfAnEventIsSearchedOnce(t *testing.T) {
+	in := &countingReader{}
+	r := &eventReader{in: in, hold: bytebudget.New(46 << 20).Share().Hold}
+	began := time.Now()
+	if _, err := r.next(); !failure.HasCode(err, failure.FrameMismatch) {
+		t.Fatalf("event without end: %v", err)
 	}
-	body, reserved, err := budget.readAll(strings.NewReader("whole"))
-	if string(body) != "whole" || err != nil || reserved != bufferStep {
-		t.Errorf("body after the others: %q, %d reserved, %v, want it whole", body, reserved, err)
+	if took := time.Since(began); in.reads < 16000 || took > 300*time.Millisecond {
+		t.Errorf("%d pieces took %v, want at least 16000 pieces within 300 ms", in.reads, took)
+	}
+}
+
+// Guards against an end of an event that is missed because it arrives in pieces.
+func TestEndOfAnEventInPieces(t *testing.T) {
+	for _, end := range []string{"\n\n", "\r\n\r\n"} {
+		text := "id: 1\ndata: " + strings.Repeat("a", 5000) + end
+		r := &eventReader{in: iotest.OneByteReader(strings.NewReader(text + text)), hold: bytebudget.New(46 << 20).Share().Hold}
+		for n := range 2 {
+			if events, err := r.next(); err != nil || string(events) != text {
+				t.Errorf("event %d that ends with %q: %d bytes, %v, want %d", n+1, end, len(events), err, len(text))
+			}
+		}
 	}
 }
 
@@ -105,7 +147,7 @@
 	defer cancel()
 	address := serveRaw(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", time.Millisecond)
 	began := time.Now()
-	a := readFullResponse(sendTo(ctx, t, address), verdict.Judge(verdict.Response{Status: http.StatusOK}), &bufferBudget{})
+	a := readFullResponse(sendTo(ctx, t, address), verdict.Judge(verdict.Response{Status: http.StatusOK}))
 	if a.fail == nil || a.fail.Code != failure.FrameMismatch || a.fail.Outcome != failure.Unknown || time.Since(began) > time.Second {
 		t.Errorf("unsigned body without end: %v after %v, want code %s at once", a.fail, time.Since(began), failure.FrameMismatch)
 	}
--- a/pkg/gateway/event_reader.go
+++ b/pkg/gateway/event_reader.go
@@ -3,40 +3,51 @@
 import (
 	"bytes"
 	"io"
+	"slices"
 	"strconv"
 
+	"trefoilferry.example/ferry/pkg/bytebudget"
 	"trefoilferry.example/ferry/pkg/failure"
 )
 
 const (
-	// eventReadBytes is the size of one read of a stream.
+	// eventReadBytes is the size of the first read of a stream or event, minEventRead that of the smallest one.
 	eventReadBytes = 4096
+	minEventRead   = 512
+	// maxEventEnd is the length of the longest end of an event.
+	maxEventEnd = len("\r\n\r\n")
 	// maxEventBytes bounds one event; model runners send none that are longer.
 	maxEventBytes = 1 << 20
 )
 
 // eventReader splits a server-sent event stream into complete events. An event that is cut off is not returned.
 type eventReader struct {
-	in      io.Reader
+	in io.Reader
+	// hold accounts for the memory of the event that is being received; it fails if there is not enough.
+	hold    func(size int64) error
 	pending []byte
+	// searched is the length of the part of pending that holds no end of an event.
+	searched int
 }
 
 // next reads until at least one event is complete and returns the complete events. It returns io.EOF if the stream
 // ended after a complete event, and a failure if it ended inside one or the read failed.
 func (r *eventReader) next() ([]byte, error) {
 	for {
-		if end := lastEventEnd(r.pending); end > 0 {
+		if end := r.completeEnd(); end > 0 {
 			events := r.pending[:end:end]
-			r.pending = append([]byte(nil), r.pending[end:]...)
+			r.pending, r.searched = append([]byte(nil), r.pending[end:]...), 0
 			return events, nil
 		}
 		if len(r.pending) > maxEventBytes {
 			return nil, failure.New(failure.FrameMismatch, failure.Unknown, "an event of the stream is longer than "+strconv.Itoa(maxEventBytes)+" bytes")
 		}
-		chunk := make([]byte, eventReadBytes)
-		n, err := r.in.Read(chunk)
-		r.pending = append(r.pending, chunk[:n]...)
-		if err == nil || (n > 0 && lastEventEnd(r.pending) > 0) {
+		if err := r.grow(); err != nil {
+			return nil, err
+		}
+		n, err := r.in.Read(r.pending[len(r.pending):cap(r.pending)])
+		r.pending = r.pending[:len(r.pending)+n]
+		if err == nil || (n > 0 && r.completeEnd() > 0) {
 			continue
 		}
 		if err == io.EOF && len(r.pending) > 0 {
@@ -46,6 +57,32 @@
 	}
 }
 
+// grow makes room for another read of the event.
+func (r *eventReader) grow() error {
+	if cap(r.pending)-len(r.pending) >= minEventRead {
+		return nil
+	}
+	size := max(bytebudget.Grown(len(r.pending)), eventReadBytes)
+	if err := r.hold(int64(size)); err != nil {
+		// Another server may send a usual event.
+		return failure.Wrap(failure.FrameMismatch, failure.Unknown, "an event of the stream cannot be held", err)
+	}
+	r.pending = slices.Grow(r.pending, size-len(r.pending))
+	return nil
+}
+
+// completeEnd returns the index after the last complete event in pending; 0 if there is none. Only bytes that were not
+// searched before are looked at.
+func (r *eventReader) completeEnd() int {
+	from := max(r.searched-maxEventEnd+1, 0)
+	r.searched = len(r.pending)
+	if end := lastEventEnd(r.pending[from:]); end > 0 {
+		r.searched = 0
+		return from + end
+	}
+	return 0
+}
+
 // lastEventEnd returns the index after the last complete event; 0 if there is none.
 func lastEventEnd(b []byte) int {
 	end := 0
--- a/pkg/gateway/event_reader_test.go
+++ b/pkg/gateway/event_reader_test.go
@@ -7,11 +7,12 @@
 	"testing"
 	"testing/iotest"
 
+	"trefoilferry.example/ferry/pkg/bytebudget"
 	"trefoilferry.example/ferry/pkg/failure"
 )
 
 func readEvents(in io.Reader) (string, error) {
-	r := &eventReader{in: in}
+	r := &eventReader{in: in, hold: bytebudget.New(1 << 20).Share().Hold}
 	var out strings.Builder
 	for {
 		events, err := r.next()
--- a/pkg/gateway/forwarder.go
+++ b/pkg/gateway/forwarder.go
@@ -22,7 +22,6 @@
 	backend *backend
 	chooser *chooser
 	budgets *budgets
-	buffers bufferBudget
 	demand  *Demand
 	board   *quarantine.Board
 	crashes *crashWatch
--- a/pkg/gateway/hedged_request.go
+++ b/pkg/gateway/hedged_request.go
@@ -147,7 +147,7 @@
 // finished records the end of an attempt and reports whether its result is that of the request. All attempts have ended
 // then.
 func (s *hedgedRequest) finished(a *hedgedAttempt) bool {
-	s.p.reserved += a.result.reserved
+	s.p.keep(a.result.response)
 	if a.panicked != nil {
 		s.hedge.end(a.number, nil)
 		s.cancelOthers()
@@ -183,7 +183,7 @@
 	}
 	for range s.hedge.running {
 		a := <-s.ended
-		s.p.reserved += a.result.reserved
+		s.p.keep(a.result.response)
 		if a.result.fail == nil || a.result.fail.Outcome != failure.NotRun {
 			s.p.sent++
 		}
--- a/pkg/gateway/hedged_request_test.go
+++ b/pkg/gateway/hedged_request_test.go
@@ -154,7 +154,7 @@
 	for end := time.Now().Add(500 * time.Millisecond); r.atWork.Load() > 0 && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
-	if n, used := r.atWork.Load(), r.f.buffers.used.Load(); n != 0 || used != 0 {
+	if n, used := r.atWork.Load(), r.f.backend.pool.Budget().Used(); n != 0 || used != 0 {
 		t.Errorf("%d servers still work on the request and %d bytes are reserved for it, want none", n, used)
 	}
 }
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -76,7 +76,7 @@
 	if fail != nil {
 		return fail
 	}
-	reader := &eventReader{in: resp}
+	reader := &eventReader{in: resp, hold: resp.Hold}
 	watch.expectEvent(stall)
 	first := true
 	for {
--- a/pkg/gateway/run_attempt.go
+++ b/pkg/gateway/run_attempt.go
@@ -30,7 +30,7 @@
 	watch := f.watchSilence(j, c, p, cancel)
 	defer func() { p.next = watch.stop() }()
 	a := f.attempt(ctx, cancel, j, c, p, watch)
-	p.reserved += a.reserved
+	p.keep(a.response)
 	return a
 }
 
@@ -68,7 +68,7 @@
 	prompt.begun = true
 	f.backend.tracker.RecordResponse(c.server.ID)
 	if j.bufferResponse() || resp.Status != http.StatusOK || !judged.Deliverable {
-		a := readFullResponse(resp, judged, &f.buffers)
+		a := readFullResponse(resp, judged)
 		a.head = respMeta.Head
 		if a.fail != nil {
 			a.fail = f.classifyFailure(ctx, j, c, prompt, a.fail)
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -37,8 +37,8 @@
 	relay           *streamRelay
 	// suspect is set once an attempt may have crashed its server by the prompt of the request.
 	suspect bool
-	// reserved is what the responses of all attempts hold of the buffer budget, in bytes.
-	reserved int64
+	// kept holds the buffered responses of all attempts.
+	kept []*bufferedResponse
 	// obstacle is why the request was not sent again; empty before its last attempt has failed.
 	obstacle obstacle
 	// next is the server that takes the request over from a silent one; nil for none.
@@ -55,7 +55,7 @@
 		defer cancel()
 	}
 	p := &progress{outcome: failure.NotRun, relay: &streamRelay{w: w, codec: f.codec, lastEvent: j.meta.LastEventID}}
-	defer func() { f.buffers.release(p.reserved) }()
+	defer p.release()
 	for {
 		c, fail := f.nextServer(ctx, j, p)
 		f.announceClose(w)
@@ -79,6 +79,20 @@
 	}
 }
 
+// keep keeps a buffered response, nil for none, until the end of the request.
+func (p *progress) keep(r *bufferedResponse) {
+	if r != nil {
+		p.kept = append(p.kept, r)
+	}
+}
+
+// release returns what the buffered responses hold.
+func (p *progress) release() {
+	for _, r := range p.kept {
+		r.share.Release()
+	}
+}
+
 func (p *progress) record(a attemptResult) {
 	p.outcome = verdict.Combine(p.outcome, a.fail.Outcome)
 	p.last = a.fail
