exchange: the head of a response has few fields and few informational responses before it

A decoded header field takes up to fifty times the bytes of a short one, so that 64 KB of head took about 2 MB, outside of what the budget counts, and 2,600 informational responses were decoded before a head counted as endless.

Change: at most 128 fields a head, counted as bytes arrive up to the blank line, and at most 8 informational responses. Backend servers send a dozen fields.

--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -20,6 +20,8 @@
 	// maxSyncWriteBytes is the largest request that is written completely before its response is read. It fits into the
 	// smallest socket buffers, so that the write does not block if the server responds before it has read the request.
 	maxSyncWriteBytes = 8192
+	// maxInterimResponses bounds the informational responses before a response.
+	maxInterimResponses = 8
 	// maxStaleResponses bounds the responses to earlier requests that are skipped before the response to a request.
 	maxStaleResponses = 2
 	// defaultKeepAlive is the keep-alive timeout assumed for servers that send none.
@@ -89,11 +91,17 @@
 	return nil, c.classify(ctx, failure.New(failure.FrameMismatch, failure.Unknown, "the response from "+c.address+" belongs to another request"))
 }
 
-// readHead reads a response head and skips informational (1xx) responses. It reads at most about maxHeadBytes.
+// readHead reads a response head and skips informational (1xx) responses, of which there may be maxInterimResponses. It reads
+// at most about maxHeadBytes.
 func (c *conn) readHead(method string, share *bytebudget.Share) (*responseHead, error) {
 	c.head.begin(share)
 	defer c.head.end()
-	for {
+	for range maxInterimResponses + 1 {
+		// Peek does not fail for what is buffered.
+		buffered, _ := c.reader.Peek(c.reader.Buffered())
+		if err := c.head.expect(buffered); err != nil {
+			return nil, err
+		}
 		//nolint:bodyclose // The body is read from the connection, whose owner closes or reuses it.
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
@@ -103,6 +111,7 @@
 			return newResponseHead(resp), nil
 		}
 	}
+	return nil, failure.New(failure.FrameMismatch, failure.Unknown, "more than "+strconv.Itoa(maxInterimResponses)+" informational responses come before the response")
 }
 
 // send writes a small request before it returns. A larger one is written in the background while its response is read.
--- a/pkg/exchange/endless_test.go
+++ b/pkg/exchange/endless_test.go
@@ -41,6 +41,7 @@
 		"no status line":            {"", "\x00\xff"},
 		"one header":                {"HTTP/1.1 200 OK\r\nX: ", "x"},
 		"many headers":              {"HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+		"many informational fields": {"HTTP/1.1 103 Early Hints\r\n", "X: y\r\n"},
 		"informational responses":   {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
 		"informational with fields": {"", "HTTP/1.1 100 Continue\r\nX: yyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyy\r\n\r\n"},
 		"stale responses":           {"", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\n"},
--- a/pkg/exchange/head_limiter.go
+++ b/pkg/exchange/head_limiter.go
@@ -19,7 +19,8 @@
 	inHead bool
 	left   int
 	// share holds the head.
-	share *bytebudget.Share
+	share  *bytebudget.Share
+	fields fieldCounter
 }
 
 // begin starts a head of at most maxHeadBytes that the share holds.
@@ -27,10 +28,16 @@
 	l.inHead, l.left, l.share = true, maxHeadBytes, share
 }
 
+// expect starts the next response of the head, whose first bytes have been read already.
+func (l *headLimiter) expect(buffered []byte) error {
+	l.fields = fieldCounter{}
+	return l.fields.count(buffered)
+}
+
 // end lifts the bound.
 func (l *headLimiter) end() { l.inHead = false }
 
-// Read fails with code FrameMismatch once a head is longer than maxHeadBytes or exceeds the budget.
+// Read fails with code FrameMismatch once a head has more than maxHeadBytes or maxHeadFields or exceeds the budget.
 func (l *headLimiter) Read(p []byte) (int, error) {
 	if !l.inHead {
 		return l.in.Read(p)
@@ -40,6 +47,9 @@
 	}
 	n, err := l.in.Read(p)
 	l.left -= n
+	if countErr := l.fields.count(p[:n]); countErr != nil {
+		return 0, countErr
+	}
 	if holdErr := l.share.Hold(int64(maxHeadBytes - l.left)); holdErr != nil {
 		return 0, failure.Wrap(failure.FrameMismatch, failure.Unknown, "the head of the response cannot be held", holdErr)
 	}
