gateway: bodies of requests count towards the budget for received bytes

Each body of a caller was bounded by the configuration only, and its memory was allocated in full as soon as its length was known, so that as many callers as the host has connections could exceed its memory together.

Change: a body is held within the budget of package bytebudget; one that it does not allow is refused at once with 503, before it is read.

--- a/pkg/gateway/forwarder.go
+++ b/pkg/gateway/forwarder.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"trefoilferry.example/ferry/pkg/bytebudget"
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/fleet"
@@ -35,7 +36,9 @@
 // ServeHTTP serves one request.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	j, fail := f.accept(w, r, arrived)
+	share := f.backend.pool.Budget().Share()
+	defer share.Release()
+	j, fail := f.accept(w, r, arrived, share)
 	f.announceClose(w)
 	if plan := f.stop.current(); fail == nil && !plan.takes(time.Now()) {
 		fail = stopFailure("the daemon is stopping and takes no more requests")
@@ -59,9 +62,9 @@
 	}
 }
 
-// accept decodes a request, resolves its route and reads its body. The returned job is never nil, so that a failure can
-// be logged with it.
-func (f *Forwarder) accept(w http.ResponseWriter, r *http.Request, arrived time.Time) (*job, *failure.Failure) {
+// accept decodes a request, resolves its route and reads its body, which the share holds. The returned job is never nil, so
+// that a failure can be logged with it.
+func (f *Forwarder) accept(w http.ResponseWriter, r *http.Request, arrived time.Time, share *bytebudget.Share) (*job, *failure.Failure) {
 	j := &job{method: r.Method, target: r.RequestURI, host: r.Host, header: r.Header, arrived: arrived, tried: map[string]bool{}}
 	view := f.control.View()
 	meta, err := f.codec.DecodeRequest(r.Header)
@@ -83,7 +86,7 @@
 	j.chain = prefixChain(&j.meta)
 	j.setDeadline()
 	j.parts = sharedParts(&j.meta)
-	body, fail := readBody(w, r, view.Config.Limits)
+	body, fail := readBody(w, r, view.Config.Limits, share)
 	j.body = body
 	if fail == nil {
 		fail = f.barred(j, arrived)
@@ -103,8 +106,9 @@
 	}
 }
 
-// readBody reads the whole body, so that retries can send it again.
-func readBody(w http.ResponseWriter, r *http.Request, limits fleet.Limits) ([]byte, *failure.Failure) {
+// readBody reads the whole body into the share, so that retries can send it again. A body whose length the share cannot
+// hold is refused before it is read.
+func readBody(w http.ResponseWriter, r *http.Request, limits fleet.Limits, share *bytebudget.Share) ([]byte, *failure.Failure) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
@@ -119,14 +123,19 @@
 	var body []byte
 	var err error
 	if r.ContentLength > 0 {
-		body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(in, body)
+		if err = share.Hold(r.ContentLength); err == nil {
+			body = make([]byte, r.ContentLength)
+			_, err = io.ReadFull(in, body)
+		}
 	} else {
-		body, err = io.ReadAll(in)
+		body, err = share.ReadAll(in, limit)
 	}
 	if err == nil {
 		return body, nil
 	}
+	if failure.HasCode(err, failure.BodyTooLarge) {
+		return nil, failure.Wrap(failure.Overloaded, failure.NotRun, "the request body cannot be held now", err)
+	}
 	if _, ok := err.(*http.MaxBytesError); ok {
 		return nil, failure.New(failure.BodyTooLarge, failure.NotRun, "the request body is too long")
 	}
--- a/pkg/gateway/not_ready_test.go
+++ b/pkg/gateway/not_ready_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"trefoilferry.example/ferry/pkg/bytebudget"
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/fleet"
@@ -34,7 +35,7 @@
 	control := NewControl(eventlog.Discard(), NewPollTiming(time.Second))
 	f := &Forwarder{control: control, codec: deadlineCodec{}, log: eventlog.Discard()}
 	retryAfterOfRequest := func() time.Duration {
-		_, fail := f.accept(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil), time.Now())
+		_, fail := f.accept(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil), time.Now(), bytebudget.New(1<<20).Share())
 		if fail == nil || fail.Code != failure.NotReady || verdict.CallerStatus(fail.Code, fail.Outcome) != http.StatusServiceUnavailable {
 			t.Fatalf("failure without a configuration: %v, want not_ready with status 503", fail)
 		}
