entry: a status does not promise what the outcome of a failure leaves open

Change: statuses that promise are used for outcome not_run only; otherwise 502 or 504, as on the platform's way.

TestStatusDoesNotContradictTheOutcome failed before for each code with a status of 408, 429 or 503 and an outcome other than not_run.

--- a/pkg/entry/write_failure.go
+++ b/pkg/entry/write_failure.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/verdict"
 )
 
 // HTTP headers of the API for callers.
@@ -34,7 +35,7 @@
 func failureBody(requestID string, f *failure.Failure) []byte {
 	body := errorBody{Error: errorDetail{
 		Message:   f.Message,
-		Type:      errorType(f.Code.Status()),
+		Type:      errorType(statusOf(f)),
 		Code:      string(f.Code),
 		Outcome:   string(f.Outcome),
 		RequestID: requestID,
@@ -56,6 +57,16 @@
 	}
 }
 
+// statusOf returns the status of a failure. Clients that do not know the outcome header take some statuses for the promise
+// that the request has not run; these are used only for outcome NotRun.
+func statusOf(f *failure.Failure) int {
+	status := f.Code.Status()
+	if f.Outcome != failure.NotRun && verdict.PromisesNotRun(status) {
+		return verdict.CallerStatus(f.Code, f.Outcome)
+	}
+	return status
+}
+
 // writeFailure sends an error response. No response may have been started before.
 func writeFailure(w http.ResponseWriter, requestID string, f *failure.Failure) {
 	h := w.Header()
@@ -65,7 +76,7 @@
 	if seconds := retryAfterSeconds(f); seconds > 0 {
 		h.Set(headerRetryAfter, strconv.Itoa(seconds))
 	}
-	w.WriteHeader(f.Code.Status())
+	w.WriteHeader(statusOf(f))
 	_, _ = w.Write(failureBody(requestID, f))
 }
 
@@ -75,7 +86,7 @@
 	if f.RetryAfter > 0 {
 		return int(math.Ceil(f.RetryAfter.Seconds()))
 	}
-	if f.Code.Status() == http.StatusServiceUnavailable || f.Code.Status() == http.StatusTooManyRequests {
+	if status := statusOf(f); status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		return 1
 	}
 	return 0
