--- a/pkg/gatewaydaemon/module.go
+++ b/pkg/gatewaydaemon/module.go
@@ -67,6 +67,8 @@
 		func() float64 { return float64(clients.Pool.TotalOpened()) }))
 	r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "ferry_gateway_skipped_responses_total", Help: "Responses of backend servers that did not belong to the request that waited for one."},
 		func() float64 { return float64(clients.Pool.TotalSkipped()) }))
+	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "ferry_gateway_received_bytes_held", Help: "Bytes of requests and of responses of backend servers that are held beyond the allowance of each."},
+		func() float64 { return float64(clients.Pool.Budget().Used()) }))
 }
 
 func newElector(s *Settings, clients *Clients, ref *coordinatorRef, l *eventlog.Logger) *lease.Elector {
