--- a/pkg/availability/pause.go
+++ b/pkg/availability/pause.go
@@ -23,6 +23,8 @@
 	// since is when the first refusal with a pause arrived, until when the latest pause ends.
 	since time.Time
 	until time.Time
+	// saidAt is when the newest refusal with a pause arrived.
+	saidAt time.Time
 	// resumeAt is when this daemon sends requests again; it is until or a little later.
 	resumeAt time.Time
 	// lot, in [0, 1), decides by how much.
--- a/pkg/availability/table.go
+++ b/pkg/availability/table.go
@@ -12,6 +12,8 @@
 type Table struct {
 	mu      sync.Mutex
 	records map[Incarnation]*record
+	// newest holds the latest start of each id that has had a record.
+	newest map[string]int64
 	// notify is called with each change, without the lock.
 	notify func(Change)
 	// random returns a number in [0, 1).
@@ -20,7 +22,7 @@
 
 // NewTable returns an empty table that calls notify with each change; random returns numbers in [0, 1).
 func NewTable(random func() float64, notify func(Change)) *Table {
-	return &Table{records: map[Incarnation]*record{}, random: random, notify: notify}
+	return &Table{records: map[Incarnation]*record{}, newest: map[string]int64{}, random: random, notify: notify}
 }
 
 // Record records what a response says.
@@ -42,6 +44,9 @@
 		if a.At.After(r.lastAt) {
 			r.lastAt = a.At
 		}
+		if a.SentAt.After(r.leavingSentAt) {
+			r.leavingSentAt = a.SentAt
+		}
 		if !r.leaving {
 			r.leaving, r.leavingSince = true, a.At
 			changes = append(changes, Change{Kind: LeavingBegan, Server: server, Source: a.Source, Age: a.At.Sub(a.SentAt)})
@@ -71,6 +76,7 @@
 		r.pause = &pause{since: a.At, lot: t.random()}
 		change.Kind = PauseBegan
 	}
+	r.pause.saidAt = a.At
 	r.pause.extend(a.Pause, a.At)
 	if change.Left = r.pause.until.Sub(a.At); change.Kind == PauseBegan || r.pause.until.Sub(r.pause.notified) >= minNotifiedExtension {
 		r.pause.notified = r.pause.until
@@ -81,8 +87,8 @@
 
 // recordAccepted ends the return after a pause if the request was sent in it. A request of before says nothing of it.
 func (t *Table) recordAccepted(server Incarnation, a *Answer) []Change {
-	r, ok := t.records[server]
-	if !ok || r.pause == nil || a.SentAt.Before(r.pause.resumeAt) {
+	r := t.find(server)
+	if r == nil || r.pause == nil || a.SentAt.Before(r.pause.resumeAt) {
 		return nil
 	}
 	change := Change{Kind: PauseEnded, Server: server, Source: a.Source, Age: r.pause.until.Sub(r.pause.since)}
@@ -99,10 +105,13 @@
 }
 
 func (t *Table) get(server Incarnation) *record {
-	r, ok := t.records[server]
-	if !ok {
+	r := t.find(server)
+	if r == nil {
 		r = &record{}
 		t.records[server] = r
+		if born, known := t.newest[server.ID]; !known || born < server.StartMillis {
+			t.newest[server.ID] = server.StartMillis
+		}
 	}
 	return r
 }
@@ -114,8 +123,8 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r, ok := t.records[server]
-	return ok && r.leaving
+	r := t.find(server)
+	return r != nil && r.leaving
 }
 
 // PauseLeft returns how long this daemon may send the server no request; 0 if it may now. After a pause it may send one
@@ -126,8 +135,8 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r, ok := t.records[server]
-	if !ok || r.pause == nil {
+	r := t.find(server)
+	if r == nil || r.pause == nil {
 		return 0
 	}
 	return r.pause.left(now)
@@ -141,8 +150,8 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r, ok := t.records[server]
-	if !ok {
+	r := t.find(server)
+	if r == nil {
 		return true
 	}
 	if r.leaving || (r.pause != nil && r.pause.left(now) > 0) {
@@ -166,6 +175,9 @@
 	}
 	t.mu.Lock()
 	var changes []Change
+	for id, born := range listed {
+		t.find(Incarnation{ID: id, StartMillis: born})
+	}
 	for server, r := range t.records {
 		ended := t.hasEnded(server, r, listed, now)
 		if ended && r.leaving {
@@ -179,6 +191,11 @@
 			delete(t.records, server)
 		}
 	}
+	for id, born := range t.newest {
+		if _, ok := t.records[Incarnation{ID: id, StartMillis: born}]; !ok {
+			delete(t.newest, id)
+		}
+	}
 	t.mu.Unlock()
 	t.notifyAll(changes)
 }
