--- a/pkg/eventlog/catalog.go
+++ b/pkg/eventlog/catalog.go
@@ -29,8 +29,8 @@
 
 // Events of requests at entry hosts.
 var (
-	RequestFailed    = register(200, log.WarnLevel, "request failed", "A caller received an error; code and outcome give the reason.")
-	AttemptFailed    = register(201, log.InfoLevel, "attempt failed", "One attempt failed; another attempt of the request may still succeed.")
+	RequestFailed    = register(200, log.WarnLevel, "request failed", "A caller received an error; code and outcome give the reason, told is the status of the response, 0 for an aborted stream.")
+	AttemptFailed    = register(201, log.InfoLevel, "attempt failed", "One attempt failed; another attempt of the request may still succeed. status, declared and signed are what the response of the server showed; 0 for none.")
 	AttemptResumed   = register(202, log.InfoLevel, "attempt resumed", "A broken response stream continues at another runner after the text already sent.")
 	RetryBudgetEmpty = register(203, log.WarnLevel, "retry budget empty", "Too many attempts fail; retries are refused until the retry budget recovers.")
 	HostSuspected    = register(204, log.InfoLevel, "host suspected", "A runner did not respond; new requests avoid it temporarily.")
--- a/pkg/eventlog/catalog_gateway.go
+++ b/pkg/eventlog/catalog_gateway.go
@@ -23,7 +23,7 @@
 	ServerPauseEnded       = register(144, log.InfoLevel, "server pause ended", "A pause and the return after it are over; source is the response that showed that the server takes requests again, empty if none did or its incarnation ended. lasted is how long the server was to get no requests.")
 	OutsideRecordRefused   = register(145, log.WarnLevel, "outside record refused", "An entry of the server list names no usable server, or a report of a runner has impossible values (record, key, reason); it changes nothing. Each is told once in ten minutes, ten in ten seconds at most; omitted counts the others.")
 	RequestServed          = register(210, log.InfoLevel, "request served", "A caller received a complete response; candidates and predictions show why this server was chosen. superseded lists servers that had the request as well and were cancelled.")
-	RequestRefused         = register(211, log.InfoLevel, "request refused", "A request was refused without being run; reason says why and retry_after when the caller may retry.")
+	RequestRefused         = register(211, log.InfoLevel, "request refused", "A request was refused without being run; reason says why, told the status of the response and retry_after when the caller may retry.")
 	StreamResumed          = register(212, log.InfoLevel, "stream resumed", "A broken response stream continues at another backend server after the last delivered event.")
 	LeaseTaken             = register(320, log.InfoLevel, "lease taken", "This daemon is now the coordinator; it may order models and adapters to be loaded or unloaded once first_order_in has passed.")
 	LeaseLost              = register(321, log.WarnLevel, "lease lost", "Another daemon is now the coordinator; this one sends no more orders.")
