exchange: a refusal whose body does not come holds up no request

Found by reading while the reading of refusals was moved: the body of a refusal with a known length was read until the deadline of the request if its server did not send it. The request was then refused instead of tried elsewhere, after its whole time.

Change: such a body is waited for 30 ms, then the connection is closed.

TestBodiesThatAreNoAnswerAreNotRead failed before with its new case (5.0 s, the deadline) and passes now.

--- a/pkg/exchange/response.go
+++ b/pkg/exchange/response.go
@@ -76,6 +76,18 @@
 	return r.share
 }
 
+// Drain reads the body of a response that nobody needs, so that the connection can be reused, if it has at most limit bytes and
+// they arrive within the given time. Otherwise Close closes the connection.
+func (r *Response) Drain(limit int64, within time.Duration) {
+	if r.Length < 0 || r.Length > limit {
+		return
+	}
+	// A failed call or read leaves the body incomplete, which Close goes by.
+	_ = r.conn.SetReadDeadline(time.Now().Add(within))
+	_, _ = io.Copy(io.Discard, r)
+	_ = r.conn.SetReadDeadline(time.Time{})
+}
+
 // Complete reports whether the body has been read to its end.
 func (r *Response) Complete() bool { return r.complete }
 
--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -19,9 +18,13 @@
 // together are bounded by the budget of the pool.
 const maxBufferedBytes = 16 << 20
 
-// maxRefusalBytes is the longest body of a refusal that is read to reuse the connection. The refused request is retried
-// at once, so a body of unknown length must not hold it up.
-const maxRefusalBytes = 4 << 10
+const (
+	// maxRefusalBytes is the longest body of a refusal that is read to reuse the connection.
+	maxRefusalBytes = 4 << 10
+	// maxRefusalTime is how long it is waited for: a body that does not come must not hold up the retry of the request. It
+	// usually comes with the head.
+	maxRefusalTime = 30 * time.Millisecond
+)
 
 // backend sends requests to backend servers.
 type backend struct {
@@ -67,19 +70,12 @@
 	b.recordAvailability(&c.server, j, &meta, judged.Outcome != failure.NotRun, sentAt, now)
 	if judged.Outcome == failure.NotRun {
 		defer resp.Close()
-		drain(resp)
+		resp.Drain(maxRefusalBytes, maxRefusalTime)
 		return nil, meta, judged, withheldFailure(resp, judged)
 	}
 	return resp, meta, judged, nil
 }
 
-// drain reads a short body that nobody gets, so that the connection can be reused; errors do not matter.
-func drain(resp *exchange.Response) {
-	if resp.Length >= 0 && resp.Length <= maxRefusalBytes {
-		_, _ = io.Copy(io.Discard, resp)
-	}
-}
-
 // recordLimit records the limit in a response of a server, 0 for none.
 func (b *backend) recordLimit(server string, limit float64, now time.Time) {
 	if changed, before := b.limits.Observe(server, serverlimit.Observation{Rate: limit, At: now}); changed {
@@ -108,7 +104,7 @@
 func readFullResponse(resp *exchange.Response, judged verdict.Judgement) attemptResult {
 	defer resp.Close()
 	if !judged.Deliverable {
-		drain(resp)
+		resp.Drain(maxRefusalBytes, maxRefusalTime)
 		return attemptResult{fail: withheldFailure(resp, judged)}
 	}
 	body, err := resp.ReadAll(maxBufferedBytes)
--- a/pkg/gateway/endless_test.go
+++ b/pkg/gateway/endless_test.go
@@ -166,6 +166,13 @@
 	if open := b.pool.OpenConns(); open != 0 {
 		t.Errorf("open connections after the refusal: %d, want 0", open)
 	}
+
+	c.server.Address = serveRaw(t, "HTTP/1.1 503 Unavailable\r\nRefused: 1\r\nContent-Length: 100\r\n\r\n", "x", 100*time.Millisecond)
+	began = time.Now()
+	_, _, _, fail = b.send(ctx, j, c, "")
+	if fail == nil || fail.Outcome != failure.NotRun || time.Since(began) > time.Second || b.pool.OpenConns() != 0 {
+		t.Errorf("refusal whose body does not come: %v after %v with %d open connections, want outcome %s at once", fail, time.Since(began), b.pool.OpenConns(), failure.NotRun)
+	}
 }
 
 // refusingCodec takes the header Refused for the declaration that the request was not executed.
