--- a/pkg/availability/table_test.go
+++ b/pkg/availability/table_test.go
@@ -62,7 +62,7 @@
 // there once the list shows the new start: 8 and 12 of them reached one within a pause that had been recorded for the start
 // before. What the earlier start had said does not bind the new one.
 func TestWordsOfAStartThatWasNotListedYet(t *testing.T) {
-	at := func(d time.Duration) time.Time { return start.Add(d) }
+	at := start.Add
 	first, second := Incarnation{"s", at(-time.Hour).UnixMilli()}, Incarnation{"s", start.UnixMilli()}
 	for _, c := range []struct {
 		name           string
