--- a/pkg/lease/uptime.go
+++ b/pkg/clock/uptime.go
@@ -1,4 +1,4 @@
-package lease
+package clock
 
 import (
 	"time"
--- a/pkg/fleet/config.go
+++ b/pkg/fleet/config.go
@@ -16,6 +16,8 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Workspaces are the groups of callers; empty if callers need no key.
+	Workspaces []Workspace `json:",omitempty"`
 }
 
 // Match returns the route of the virtual host with the longest path prefix of path, or nil if none matches.
@@ -40,6 +42,7 @@
 	for _, name := range slices.Sorted(maps.Keys(c.Services)) {
 		out = append(out, serviceErrors(name, c.Services[name].Engine)...)
 	}
+	out = append(out, workspaceErrors(c.Workspaces)...)
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		if len(r.Targets) == 0 {
--- a/pkg/fleet/route.go
+++ b/pkg/fleet/route.go
@@ -27,6 +27,8 @@
 	Priority int
 	// Resumable is set when streams may continue at another runner after the last delivered event.
 	Resumable bool
+	// Public is set when callers need no key although the configuration has workspaces.
+	Public bool
 }
 
 // Retryable reports whether a request of the route may be retried after an attempt with an unknown outcome.
--- a/pkg/gateway/attempt_meta.go
+++ b/pkg/gateway/attempt_meta.go
@@ -12,4 +12,6 @@
 	Priority int
 	// LastEventID asks the server to resume a stream after this event; empty for a new stream.
 	LastEventID string
+	// Workspace is the name of the caller's workspace; empty for none.
+	Workspace string
 }
--- a/pkg/gateway/request_meta.go
+++ b/pkg/gateway/request_meta.go
@@ -17,4 +17,6 @@
 	Prompt               []PromptPart
 	// LastEventID is the last event that the caller received of a stream that it wants to resume; empty otherwise.
 	LastEventID string
+	// Credential is what the caller shows to belong to a workspace.
+	Credential Credential
 }
--- a/pkg/lease/elector.go
+++ b/pkg/lease/elector.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"trefoilferry.example/ferry/pkg/clock"
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/retry"
@@ -70,7 +71,7 @@
 // NewElector returns an elector for the daemon of that name and address on a host with that many cores (0 if unknown);
 // the caller starts it with Run.
 func NewElector(store Store, log *eventlog.Logger, name, address string, cores float64, timing Timing, handover StateHandover) *Elector {
-	return &Elector{cores: cores, store: store, log: log, now: Uptime, name: name,
+	return &Elector{cores: cores, store: store, log: log, now: clock.Uptime, name: name,
 		machine: NewMachine(name, address, timing), wake: make(chan struct{}, 1), handover: handover}
 }
 
