--- a/pkg/coordinator/odd_relay_test.go
+++ b/pkg/coordinator/odd_relay_test.go
@@ -44,7 +44,7 @@
 		for _, full := range []bool{false, true} {
 			view := &ferrypb.FleetView{ServersFull: full, Servers: []*ferrypb.ServerState{odd, relayedServer("other")}}
 			for _, known := range []map[string]fleet.Server{{}, {"odd": usual}} {
-				u, err := relayUpdate(view, known, time.Now())
+				u, err := relayUpdate(view, known, time.Now(), 0)
 				if err != nil {
 					t.Fatalf("%s: %v, want an update with the other server", name, err)
 				}
@@ -84,16 +84,16 @@
 // operator will write.
 func TestOddRelayedConfigurationsAreRefused(t *testing.T) {
 	for name, text := range oddConfigs {
-		if u, err := relayUpdate(&ferrypb.FleetView{ConfigVersion: 7, Config: []byte(text)}, nil, time.Now()); err == nil {
+		if u, err := relayUpdate(&ferrypb.FleetView{ConfigVersion: 7, Config: []byte(text)}, nil, time.Now(), 0); err == nil {
 			t.Errorf("%s: configuration %+v, want an error", name, u.Config)
 		}
 	}
 	for _, text := range []string{"null", "{}"} {
-		if u, err := relayUpdate(&ferrypb.FleetView{Config: []byte(text)}, nil, time.Now()); err == nil {
+		if u, err := relayUpdate(&ferrypb.FleetView{Config: []byte(text)}, nil, time.Now(), 0); err == nil {
 			t.Errorf("%s of no version: configuration %+v, want an error", text, u.Config)
 		}
 	}
-	if u, err := relayUpdate(&ferrypb.FleetView{ConfigVersion: 7, Config: []byte(`{"Version":7}`)}, nil, time.Now()); err != nil || u.Config.Version != 7 {
+	if u, err := relayUpdate(&ferrypb.FleetView{ConfigVersion: 7, Config: []byte(`{"Version":7}`)}, nil, time.Now(), 0); err != nil || u.Config.Version != 7 {
 		t.Errorf("usual configuration: %+v, error %v, want version 7", u, err)
 	}
 }
@@ -140,7 +140,7 @@
 			return
 		}
 		decodeWork(view.Work)
-		u, err := relayUpdate(view, map[string]fleet.Server{}, time.Now())
+		u, err := relayUpdate(view, map[string]fleet.Server{}, time.Now(), 0)
 		if err != nil {
 			return
 		}
--- a/pkg/coordinator/odd_view_test.go
+++ b/pkg/coordinator/odd_view_test.go
@@ -29,7 +29,7 @@
 	f.reporter.log = eventlog.NewLogger(out, eventlog.FormatText, log.InfoLevel, "d")
 	view := &ferrypb.FleetView{Holder: true, ServersVersion: 1, ConfigVersion: 2, Config: []byte("null")}
 	for range 100 {
-		f.reporter.applyStoreState(t.Context(), view, time.Now())
+		f.reporter.applyStoreState(t.Context(), view, time.Now(), 0)
 	}
 	if n := strings.Count(out.String(), "F0102"); n != 1 {
 		t.Errorf("lines of 100 refused configurations: %d, want 1", n)
--- a/pkg/coordinator/reporter.go
+++ b/pkg/coordinator/reporter.go
@@ -8,6 +8,7 @@
 
 	"trefoilferry.example/ferry/api/ferrypb"
 	"trefoilferry.example/ferry/pkg/availability"
+	"trefoilferry.example/ferry/pkg/clock"
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/gateway"
@@ -124,7 +125,7 @@
 		r.source, r.view.tenure, r.view.version, r.view.serversVersion = source, 0, 0, 0
 	}
 	message, waiting := r.buildReport()
-	sent := time.Now()
+	sent, sentUp := time.Now(), clock.Uptime()
 	r.evidence.addTo(message, sent)
 	r.limits.addTo(message, sent)
 	r.leaving.addTo(message, sent)
@@ -148,7 +149,7 @@
 	r.limits.apply(view, time.Now())
 	r.leaving.apply(view, time.Now())
 	if !cutOff {
-		r.applyStoreState(ctx, view, sent)
+		r.applyStoreState(ctx, view, sent, sentUp)
 	}
 	return waiting
 }
@@ -239,7 +240,7 @@
 }
 
 // applyStoreState applies what the holder has read from the store.
-func (r *Reporter) applyStoreState(ctx context.Context, view *ferrypb.FleetView, sent time.Time) {
+func (r *Reporter) applyStoreState(ctx context.Context, view *ferrypb.FleetView, sent time.Time, sentUp time.Duration) {
 	if r.source == localHolder {
 		r.control.SetRelayActive(false)
 		return
@@ -248,7 +249,7 @@
 		// The holder has not read the store yet or waits for digests. What was relayed before is used until it is too old.
 		return
 	}
-	update, err := relayUpdate(view, r.control.View().Servers, sent)
+	update, err := relayUpdate(view, r.control.View().Servers, sent, sentUp)
 	if err != nil {
 		if reason := err.Error(); reason != r.refusedRelay {
 			r.refusedRelay = reason
--- a/pkg/coordinator/resync_test.go
+++ b/pkg/coordinator/resync_test.go
@@ -89,7 +89,7 @@
 		}
 		bytes += proto.Size(view)
 		r.applyPlacement(t.Context(), view)
-		r.applyStoreState(t.Context(), view, time.Now())
+		r.applyStoreState(t.Context(), view, time.Now(), 0)
 		// The control loop applies events in their order: once it shows this placement, it has applied the others.
 		last := r.view.placement(view)
 		r.control.SetPlacement(t.Context(), last)
--- a/pkg/coordinator/store_relay.go
+++ b/pkg/coordinator/store_relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/clock"
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/fleet"
 	"trefoilferry.example/ferry/pkg/gateway"
@@ -21,6 +22,7 @@
 	}
 	out.ConfigVersion, out.ServersVersion = view.Config.Version, view.ServersVersion
 	out.ConfigAgeMillis, out.ServersAgeMillis = ageMillis(view.ConfigAt, now), ageMillis(view.ServersAt, now)
+	out.ConfigProvenAgeMillis = max(boundedMillisOf(clock.Uptime()-view.ConfigProvenAt), 1)
 	if report.ConfigVersion < view.Config.Version {
 		// If the configuration cannot be encoded, the caller reads it from the store.
 		if data, err := json.Marshal(view.Config); err == nil {
@@ -55,7 +57,11 @@
 // ageMillis returns the time from at to now in milliseconds. It is bounded, because the age of a time that was never set
 // would otherwise become an arbitrary one.
 func ageMillis(at, now time.Time) uint32 {
-	return uint32(min(max(now.Sub(at).Milliseconds(), 0), math.MaxUint32))
+	return boundedMillisOf(now.Sub(at))
+}
+
+func boundedMillisOf(age time.Duration) uint32 {
+	return uint32(min(max(age.Milliseconds(), 0), math.MaxUint32))
 }
 
 func serverToProto(s *fleet.Server) *ferrypb.ServerState {
@@ -76,12 +82,17 @@
 	return s
 }
 
-// relayUpdate decodes the store state relayed by the holder. Ages are counted from when the report was sent. known are the
-// servers that the daemon knows.
-func relayUpdate(view *ferrypb.FleetView, known map[string]fleet.Server, sent time.Time) (*gateway.RelayUpdate, error) {
+// relayUpdate decodes the store state relayed by the holder. Ages are counted from when the report was sent, which is sentUp
+// on the clock that counts time spent suspended. known are the servers that the daemon knows.
+func relayUpdate(view *ferrypb.FleetView, known map[string]fleet.Server, sent time.Time, sentUp time.Duration) (*gateway.RelayUpdate, error) {
 	u := &gateway.RelayUpdate{
-		ServersAt: sent.Add(-time.Duration(view.ServersAgeMillis) * time.Millisecond),
-		ConfigAt:  sent.Add(-time.Duration(view.ConfigAgeMillis) * time.Millisecond),
+		ServersAt:     sent.Add(-time.Duration(view.ServersAgeMillis) * time.Millisecond),
+		ConfigAt:      sent.Add(-time.Duration(view.ConfigAgeMillis) * time.Millisecond),
+		ConfigVersion: view.ConfigVersion,
+	}
+	if view.ConfigProvenAgeMillis > 0 {
+		// A millisecond more, so that the configuration is never taken for younger than it is.
+		u.ConfigProvenAt = sentUp - millis(view.ConfigProvenAgeMillis) - time.Millisecond
 	}
 	if len(view.Config) > 0 {
 		config, err := configFromRelay(view)
--- a/pkg/gateway/attempt_meta.go
+++ b/pkg/gateway/attempt_meta.go
@@ -14,4 +14,6 @@
 	LastEventID string
 	// Workspace is the name of the caller's workspace; empty for none.
 	Workspace string
+	// WithholdKey is set if callers show keys, which no server may see.
+	WithholdKey bool
 }
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -8,8 +8,10 @@
 	"sync/atomic"
 	"time"
 
+	"trefoilferry.example/ferry/pkg/clock"
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/fleet"
+	"trefoilferry.example/ferry/pkg/keyring"
 )
 
 const (
@@ -33,13 +35,17 @@
 	storeUnavailable atomic.Bool
 	// listWanted is set when removals of a complete relayed list were not applied, because the daemon's own list is newer.
 	listWanted atomic.Bool
+	// keyLimit is the age of the configuration from which no keys are accepted; 0 for none.
+	keyLimit time.Duration
+	// uptime returns the time since the host booted, including time spent suspended.
+	uptime func() time.Duration
 	// fastPollUntil is the end of the fast polling of the server list, in Unix nanoseconds.
 	fastPollUntil atomic.Int64
 }
 
 // NewControl returns a Control with an empty view. Run or Follow starts its loop.
 func NewControl(log *eventlog.Logger, timing PollTiming) *Control {
-	c := &Control{log: log, timing: timing, registry: fleet.NewRegistry(), events: make(chan controlEvent, controlQueueLen)}
+	c := &Control{log: log, timing: timing, keyLimit: keyring.LimitFor(timing.RevokeBound), uptime: clock.Uptime, registry: fleet.NewRegistry(), events: make(chan controlEvent, controlQueueLen)}
 	c.view.Store(&View{Changed: make(chan struct{})})
 	return c
 }
@@ -110,12 +116,14 @@
 			c.log.Log(eventlog.StoredConfigOlder, "stored", e.config.Version, "in_force", inForce)
 		}
 		c.applyConfig(e.config, e.configAt)
+		c.proveConfig(e.configProvenAt)
 	case e.servers != nil:
 		c.applyServers(e.servers, now)
 	case e.relay != nil:
 		c.applyRelay(e.relay, now)
 	case !e.configAt.IsZero():
 		c.confirm(time.Time{}, e.configAt)
+		c.proveConfig(e.configProvenAt)
 	case e.placement != nil:
 		next := *c.View()
 		next.Placement, next.PlacementAt = e.placement, now
@@ -132,7 +140,7 @@
 		return
 	}
 	next := *current
-	next.Config, next.ConfigAt = config, at
+	next.Config, next.ConfigAt, next.Keys = config, at, keyring.New(config)
 	c.publish(&next)
 	c.log.Log(eventlog.ConfigApplied, "version", config.Version, "routes", len(config.Routes), "services", len(config.Services))
 }
@@ -181,6 +189,18 @@
 	}
 	c.applyServers(&serverEvent{changes: changes, sentAt: u.ServersAt}, now)
 	c.confirm(u.ServersAt, u.ConfigAt)
+	if c.configVersion() >= u.ConfigVersion {
+		c.proveConfig(u.ConfigProvenAt)
+	}
+}
+
+// proveConfig records that a read sent at that time shows the configuration to be in force.
+func (c *Control) proveConfig(at time.Duration) {
+	next := *c.View()
+	if at > next.ConfigProvenAt {
+		next.ConfigProvenAt = at
+		c.view.Store(&next)
+	}
 }
 
 // confirm records that the servers and the configuration were current at the given times. The content of the view
--- a/pkg/gateway/control_event.go
+++ b/pkg/gateway/control_event.go
@@ -15,6 +15,8 @@
 	// configAt is when the configuration was known to be current. An event with this field alone reports a read that
 	// returned nothing new.
 	configAt time.Time
+	// configProvenAt is when the read of the configuration was sent, as View.ConfigProvenAt.
+	configProvenAt time.Duration
 }
 
 // serverEvent is the result of one read of the server list.
--- a/pkg/gateway/follow.go
+++ b/pkg/gateway/follow.go
@@ -38,7 +38,7 @@
 			sleep(ctx, relayCheckInterval)
 			continue
 		}
-		sent := time.Now()
+		sent, provenAt := time.Now(), c.uptime()
 		config, err := c.readConfig(ctx, source, wait, dependency.failures)
 		dependency.record(err)
 		c.storeUnavailable.Store(dependency.unavailable)
@@ -58,12 +58,12 @@
 		case err != nil:
 			sleep(ctx, dependency.retryDelay(err, c.View().Ready(), time.Since(sent)))
 		case config != nil:
-			c.send(ctx, controlEvent{config: config, configAt: sent})
+			c.send(ctx, controlEvent{config: config, configAt: sent, configProvenAt: provenAt})
 		case c.View().Config == nil:
 			sleep(ctx, noConfigDelay)
 		default:
 			// The store responded after waiting for a change, so the configuration is current as of now.
-			c.send(ctx, controlEvent{configAt: time.Now()})
+			c.send(ctx, controlEvent{configAt: time.Now(), configProvenAt: provenAt})
 		}
 	}
 }
--- a/pkg/gateway/forwarder.go
+++ b/pkg/gateway/forwarder.go
@@ -80,7 +80,10 @@
 	if route == nil {
 		return j, failure.New(failure.NotFound, failure.NotRun, "no route matches the host and path")
 	}
-	j.route, j.version = route, view.Config.Version
+	j.route, j.version, j.keyed = route, view.Config.Version, view.Keys != nil
+	if fail := f.authorize(r.Context(), j); fail != nil {
+		return j, fail
+	}
 	j.service = view.Config.Services[route.Service(j.routeHash())]
 	j.maxIdle = idleShare(j.service.MaxConnections, f.control.daemonCount())
 	j.chain = prefixChain(&j.meta)
--- a/pkg/gateway/job.go
+++ b/pkg/gateway/job.go
@@ -14,6 +14,10 @@
 	meta    RequestMeta
 	route   *fleet.Route
 	service fleet.Service
+	// workspace is that of the caller; nil if callers need no key.
+	workspace *fleet.Workspace
+	// keyed is set if callers of the configuration show keys, which servers must not see.
+	keyed bool
 	// version of the configuration that the route comes from.
 	version int64
 	method  string
@@ -64,3 +68,11 @@
 
 // bufferResponse reports whether the response is read completely before it is written to the caller.
 func (j *job) bufferResponse() bool { return j.route.Kind != fleet.Streaming }
+
+// workspaceName returns the name of the caller's workspace; empty if callers need no key.
+func (j *job) workspaceName() string {
+	if j.workspace == nil {
+		return ""
+	}
+	return j.workspace.Name
+}
--- a/pkg/gateway/poll_timing.go
+++ b/pkg/gateway/poll_timing.go
@@ -19,6 +19,9 @@
 	MaxHolderAge time.Duration
 	// ReadTimeout bounds a read of the store after a successful one, in addition to the time that a long poll waits.
 	ReadTimeout time.Duration
+	// RevokeBound is the time within which a key that was taken away must be out of force, also at a daemon that hears from
+	// nobody; 0 for no bound.
+	RevokeBound time.Duration
 }
 
 // Shares of the time within which a change must be applied. The age of relayed state, a read that times out because
--- a/pkg/gateway/relay_update.go
+++ b/pkg/gateway/relay_update.go
@@ -16,4 +16,8 @@
 	// ServersAt and ConfigAt are when the lease holder read the store.
 	ServersAt time.Time
 	ConfigAt  time.Time
+	// ConfigProvenAt is View.ConfigProvenAt of the lease holder on this daemon's clock; 0 if unknown. It holds for
+	// ConfigVersion and later ones.
+	ConfigProvenAt time.Duration
+	ConfigVersion  int64
 }
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"trefoilferry.example/ferry/pkg/fleet"
+	"trefoilferry.example/ferry/pkg/keyring"
 )
 
 // View is an immutable snapshot of the routing state. Requests read it without waiting for the control loop.
@@ -19,6 +20,11 @@
 	// current, by the store or the lease holder.
 	ServersAt time.Time
 	ConfigAt  time.Time
+	// ConfigProvenAt is when the newest read was sent whose response shows that Config is in force, on the clock that counts
+	// time spent suspended. It is earlier than ConfigAt, which relies on responses not being delayed.
+	ConfigProvenAt time.Duration
+	// Keys is the index of the keys in Config; nil if callers need none.
+	Keys *keyring.Ring
 	// ServersVersion grows with every change of the servers; ServerChanged and ServerRemoved hold the version at which a
 	// server changed or was removed.
 	ServersVersion uint64
--- a/pkg/gatewaydaemon/daemon.go
+++ b/pkg/gatewaydaemon/daemon.go
@@ -145,7 +145,7 @@
 }
 
 func (d *Daemon) serveReadiness(w http.ResponseWriter, _ *http.Request) {
-	if d.draining.Load() || !d.control.View().Ready() {
+	if d.draining.Load() || !d.control.View().Ready() || d.control.KeysTooOld() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/pkg/gatewaydaemon/module.go
+++ b/pkg/gatewaydaemon/module.go
@@ -33,7 +33,9 @@
 			func() *serverlimit.Table { return serverlimit.NewTable(rand.Float64) },
 			gateway.NewAvailability,
 			func(l *eventlog.Logger) *gateway.Control {
-				return gateway.NewControl(l, gateway.NewPollTiming(settings.MaxChangeDelay))
+				timing := gateway.NewPollTiming(settings.MaxChangeDelay)
+				timing.RevokeBound = settings.RevokeBound
+				return gateway.NewControl(l, timing)
 			},
 			gateway.NewTracker,
 			gateway.NewDemand,
--- a/pkg/gatewaydaemon/settings.go
+++ b/pkg/gatewaydaemon/settings.go
@@ -27,6 +27,8 @@
 	FencingEnforced bool
 	// MaxChangeDelay is the time within which a change of the configuration or of a server must take effect.
 	MaxChangeDelay time.Duration
+	// RevokeBound is the time within which a key that was taken away must be out of force at every daemon; 0 for no bound.
+	RevokeBound time.Duration
 	// Cores is the processor capacity of the host in cores; 0 if unknown.
 	Cores float64
 	// MemoryLimitBytes is the memory above which the process is killed.
