allowance, coordinator: shared allowances lent by the lease holder

Cause: nothing limits what the callers of one workspace ask for from all daemons together.

The holder keeps a token bucket for each allowance (allowance.Ledger) and lends parts in the answers to reports; a daemon spends its parts without asking (allowance.Table). What can be lent and what daemons may still use never exceed the burst together, so what runs in any time is bounded however late parts are used.

Messages changed: entries name the hash of the allowance, a daemon tells what it has received, given back and may still use, and a grant is the units lent by one response. Reports of a daemon follow one another, so the next one shows whether a grant was lost. Totals of what was granted would have to be reset on both sides at once when a daemon starts again.

--- /dev/null
+++ b/pkg/allowance/account.go
@@ -0,0 +1,194 @@
+package allowance
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// lendTime is how long after a report the daemon may use what it has. It covers the replacement of the holder.
+	lendTime = 4 * time.Second
+	// reportLag is the use that the holder does not know of yet. Units that have been used count as outstanding for that long,
+	// so the bucket may hold that much more.
+	reportLag = 250 * time.Millisecond
+	// kept is the part of the burst that is not lent for requests to come.
+	kept = 0.25
+	// forgetTime is the time without a report after which a daemon is forgotten.
+	forgetTime = 30 * time.Second
+)
+
+// account is the holder's state of one allowance. The sum of level and what is outstanding never exceeds the burst (and the
+// use within reportLag), so what daemons use in any time t is at most burst + rate*t, however late they use it.
+type account struct {
+	id    uint64
+	limit Limit
+	// level is what can be lent; it is negative after a request larger than the bucket.
+	level     float64
+	at        time.Duration
+	borrowers map[string]*borrower
+	turns     uint64
+}
+
+// outstanding returns what daemons may still use.
+func (a *account) outstanding() float64 {
+	sum := 0.0
+	for _, b := range a.borrowers {
+		sum += b.outstanding
+	}
+	return sum
+}
+
+// refill advances the bucket to now. The bucket holds only a part of the burst while another holder's parts are out.
+func (a *account) refill(now time.Duration, capacity float64) {
+	for name, b := range a.borrowers {
+		if now >= b.expires {
+			b.outstanding = 0
+		}
+		if now-b.seen >= waitTime {
+			b.short, b.need, b.turn = 0, 0, 0
+		}
+		if now-b.seen >= idleTime {
+			b.spare = 0
+		}
+		if now-b.seen >= forgetTime {
+			delete(a.borrowers, name)
+		}
+	}
+	if now > a.at {
+		a.level += a.limit.Rate * (now - a.at).Seconds()
+		a.at = now
+	}
+	a.level = min(a.level, max(capacity*(a.limit.Burst+a.limit.Rate*reportLag.Seconds())-a.outstanding(), 0))
+}
+
+// report applies what a daemon tells and returns its state; nil for a report that is older than the last one. first is set
+// if the daemon has had no answer of this holder.
+func (a *account) report(daemon string, first bool, u *Use, now time.Duration) *borrower {
+	b, known := a.borrowers[daemon]
+	switch {
+	case first:
+		b = &borrower{fresh: true}
+	case !known:
+		b = &borrower{}
+		b.adopt(u)
+	default:
+		back, ok := b.settle(u)
+		if !ok {
+			return nil
+		}
+		a.level += back
+	}
+	a.borrowers[daemon] = b
+	b.outstanding, b.seen = u.Available, now
+	// Parts from earlier holders run out at the latest when one that was lent now would.
+	b.expires = max(b.expires, now+lendTime)
+	b.short, b.need = max(u.Wanted-u.Available, 0), max(u.First-u.Available, 0)
+	b.spare = u.Spare
+	if u.Wanted == 0 {
+		b.need = 0
+	}
+	switch {
+	case b.short == 0:
+		b.turn = 0
+	case b.turn == 0:
+		a.turns++
+		b.turn = a.turns
+	}
+	return b
+}
+
+// ahead returns what the first requests of the daemons before this one lack, and short what all requests lack.
+func (a *account) ahead(b *borrower) (ahead, short float64) {
+	for _, other := range a.borrowers {
+		short += other.short
+		if other.turn > 0 && other.turn < b.turn {
+			ahead += min(other.need, a.limit.Burst)
+		}
+	}
+	return ahead, short
+}
+
+// lend decides what a daemon gets now and how long requests that lack units will wait.
+func (a *account) lend(b *borrower, u *Use) (units, hold float64, wait time.Duration) {
+	ahead, short := a.ahead(b)
+	if b.short > 0 {
+		units = a.lendWanted(b, ahead, short)
+	}
+	if short == b.short && units >= b.short {
+		// Nobody waits: the rest may be lent for requests to come.
+		hold = a.hold(u)
+		units += a.lendSpare(hold, u.First, max(u.Available+units-u.Wanted, 0), units)
+	}
+	a.level -= units
+	b.granted += units
+	b.outstanding += units
+	if b.short == 0 {
+		return units, hold, 0
+	}
+	served := min(units, b.short)
+	b.short -= served
+	if served > 0 {
+		b.need, b.turn = min(b.short, b.need), 0
+		if b.short > 0 {
+			a.turns++
+			b.turn = a.turns
+		}
+	}
+	if b.short == 0 {
+		return units, hold, 0
+	}
+	return units, hold, a.waitFor(short - served)
+}
+
+// hold returns what a daemon may keep while none of its requests waits: what it wants, less if all daemons together want more
+// than may be lent for that, and nothing if that would not be enough for one request.
+func (a *account) hold(u *Use) float64 {
+	sum := 0.0
+	for _, b := range a.borrowers {
+		sum += b.spare
+	}
+	hold := u.Spare
+	if most := (1 - kept) * a.limit.Burst; sum > most {
+		hold *= most / sum
+	}
+	if hold < u.First {
+		return 0
+	}
+	return math.Floor(hold)
+}
+
+// lendSpare returns what a daemon gets for requests to come, which has so much of what it may hold. A part that does not cover
+// one request would be of no use to anybody.
+func (a *account) lendSpare(hold, request, has, lent float64) float64 {
+	units := math.Floor(max(min(hold-has, a.level-lent-kept*a.limit.Burst), 0))
+	if has+units < request {
+		return 0
+	}
+	return units
+}
+
+// lendWanted returns what waiting requests get: at least what the first one lacks, or nothing. A request larger than the
+// burst is lent when the bucket is full, and leaves a debt.
+func (a *account) lendWanted(b *borrower, ahead, short float64) float64 {
+	free := a.level - ahead
+	switch {
+	case b.need > a.limit.Burst:
+		if ahead > 0 || a.level+a.outstanding() < a.limit.Burst {
+			return 0
+		}
+		return b.need
+	case b.need > free:
+		return 0
+	case short <= free:
+		return b.short
+	default:
+		// What is more than one request may be a part of another one that is of no use to anybody, so only a rich bucket
+		// lends it.
+		return max(b.need, math.Floor(free*b.short/short-b.need))
+	}
+}
+
+// waitFor returns the time until the bucket covers the units, at least a millisecond.
+func (a *account) waitFor(units float64) time.Duration {
+	return max(time.Duration((units-a.level)/a.limit.Rate*float64(time.Second)), time.Millisecond)
+}
--- /dev/null
+++ b/pkg/allowance/ledger.go
@@ -0,0 +1,150 @@
+package allowance
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// settleCapacity is the part of the burst that a bucket holds while parts that an earlier holder lent may be in use by
+	// daemons that this one has not heard of.
+	settleCapacity = 0.5
+	// availableTime is how long no request lacks units before an exhausted allowance counts as available again.
+	availableTime = 5 * time.Second
+)
+
+// Ledger is the holder's state of all allowances in one tenure. It is not safe for concurrent use.
+type Ledger struct {
+	accounts map[uint64]*account
+	names    map[uint64]string
+	// began is when the first limits were set; started is set from then on.
+	began   time.Duration
+	started bool
+	// seen is when each daemon last reported.
+	seen map[string]time.Duration
+	// exhausted is when requests last lacked units of the allowances of which Changes told so.
+	exhausted map[uint64]time.Duration
+	changes   []Change
+}
+
+// NewLedger returns a ledger without limits.
+func NewLedger() *Ledger {
+	return &Ledger{accounts: map[uint64]*account{}, names: map[uint64]string{}, seen: map[string]time.Duration{}, exhausted: map[uint64]time.Duration{}}
+}
+
+// SetLimits sets the limits by the names of their allowances. The buckets of the first limits start empty, because an earlier
+// holder may have lent all of them; those of later ones start full.
+func (l *Ledger) SetLimits(limits map[string]Limit, now time.Duration) {
+	ids := make(map[uint64]string, len(limits))
+	for name, limit := range limits {
+		id := ID(name)
+		ids[id] = name
+		a, ok := l.accounts[id]
+		if !ok {
+			a = &account{id: id, at: now, borrowers: map[string]*borrower{}}
+			if l.started {
+				a.level = limit.Burst
+			}
+			l.accounts[id] = a
+		}
+		a.limit = limit
+	}
+	maps.DeleteFunc(l.accounts, func(id uint64, _ *account) bool { return ids[id] == "" })
+	maps.DeleteFunc(l.exhausted, func(id uint64, _ time.Duration) bool { return ids[id] == "" })
+	if !l.started {
+		l.began, l.started = now, true
+	}
+	l.names = ids
+}
+
+// Limited reports whether there is a limit.
+func (l *Ledger) Limited() bool { return len(l.accounts) > 0 }
+
+// Report applies the report of a daemon and returns what it is lent. first is set if the daemon has had no answer of this
+// holder. Without lends nothing is lent and no part is prolonged.
+func (l *Ledger) Report(daemon string, first bool, uses []Use, lends bool, now time.Duration) []Grant {
+	l.seen[daemon] = now
+	if first {
+		for _, a := range l.accounts {
+			delete(a.borrowers, daemon)
+		}
+	}
+	var out []Grant
+	for i := range uses {
+		u := &uses[i]
+		a, ok := l.accounts[u.ID]
+		if !ok {
+			continue
+		}
+		if g, ok := l.reportUse(a, daemon, first, u, lends, now); ok {
+			out = append(out, g)
+		}
+	}
+	l.noteAvailable(now)
+	return out
+}
+
+func (l *Ledger) reportUse(a *account, daemon string, first bool, u *Use, lends bool, now time.Duration) (Grant, bool) {
+	b := a.report(daemon, first, u, now)
+	if b == nil {
+		return Grant{}, false
+	}
+	a.refill(now, l.capacity(now))
+	if !lends {
+		return Grant{}, false
+	}
+	units, hold, wait := a.lend(b, u)
+	if wait > 0 {
+		l.noteExhausted(a, now)
+	}
+	return Grant{ID: a.id, Units: units, Hold: hold, Valid: lendTime, Wait: wait}, true
+}
+
+// capacity returns the part of the bursts that buckets hold.
+func (l *Ledger) capacity(now time.Duration) float64 {
+	if now-l.began < lendTime {
+		return settleCapacity
+	}
+	return 1
+}
+
+// AllFollow reports whether every daemon that has reported within forgetTime has done so within the given time. None of them
+// holds the lease then, nor follows another holder.
+func (l *Ledger) AllFollow(within, now time.Duration) bool {
+	maps.DeleteFunc(l.seen, func(_ string, at time.Duration) bool { return now-at >= forgetTime })
+	for _, at := range l.seen {
+		if now-at >= within {
+			return false
+		}
+	}
+	return len(l.seen) > 0
+}
+
+func (l *Ledger) noteExhausted(a *account, now time.Duration) {
+	if _, ok := l.exhausted[a.id]; !ok {
+		l.changes = append(l.changes, l.change(a, true))
+	}
+	l.exhausted[a.id] = now
+}
+
+func (l *Ledger) noteAvailable(now time.Duration) {
+	for _, id := range slices.Sorted(maps.Keys(l.exhausted)) {
+		if now-l.exhausted[id] >= availableTime {
+			delete(l.exhausted, id)
+			l.changes = append(l.changes, l.change(l.accounts[id], false))
+		}
+	}
+}
+
+func (l *Ledger) change(a *account, exhausted bool) Change {
+	_, short := a.ahead(&borrower{})
+	return Change{Name: l.names[a.id], Exhausted: exhausted, Limit: a.limit, Level: a.level, Outstanding: a.outstanding(), Short: short, Daemons: len(a.borrowers)}
+}
+
+// TakeChanges returns the changes since the last call.
+func (l *Ledger) TakeChanges() []Change {
+	out := l.changes
+	l.changes = nil
+	return out
+}
--- /dev/null
+++ b/pkg/allowance/part.go
@@ -0,0 +1,175 @@
+package allowance
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// renewTime is the time after which a part in use is reported, so that it does not run out.
+	renewTime = time.Second
+	// refillTime is the least time between reports that ask only for units to hold.
+	refillTime = 400 * time.Millisecond
+	// excess is the multiple of the units to hold beyond which a daemon gives back at once; less than that is given back with
+	// the next use that is told anyway.
+	excess = 2
+)
+
+// waiter is a request that waits for units.
+type waiter struct{ units float64 }
+
+// part is what a daemon has of one allowance.
+type part struct {
+	id    uint64
+	limit Limit
+	// available may be used until expires.
+	available float64
+	expires   time.Duration
+	// received and returned are totals since the first answer of the present holder.
+	received float64
+	returned float64
+	// told is the last answered report; it was sent at toldAt. answered is set once there is one.
+	told     Use
+	toldAt   time.Duration
+	answered bool
+	// waiting are the requests that wait, in the order in which they began to.
+	waiting []*waiter
+	// hold is what the holder lets the daemon keep while no request waits.
+	hold float64
+	// waitUntil is when the allowance covers what was wanted at the last report.
+	waitUntil time.Duration
+	usage     usage
+	stats     Stats
+}
+
+// limited reports whether the allowance has a limit now.
+func (p *part) limited() bool { return p.limit.Rate > 0 }
+
+// free drops the units because the allowance has no limit any more. The totals stay: the holder may never learn of it.
+func (p *part) free() { p.limit, p.available, p.waitUntil = Limit{}, 0, 0 }
+
+// lapse drops units that have run out.
+func (p *part) lapse(now time.Duration) {
+	if now >= p.expires {
+		p.stats.Lapsed += p.available
+		p.available = 0
+	}
+}
+
+// wanted returns the sum of what requests wait for.
+func (p *part) wanted() float64 {
+	sum := 0.0
+	for _, w := range p.waiting {
+		sum += w.units
+	}
+	return sum
+}
+
+// ahead returns what is wanted by the requests that are served before one of that size, and whether one of that size waits.
+// Requests of the same size are interchangeable, so the asking one counts as the first of them.
+func (p *part) ahead(units float64) (sum float64, waits bool) {
+	for _, w := range p.waiting {
+		if w.units == units {
+			return sum, true
+		}
+		sum += w.units
+	}
+	return sum, false
+}
+
+func (p *part) take(units float64, now time.Duration) Result {
+	p.lapse(now)
+	ahead, waits := p.ahead(units)
+	if !waits {
+		p.stats.Asked += units
+	}
+	if p.available-ahead >= units {
+		p.available -= units
+		p.usage.add(units, now)
+		p.stats.Taken += units
+		return Result{Taken: true}
+	}
+	wait := p.retryAfter(now)
+	if wait > 0 && !waits {
+		p.stats.Refused += units
+	}
+	return Result{RetryAfter: wait}
+}
+
+// retryAfter returns the wait that the holder told, longer by what requests have come to wait for here since.
+func (p *part) retryAfter(now time.Duration) time.Duration {
+	if p.waitUntil <= now {
+		return 0
+	}
+	more := max(p.wanted()-p.told.Wanted, 0)
+	return p.waitUntil - now + time.Duration(more/p.limit.Rate*float64(time.Second))
+}
+
+// use returns what the holder has to be told now; ok is false if that is nothing. Units that are given back are deducted.
+func (p *part) use(now time.Duration) (out Use, ok bool) {
+	p.lapse(now)
+	spare := p.usage.spare(now)
+	hold := min(p.hold, spare)
+	if !p.due(spare, hold, now) {
+		return Use{}, false
+	}
+	out = Use{ID: p.id, Received: p.received, Wanted: math.Ceil(p.wanted()), First: math.Ceil(p.usage.size), Spare: spare}
+	if len(p.waiting) > 0 {
+		out.First = math.Ceil(p.waiting[0].units)
+	} else if back := math.Floor(p.available - hold); back > 0 {
+		p.available -= back
+		p.returned += back
+	}
+	out.Returned, out.Available = p.returned, math.Floor(p.available)
+	return out, true
+}
+
+// due reports whether the holder has to be told something now.
+func (p *part) due(spare, hold float64, now time.Duration) bool {
+	since := now - p.toldAt
+	switch {
+	case len(p.waiting) > 0 || p.told.Wanted > 0 || p.told.Returned != p.returned:
+		return true
+	case math.Floor(p.available) > excess*hold:
+		return true
+	case !p.answered || since >= renewTime:
+		return p.available > 0 || spare > 0
+	default:
+		return since >= refillTime && p.available < hold/2
+	}
+}
+
+// nextReport returns the time until an early report: when the holder has units for a waiting request, as it told, and at once
+// when the daemon got units for requests that no longer wait.
+func (p *part) nextReport(now time.Duration) (time.Duration, bool) {
+	if len(p.waiting) > 0 {
+		return p.waitUntil - now, p.waitUntil > now
+	}
+	return 0, now < p.expires && math.Floor(p.available) > excess*min(p.hold, p.usage.spare(now))
+}
+
+// apply applies the answer to a report that was sent at the given time.
+func (p *part) apply(told *Use, g *Grant, sent time.Duration) {
+	p.available += g.Units
+	p.received += g.Units
+	p.stats.Lent += g.Units
+	p.hold = g.Hold
+	p.expires = max(p.expires, sent+g.Valid)
+	p.told, p.toldAt, p.answered = *told, sent, true
+	p.waitUntil = 0
+	if g.Wait > 0 {
+		p.waitUntil = sent + g.Wait
+	}
+}
+
+// restart forgets the totals of the last holder. The units that were lent stay until they run out.
+func (p *part) restart() {
+	p.received, p.returned, p.told, p.answered, p.waitUntil = 0, 0, Use{}, false, 0
+}
+
+func (p *part) remove(w *waiter) {
+	if i := slices.Index(p.waiting, w); i >= 0 {
+		p.waiting = slices.Delete(p.waiting, i, i+1)
+	}
+}
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"trefoilferry.example/ferry/pkg/allowance"
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/fleet"
 	"trefoilferry.example/ferry/pkg/quarantine"
@@ -49,7 +50,13 @@
 	// judgedAt is when it last decided.
 	judgedAt time.Time
 	// limits holds the requests to servers that name a limit.
-	limits      *serverlimit.Totals
+	limits *serverlimit.Totals
+	// ledger lends shared allowances in ledgerTenure by the limits of ledgerConfig.
+	ledger       *allowance.Ledger
+	ledgerTenure int64
+	ledgerConfig *fleet.Config
+	// suspended is set while nothing is lent.
+	suspended   bool
 	viewVersion uint64
 	// removed holds the runners that left the list, with the view version at which they left.
 	removed map[string]removedRunner
@@ -105,6 +112,7 @@
 	c.digests = nil
 	c.judge = quarantine.NewJudge()
 	c.limits = serverlimit.NewTotals()
+	c.ledger, c.ledgerTenure, c.ledgerConfig = allowance.NewLedger(), 0, nil
 }
 
 // Run plans until ctx ends and then waits for the orders in progress.
--- a/pkg/coordinator/cut_off_test.go
+++ b/pkg/coordinator/cut_off_test.go
@@ -53,7 +53,7 @@
 		go control.Run(ctx)
 		lost := &atomic.Int32{}
 		l := countingLease{followerLease{strings.TrimPrefix(web.URL, "http://")}, lost}
-		reporter := NewReporter("d", l, nil, control, gateway.NewDemand(), gateway.NewTracker(), quarantine.NewBoard(), serverlimit.NewTable(rand.Float64), nil, eventlog.Discard())
+		reporter := NewReporter("d", l, nil, control, gateway.NewDemand(), gateway.NewTracker(), quarantine.NewBoard(), serverlimit.NewTable(rand.Float64), nil, nil, eventlog.Discard())
 		reporter.report(ctx)
 		waitUntil(t, 10*time.Second, func() bool { return control.View().Placement != nil })
 		if p := control.View().Placement; len(p.Holdings) != 1 {
--- a/pkg/coordinator/lease_view.go
+++ b/pkg/coordinator/lease_view.go
@@ -1,5 +1,7 @@
 package coordinator
 
+import "time"
+
 // LeaseView is the part of the lease that a coordinator reads.
 type LeaseView interface {
 	// Held reports whether this daemon holds the lease.
@@ -10,6 +12,9 @@
 	Tenure() int64
 	// IsSoleHolder reports whether no other daemon can be sending orders.
 	IsSoleHolder() bool
+	// ConfirmedAge returns the time since the latest renewal that is known to have taken effect was sent, by a clock that
+	// counts time spent suspended.
+	ConfirmedAge() time.Duration
 	// Position returns the store position of the latest renewal.
 	Position() int64
 	// RecordFenced records that a runner rejected an order because it has seen a higher token.
--- a/pkg/coordinator/report.go
+++ b/pkg/coordinator/report.go
@@ -19,25 +19,30 @@
 		return &ferrypb.FleetView{}, nil
 	}
 	if report.Tenure != tenure && report.Tenure != 0 && len(report.HoldingDigests) == 0 && c.isLarge() {
+		c.meetDaemon(report.Daemon, tenure)
 		// The daemon has the content of an earlier tenure: its next report has the digests of it.
 		return &ferrypb.FleetView{Holder: true, Tenure: tenure, LeasePosition: c.lease.Position(), Daemons: c.daemonCount()}, nil
 	}
-	if report.Tenure != tenure {
+	first := report.Tenure != tenure
+	if first {
 		// Versions and indexes of another tenure are invalid here, even if this daemon held the lease then.
 		report.ViewVersion, report.ServersVersion, report.Work, report.Unreached = 0, 0, nil, nil
 	}
 	if wanted := c.applyReport(report, time.Now()); len(wanted) > 0 {
 		c.requestPlan()
-		c.awaitCopy(ctx, wanted)
+		c.awaitCopy(ctx, wanted, c.copyWait(report))
 	}
-	return c.buildView(report, tenure), nil
+	view := c.buildView(report, tenure)
+	// The answer to a delayed report lends as of now, because units run out from when the report was sent.
+	view.Allowances = c.lendAllowances(report, tenure, first)
+	return view, nil
 }
 
-// awaitCopy waits until a further runner has loaded one of the models and adapters, for at most longPollTimeout. Other
+// awaitCopy waits until a further runner has loaded one of the models and adapters, for at most the given time. Other
 // changes do not end the wait: under a shift of demand there are many every second, and each would have every daemon
 // with waiting requests report again.
-func (c *Coordinator) awaitCopy(ctx context.Context, wanted []adapterKey) {
-	timer := time.NewTimer(longPollTimeout)
+func (c *Coordinator) awaitCopy(ctx context.Context, wanted []adapterKey, limit time.Duration) {
+	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	known := -1
 	for {
--- a/pkg/coordinator/reporter.go
+++ b/pkg/coordinator/reporter.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"trefoilferry.example/ferry/api/ferrypb"
+	"trefoilferry.example/ferry/pkg/allowance"
 	"trefoilferry.example/ferry/pkg/availability"
 	"trefoilferry.example/ferry/pkg/clock"
 	"trefoilferry.example/ferry/pkg/eventlog"
@@ -32,6 +33,9 @@
 	// waitIntervalPerDaemon for each daemon, because after a shift of demand requests wait at most of them.
 	minReportInterval     = 25 * time.Millisecond
 	waitIntervalPerDaemon = 500 * time.Microsecond
+	// minAllowanceInterval is the least time from the end of a report to one for requests that began to wait for units of an
+	// allowance since. Requests that come in a burst share a report.
+	minAllowanceInterval = 10 * time.Millisecond
 	// reportTimeout bounds one report, including the time for which the holder delays its response.
 	reportTimeout = 800 * time.Millisecond
 )
@@ -75,6 +79,7 @@
 	evidence   *evidenceReporter
 	limits     *limitReporter
 	leaving    *leavingReporter
+	allowances *allowanceReporter
 	source     string
 	holderLost bool
 	// refusedRelay is why the last relayed configuration was refused that a line was written for.
@@ -82,13 +87,13 @@
 }
 
 // NewReporter returns a reporter for the named daemon; local is the coordinator of this process, and servers holds what
-// backend servers have said about taking requests.
-func NewReporter(name string, l Lease, local *Coordinator, control *gateway.Control, demand *gateway.Demand, tracker *gateway.Tracker, board *quarantine.Board, limits *serverlimit.Table, servers *availability.Table, log *eventlog.Logger) *Reporter {
+// backend servers have said about taking requests. allowances are this daemon's parts of shared allowances, nil for none.
+func NewReporter(name string, l Lease, local *Coordinator, control *gateway.Control, demand *gateway.Demand, tracker *gateway.Tracker, board *quarantine.Board, limits *serverlimit.Table, servers *availability.Table, allowances *allowance.Table, log *eventlog.Logger) *Reporter {
 	return &Reporter{name: name, lease: l, local: local, demand: demand, tracker: tracker, control: control, log: log,
 		client: &http.Client{Timeout: reportTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true,
 			IdleConnTimeout: 5 * time.Second, MaxResponseHeaderBytes: oncehttp.MaxHeaderBytes}},
 		clients: map[string]ferrypb.Coordinator{}, view: newRunnerView(), evidence: newEvidenceReporter(board, log), limits: &limitReporter{table: limits},
-		leaving: &leavingReporter{table: servers}}
+		leaving: &leavingReporter{table: servers}, allowances: &allowanceReporter{table: allowances}}
 }
 
 // Run sends reports until ctx ends.
@@ -98,10 +103,13 @@
 			sleep(ctx, minReportInterval+time.Duration(r.daemons)*waitIntervalPerDaemon)
 			continue
 		}
-		period := time.NewTimer(r.reportInterval())
+		reported := time.Now()
+		period := time.NewTimer(r.allowances.interval(r.reportInterval()))
 		select {
 		case <-ctx.Done():
 		case <-period.C:
+		case <-r.allowances.wanted():
+			sleep(ctx, minAllowanceInterval-time.Since(reported))
 		case <-r.demand.WaitStarted():
 		case <-r.evidence.board.Crashed():
 		}
@@ -129,6 +137,7 @@
 	r.evidence.addTo(message, sent)
 	r.limits.addTo(message, sent)
 	r.leaving.addTo(message, sent)
+	r.allowances.addTo(message, sentUp)
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	view, err := target.Report(ctx, message)
@@ -148,6 +157,7 @@
 	r.evidence.apply(view, message, sent)
 	r.limits.apply(view, time.Now())
 	r.leaving.apply(view, time.Now())
+	r.allowances.apply(view, message, sentUp)
 	if !cutOff {
 		r.applyStoreState(ctx, view, sent, sentUp)
 	}
--- a/pkg/coordinator/resync_test.go
+++ b/pkg/coordinator/resync_test.go
@@ -70,7 +70,7 @@
 	control := gateway.NewControl(eventlog.Discard(), gateway.NewPollTiming(5*time.Second))
 	go control.Run(ctx)
 	return &follower{control: control,
-		reporter: NewReporter("d", followerLease{}, nil, control, gateway.NewDemand(), gateway.NewTracker(), quarantine.NewBoard(), serverlimit.NewTable(rand.Float64), nil, eventlog.Discard())}
+		reporter: NewReporter("d", followerLease{}, nil, control, gateway.NewDemand(), gateway.NewTracker(), quarantine.NewBoard(), serverlimit.NewTable(rand.Float64), nil, nil, eventlog.Discard())}
 }
 
 // reportTo sends reports to a holder until its view is applied and returns the bytes of the responses.
--- a/pkg/coordinator/takeover_test.go
+++ b/pkg/coordinator/takeover_test.go
@@ -24,12 +24,13 @@
 
 type fixedLease struct{}
 
-func (fixedLease) Held() bool           { return true }
-func (fixedLease) Token() (int64, bool) { return 7, true }
-func (fixedLease) Tenure() int64        { return 7 }
-func (fixedLease) IsSoleHolder() bool   { return true }
-func (fixedLease) Position() int64      { return 1 }
-func (fixedLease) RecordFenced(int64)   {}
+func (fixedLease) Held() bool                  { return true }
+func (fixedLease) Token() (int64, bool)        { return 7, true }
+func (fixedLease) Tenure() int64               { return 7 }
+func (fixedLease) IsSoleHolder() bool          { return true }
+func (fixedLease) ConfirmedAge() time.Duration { return 0 }
+func (fixedLease) Position() int64             { return 1 }
+func (fixedLease) RecordFenced(int64)          {}
 
 // fakeRunnerClient answers with a state set by the test and records orders.
 type fakeRunnerClient struct {
--- a/pkg/coordinator/tenure_test.go
+++ b/pkg/coordinator/tenure_test.go
@@ -78,7 +78,7 @@
 	defer cancel()
 	control := gateway.NewControl(eventlog.Discard(), gateway.NewPollTiming(4*time.Second))
 	go control.Run(ctx)
-	reporter := NewReporter("d", followerLease{strings.TrimPrefix(holder.URL, "http://")}, nil, control, gateway.NewDemand(), gateway.NewTracker(), quarantine.NewBoard(), serverlimit.NewTable(rand.Float64), nil, eventlog.Discard())
+	reporter := NewReporter("d", followerLease{strings.TrimPrefix(holder.URL, "http://")}, nil, control, gateway.NewDemand(), gateway.NewTracker(), quarantine.NewBoard(), serverlimit.NewTable(rand.Float64), nil, nil, eventlog.Discard())
 
 	wantServers := func(n int) {
 		t.Helper()
--- a/pkg/coordinator/two_holders_test.go
+++ b/pkg/coordinator/two_holders_test.go
@@ -92,13 +92,14 @@
 	}
 	return 0
 }
-func (l scriptedLease) Token() (int64, bool)    { return 0, false }
-func (l scriptedLease) IsSoleHolder() bool      { return false }
-func (l scriptedLease) Position() int64         { return int64(l.holder.Load()) }
-func (scriptedLease) RecordFenced(int64)        {}
-func (scriptedLease) RecordHolderContact(int64) {}
-func (scriptedLease) RecordHolderLost()         {}
-func (scriptedLease) SetDaemons(int)            {}
+func (l scriptedLease) Token() (int64, bool)      { return 0, false }
+func (l scriptedLease) IsSoleHolder() bool        { return false }
+func (scriptedLease) ConfirmedAge() time.Duration { return 0 }
+func (l scriptedLease) Position() int64           { return int64(l.holder.Load()) }
+func (scriptedLease) RecordFenced(int64)          {}
+func (scriptedLease) RecordHolderContact(int64)   {}
+func (scriptedLease) RecordHolderLost()           {}
+func (scriptedLease) SetDaemons(int)              {}
 
 func holderName(n int32) string { return fmt.Sprint("h", n) }
 
@@ -138,7 +139,7 @@
 		if self > 0 {
 			clients[holderName(self)] = local
 		}
-		reporter := NewReporter(fmt.Sprint("d", self), l, local, control, gateway.NewDemand(), gateway.NewTracker(), quarantine.NewBoard(), serverlimit.NewTable(rand.Float64), nil, eventlog.Discard())
+		reporter := NewReporter(fmt.Sprint("d", self), l, local, control, gateway.NewDemand(), gateway.NewTracker(), quarantine.NewBoard(), serverlimit.NewTable(rand.Float64), nil, nil, eventlog.Discard())
 		reporter.clients = clients
 		reporters = append(reporters, reporter)
 		time.AfterFunc(firstCut, func() { source.hangs.Store(1) })
--- a/pkg/gatewaydaemon/module.go
+++ b/pkg/gatewaydaemon/module.go
@@ -95,7 +95,7 @@
 func newCoordinatorRef() *coordinatorRef { return &coordinatorRef{} }
 
 func newReporter(s *Settings, elector *lease.Elector, c *coordinator.Coordinator, control *gateway.Control, d *gateway.Demand, t *gateway.Tracker, board *quarantine.Board, limits *serverlimit.Table, servers *availability.Table, l *eventlog.Logger) *coordinator.Reporter {
-	return coordinator.NewReporter(s.Host, elector, c, control, d, t, board, limits, servers, l)
+	return coordinator.NewReporter(s.Host, elector, c, control, d, t, board, limits, servers, nil, l)
 }
 
 func newForwarder(s *Settings, clients *Clients, control *gateway.Control, d *gateway.Demand, t *gateway.Tracker, board *quarantine.Board, limits *serverlimit.Table, servers *availability.Table, m *gateway.Metrics, l *eventlog.Logger) *gateway.Forwarder {
--- a/pkg/lease/elector.go
+++ b/pkg/lease/elector.go
@@ -307,6 +307,13 @@
 	return e.machine.Holder().Token
 }
 
+// ConfirmedAge returns the time since the latest renewal that is known to have taken effect was sent.
+func (e *Elector) ConfirmedAge() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.now() - e.machine.ConfirmedAt()
+}
+
 // IsSoleHolder reports whether no other daemon can be acting as holder.
 func (e *Elector) IsSoleHolder() bool {
 	e.mu.Lock()
--- a/pkg/lease/machine.go
+++ b/pkg/lease/machine.go
@@ -321,5 +321,8 @@
 	return m.Held(now) && now-m.confirmedAt < m.timing.TakeoverAfter && (m.predecessorEnded || now-m.heldSince > maxHolderOverlap)
 }
 
+// ConfirmedAt returns when the latest write known to have taken effect was sent.
+func (m *Machine) ConfirmedAt() time.Duration { return m.confirmedAt }
+
 // Holder returns the latest known record of the lease.
 func (m *Machine) Holder() Record { return m.record }
