--- a/pkg/gateway/authorize.go
+++ b/pkg/gateway/authorize.go
@@ -81,6 +81,21 @@
 	return view.Keys != nil && c.keyKnowledge(view, 0).TooOld()
 }
 
+// logKeyAge logs when keys become too old to be accepted and when they are recent again. It returns whether they are too old;
+// before is what it returned last.
+func (c *Control) logKeyAge(before bool) bool {
+	view := c.View()
+	knowledge := c.keyKnowledge(view, 0)
+	tooOld := view.Keys != nil && knowledge.TooOld()
+	switch {
+	case tooOld && !before:
+		c.log.Log(eventlog.KeysTooOld, "age", knowledge.Age, "limit", knowledge.Limit, "version", view.Config.Version)
+	case !tooOld && before:
+		c.log.Log(eventlog.KeysRecent, "age", knowledge.Age, "version", c.configVersion())
+	}
+	return tooOld
+}
+
 // keyKnowledge returns how far the keys of a view may be relied on for a request that arrived some time ago.
 func (c *Control) keyKnowledge(view *View, waited time.Duration) keyring.Knowledge {
 	return keyring.Knowledge{Age: c.uptime() - view.ConfigProvenAt, Limit: c.keyLimit, Waited: waited}
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -94,6 +94,7 @@
 func (c *Control) Run(ctx context.Context) {
 	ticker := time.NewTicker(expiryInterval)
 	defer ticker.Stop()
+	keysTooOld := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -101,6 +102,7 @@
 		case e := <-c.events:
 			c.apply(e, time.Now())
 		case <-ticker.C:
+			keysTooOld = c.logKeyAge(keysTooOld)
 			now := time.Now()
 			if c.registry.Expire(now) {
 				c.publishServers(c.View().ServersAt, c.View().ServersKnown)
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -187,6 +187,9 @@
 	c, ok := f.chooser.choose(j, f.control.View(), f.backend.tracker, time.Now())
 	if !ok && p.sent == 0 && mayAwaitServer(j, &c, time.Now()) {
 		c, ok = f.waitForServer(ctx, j)
+		if fail := f.stillAuthorized(j); fail != nil {
+			return nil, fail
+		}
 	}
 	if !ok {
 		if f := contextFailure(ctx); f != nil {
