gateway: quotas of workspaces by shared allowances; ranks of competing callers reach the servers

A request takes its units before it waits for a server, waits up to a quarter of its target latency for the quota to cover it, and is refused at once with the time to come back otherwise. Units of requests that did not run are given back. Where the configuration has workspaces, the rank of the workspace, else of the route, is sent to servers.

--- a/pkg/coordinator/allowances.go
+++ b/pkg/coordinator/allowances.go
@@ -7,7 +7,7 @@
 	"trefoilferry.example/ferry/pkg/allowance"
 	"trefoilferry.example/ferry/pkg/clock"
 	"trefoilferry.example/ferry/pkg/eventlog"
-	"trefoilferry.example/ferry/pkg/fleet"
+	"trefoilferry.example/ferry/pkg/gateway"
 )
 
 const (
@@ -59,21 +59,10 @@
 	}
 	if config := c.fleet.View().Config; config != nil && config != c.ledgerConfig {
 		c.ledgerConfig = config
-		c.ledger.SetLimits(allowanceLimits(config), now)
+		c.ledger.SetLimits(gateway.AllowanceLimits(config), now)
 	}
 }
 
-// allowanceLimits returns the limits of a configuration by the names of their allowances.
-func allowanceLimits(config *fleet.Config) map[string]allowance.Limit {
-	out := map[string]allowance.Limit{}
-	for i := range config.Workspaces {
-		if w := &config.Workspaces[i]; w.Quota.Limited() {
-			out["workspace/"+w.Name] = allowance.Limit{Rate: w.Quota.Rate, Burst: w.Quota.Burst}
-		}
-	}
-	return out
-}
-
 // lends reports whether parts may be lent: no other daemon holds the lease, or follows another holder.
 func (c *Coordinator) lends(now time.Duration) bool {
 	interval := baseReportInterval + time.Duration(max(len(c.daemons)-baseIntervalDaemons, 0))*intervalPerDaemon
--- a/pkg/failure/code.go
+++ b/pkg/failure/code.go
@@ -24,6 +24,7 @@
 	NoBackend            Code = "no_backend"
 	Overloaded           Code = "overloaded"
 	CapExceeded          Code = "cap_exceeded"
+	QuotaExceeded        Code = "quota_exceeded"
 	TargetMissed         Code = "target_missed"
 	Leaving              Code = "leaving"
 	NotLoaded            Code = "not_loaded"
@@ -81,6 +82,7 @@
 	NoBackend:            http.StatusServiceUnavailable,
 	Overloaded:           http.StatusServiceUnavailable,
 	CapExceeded:          http.StatusTooManyRequests,
+	QuotaExceeded:        http.StatusTooManyRequests,
 	TargetMissed:         http.StatusServiceUnavailable,
 	Leaving:              http.StatusServiceUnavailable,
 	NotLoaded:            http.StatusServiceUnavailable,
--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -45,7 +45,7 @@
 		Target: j.target,
 		Host:   j.host,
 		Header: b.codec.AttemptHeader(j.header, AttemptMeta{
-			ServerID: c.server.ID, Remaining: j.remaining(time.Now()), Priority: -1, LastEventID: lastEvent,
+			ServerID: c.server.ID, Remaining: j.remaining(time.Now()), Priority: j.rank(), LastEventID: lastEvent,
 			Workspace: j.workspaceName(), WithholdKey: j.keyed,
 		}),
 		Body:      j.body,
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"trefoilferry.example/ferry/pkg/allowance"
 	"trefoilferry.example/ferry/pkg/clock"
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/fleet"
@@ -39,6 +40,8 @@
 	keyLimit time.Duration
 	// uptime returns the time since the host booted, including time spent suspended.
 	uptime func() time.Duration
+	// allowances get the limits of each new configuration; nil for none.
+	allowances *allowance.Table
 	// fastPollUntil is the end of the fast polling of the server list, in Unix nanoseconds.
 	fastPollUntil atomic.Int64
 }
@@ -50,6 +53,9 @@
 	return c
 }
 
+// ShareAllowances makes the limits of each configuration those of the table. It is called before the loop starts.
+func (c *Control) ShareAllowances(t *allowance.Table) { c.allowances = t }
+
 // View returns the latest view.
 func (c *Control) View() *View { return c.view.Load() }
 
@@ -143,6 +149,9 @@
 	}
 	next := *current
 	next.Config, next.ConfigAt, next.Keys = config, at, keyring.New(config)
+	if c.allowances != nil {
+		c.allowances.SetLimits(AllowanceLimits(config))
+	}
 	c.publish(&next)
 	c.log.Log(eventlog.ConfigApplied, "version", config.Version, "routes", len(config.Routes), "services", len(config.Services))
 }
--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -73,6 +73,9 @@
 func (f *Forwarder) failRequest(w http.ResponseWriter, j *job, p *progress, fail *failure.Failure) {
 	f.metrics.recordFailure(j, fail)
 	told := p.callersFailure(fail)
+	if told.Outcome == failure.NotRun {
+		f.returnQuota(j)
+	}
 	f.logFailure(j, p, fail, p.toldStatus(told))
 	if p.relay.started {
 		f.metrics.recordAborted(fail)
--- a/pkg/gateway/forwarder.go
+++ b/pkg/gateway/forwarder.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"trefoilferry.example/ferry/pkg/allowance"
 	"trefoilferry.example/ferry/pkg/bytebudget"
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/failure"
@@ -31,6 +32,8 @@
 	metrics *Metrics
 	// stop is what a stopping daemon does with requests; responses then ask callers to close the connection.
 	stop *stopState
+	// allowances are this daemon's parts of the quotas of workspaces; nil for none.
+	allowances *allowance.Table
 }
 
 // ServeHTTP serves one request.
@@ -41,6 +44,7 @@
 	j, fail := f.accept(w, r, arrived, share)
 	f.announceClose(w)
 	if plan := f.stop.current(); fail == nil && !plan.takes(time.Now()) {
+		f.returnQuota(j)
 		fail = stopFailure("the daemon is stopping and takes no more requests")
 	}
 	if fail != nil {
@@ -94,6 +98,9 @@
 	if fail == nil {
 		fail = f.barred(j, arrived)
 	}
+	if fail == nil {
+		fail = f.takeQuota(r.Context(), j)
+	}
 	return j, fail
 }
 
--- a/pkg/gateway/forwarder_config.go
+++ b/pkg/gateway/forwarder_config.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"trefoilferry.example/ferry/pkg/allowance"
 	"trefoilferry.example/ferry/pkg/availability"
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/exchange"
@@ -18,9 +19,11 @@
 	Limits  *serverlimit.Table
 	// Availability is what the servers say about taking requests.
 	Availability *availability.Table
-	Codec        Codec
-	Log          *eventlog.Logger
-	Metrics      *Metrics
+	// Allowances are this daemon's parts of the quotas of workspaces; nil for none.
+	Allowances *allowance.Table
+	Codec      Codec
+	Log        *eventlog.Logger
+	Metrics    *Metrics
 	// Region is this daemon's region; RegionOf maps failure domains to regions.
 	Region   string
 	RegionOf map[string]string
@@ -39,7 +42,7 @@
 		board:   p.Board,
 		crashes: newCrashWatch(p.Pool, p.Board, p.Log, p.Metrics),
 		demand:  p.Demand, codec: p.Codec, log: p.Log, metrics: p.Metrics,
-		stop: newStopState(),
+		stop: newStopState(), allowances: p.Allowances,
 	}
 }
 
--- a/pkg/gateway/job.go
+++ b/pkg/gateway/job.go
@@ -18,6 +18,8 @@
 	workspace *fleet.Workspace
 	// keyed is set if callers of the configuration show keys, which servers must not see.
 	keyed bool
+	// quotaUnits is what the request took from the quota of the workspace and may give back.
+	quotaUnits float64
 	// version of the configuration that the route comes from.
 	version int64
 	method  string
@@ -76,3 +78,18 @@
 	}
 	return j.workspace.Name
 }
+
+// maxRank is the least urgent rank that servers know.
+const maxRank = 9
+
+// rank returns the rank of the request at a backend server, 0 first: that of the caller's workspace, otherwise that of the
+// route; negative, for the server's default, if the configuration has no workspaces that compete.
+func (j *job) rank() int {
+	if !j.keyed {
+		return -1
+	}
+	if j.workspace != nil && j.workspace.Priority != nil {
+		return min(max(*j.workspace.Priority, 0), maxRank)
+	}
+	return min(max(j.route.Priority, 0), maxRank)
+}
--- a/pkg/gatewaydaemon/module.go
+++ b/pkg/gatewaydaemon/module.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 
+	"trefoilferry.example/ferry/pkg/allowance"
 	"trefoilferry.example/ferry/pkg/availability"
 	"trefoilferry.example/ferry/pkg/coordinator"
 	"trefoilferry.example/ferry/pkg/eventlog"
@@ -31,11 +32,14 @@
 			prometheus.NewRegistry,
 			newMetrics,
 			func() *serverlimit.Table { return serverlimit.NewTable(rand.Float64) },
+			allowance.NewTable,
 			gateway.NewAvailability,
-			func(l *eventlog.Logger) *gateway.Control {
+			func(l *eventlog.Logger, allowances *allowance.Table) *gateway.Control {
 				timing := gateway.NewPollTiming(settings.MaxChangeDelay)
 				timing.RevokeBound = settings.RevokeBound
-				return gateway.NewControl(l, timing)
+				control := gateway.NewControl(l, timing)
+				control.ShareAllowances(allowances)
+				return control
 			},
 			gateway.NewTracker,
 			gateway.NewDemand,
@@ -47,7 +51,7 @@
 			newForwarder,
 			newDaemon,
 		),
-		fx.Invoke(watchRecords, watchConnections, func(lifecycle fx.Lifecycle, d *Daemon) {
+		fx.Invoke(watchRecords, watchConnections, watchAllowances, func(lifecycle fx.Lifecycle, d *Daemon) {
 			lifecycle.Append(fx.Hook{OnStart: d.Start, OnStop: d.Stop})
 		}),
 	)
@@ -73,6 +77,11 @@
 		func() float64 { return float64(clients.Pool.Budget().Used()) }))
 }
 
+// watchAllowances registers the metrics of the quotas of workspaces.
+func watchAllowances(r *prometheus.Registry, allowances *allowance.Table) {
+	r.MustRegister(newAllowanceCollector(allowances))
+}
+
 func newElector(s *Settings, clients *Clients, ref *coordinatorRef, l *eventlog.Logger) *lease.Elector {
 	timing := lease.NewTiming(s.HolderGap)
 	if s.FencingEnforced {
@@ -94,13 +103,13 @@
 
 func newCoordinatorRef() *coordinatorRef { return &coordinatorRef{} }
 
-func newReporter(s *Settings, elector *lease.Elector, c *coordinator.Coordinator, control *gateway.Control, d *gateway.Demand, t *gateway.Tracker, board *quarantine.Board, limits *serverlimit.Table, servers *availability.Table, l *eventlog.Logger) *coordinator.Reporter {
-	return coordinator.NewReporter(s.Host, elector, c, control, d, t, board, limits, servers, nil, l)
+func newReporter(s *Settings, elector *lease.Elector, c *coordinator.Coordinator, control *gateway.Control, d *gateway.Demand, t *gateway.Tracker, board *quarantine.Board, limits *serverlimit.Table, servers *availability.Table, allowances *allowance.Table, l *eventlog.Logger) *coordinator.Reporter {
+	return coordinator.NewReporter(s.Host, elector, c, control, d, t, board, limits, servers, allowances, l)
 }
 
-func newForwarder(s *Settings, clients *Clients, control *gateway.Control, d *gateway.Demand, t *gateway.Tracker, board *quarantine.Board, limits *serverlimit.Table, servers *availability.Table, m *gateway.Metrics, l *eventlog.Logger) *gateway.Forwarder {
+func newForwarder(s *Settings, clients *Clients, control *gateway.Control, d *gateway.Demand, t *gateway.Tracker, board *quarantine.Board, limits *serverlimit.Table, servers *availability.Table, allowances *allowance.Table, m *gateway.Metrics, l *eventlog.Logger) *gateway.Forwarder {
 	return gateway.NewForwarder(gateway.ForwarderConfig{
-		Control: control, Pool: clients.Pool, Tracker: t, Demand: d, Board: board, Limits: limits, Availability: servers, Codec: clients.Codec, Log: l, Metrics: m,
+		Control: control, Pool: clients.Pool, Tracker: t, Demand: d, Board: board, Limits: limits, Availability: servers, Allowances: allowances, Codec: clients.Codec, Log: l, Metrics: m,
 		Region: s.Region, RegionOf: s.RegionOf, Budget: s.Budget,
 	})
 }
--- a/pkg/verdict/caller_test.go
+++ b/pkg/verdict/caller_test.go
@@ -10,7 +10,7 @@
 var codes = []failure.Code{
 	failure.BadRequest, failure.Unauthorized, failure.NotFound, failure.MethodNotAllowed, failure.BodyTooLarge, failure.HeaderTooLarge,
 	failure.RequestTimeout, failure.KeyMismatch, failure.KeyInProgress, failure.ClientCancelled, failure.NoBackend, failure.Overloaded,
-	failure.CapExceeded, failure.TargetMissed, failure.Leaving, failure.NotLoaded, failure.WrongIncarnation, failure.ConnectFailed,
+	failure.CapExceeded, failure.QuotaExceeded, failure.TargetMissed, failure.Leaving, failure.NotLoaded, failure.WrongIncarnation, failure.ConnectFailed,
 	failure.ConnectionLost, failure.Truncated, failure.FrameMismatch, failure.ChecksumMismatch, failure.EngineFailed,
 	failure.ServiceFailed, failure.DeadlineExceeded, failure.LogUnavailable, failure.NotReady, failure.RetryBudgetExhausted,
 	failure.PromptQuarantined, failure.Internal,
