--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -11,7 +11,7 @@
 	// reportLag is the use that the holder does not know of yet. Units that have been used count as outstanding for that long,
 	// so the bucket may hold that much more.
 	reportLag = 250 * time.Millisecond
-	// kept is the part of the burst that is not lent for requests to come.
+	// kept is the part of what can be used at once that is not lent for requests to come.
 	kept = 0.25
 	// forgetTime is the time without a report after which a daemon is forgotten.
 	forgetTime = 30 * time.Second
@@ -27,6 +27,43 @@
 	at        time.Duration
 	borrowers map[string]*borrower
 	turns     uint64
+	// used is what daemons used within the window of the limit, if it has one; unknown is what they may have used of it before
+	// this holder knew of them. The level follows from both then.
+	used    usedWindow
+	unknown usedWindow
+}
+
+// newAccount returns the state of an allowance. full is set if nothing of it can have been used lately; otherwise it counts as
+// used evenly, up to its limit.
+func newAccount(id uint64, limit Limit, full bool, now time.Duration) *account {
+	a := &account{id: id, at: now, borrowers: map[string]*borrower{}}
+	a.setLimit(limit)
+	switch {
+	case full:
+		a.level = limit.Burst
+	case limit.Window > 0:
+		a.seed(now)
+	}
+	return a
+}
+
+// setLimit changes the limit. What was used within a window of another length counts as used evenly.
+func (a *account) setLimit(limit Limit) {
+	if limit.Window > 0 && limit.Window != a.used.length {
+		sum := a.used.total
+		a.used, a.unknown = usedWindow{length: limit.Window}, usedWindow{length: limit.Window}
+		a.used.add(sum, a.at, a.at)
+	}
+	a.limit = limit
+}
+
+// seed fills the window of what is unknown as if the limit had been used evenly.
+func (a *account) seed(now time.Duration) {
+	slot := a.limit.Window / usedSlots
+	for n := range usedSlots {
+		a.unknown.add(a.limit.Rate*slot.Seconds(), now, now-time.Duration(n)*slot)
+	}
+	a.unknown.add(a.limit.Burst, now, now)
 }
 
 // outstanding returns what daemons may still use.
@@ -42,6 +79,7 @@
 func (a *account) refill(now time.Duration, capacity float64) {
 	for name, b := range a.borrowers {
 		if now >= b.expires {
+			a.use(b.outstanding, now)
 			b.outstanding = 0
 		}
 		if now-b.seen >= waitTime {
@@ -54,6 +92,11 @@
 			delete(a.borrowers, name)
 		}
 	}
+	if a.limit.Window > 0 {
+		a.at = max(a.at, now)
+		a.level = a.limit.most() - max(a.used.sum(now), a.unknown.sum(now)) - a.outstanding()
+		return
+	}
 	if now > a.at {
 		a.level += a.limit.Rate * (now - a.at).Seconds()
 		a.at = now
@@ -61,6 +104,13 @@
 	a.level = min(a.level, max(capacity*(a.limit.Burst+a.limit.Rate*reportLag.Seconds())-a.outstanding(), 0))
 }
 
+// use counts units that a daemon has used, or that have run out.
+func (a *account) use(units float64, now time.Duration) {
+	if a.limit.Window > 0 {
+		a.used.add(units, now, now)
+	}
+}
+
 // report applies what a daemon tells and returns its state; nil for a report that is older than the last one. first is set
 // if the daemon has had no answer of this holder.
 func (a *account) report(daemon string, first bool, u *Use, now time.Duration) *borrower {
@@ -68,6 +118,7 @@
 	switch {
 	case first:
 		b = &borrower{fresh: true}
+		a.use(u.Recent, now)
 	case !known:
 		b = &borrower{}
 		b.adopt(u)
@@ -77,6 +128,7 @@
 			return nil
 		}
 		a.level += back
+		a.use(b.outstanding-back-u.Available, now)
 	}
 	a.borrowers[daemon] = b
 	b.outstanding, b.seen = u.Available, now
@@ -102,7 +154,7 @@
 	for _, other := range a.borrowers {
 		short += other.short
 		if other.turn > 0 && other.turn < b.turn {
-			ahead += min(other.need, a.limit.Burst)
+			ahead += min(other.need, a.limit.most())
 		}
 	}
 	return ahead, short
@@ -148,7 +200,7 @@
 		sum += b.spare
 	}
 	hold := u.Spare
-	if most := (1 - kept) * a.limit.Burst; sum > most {
+	if most := (1 - kept) * a.limit.most(); sum > most {
 		hold *= most / sum
 	}
 	if hold < u.First {
@@ -160,7 +212,7 @@
 // lendSpare returns what a daemon gets for requests to come, which has so much of what it may hold. A part that does not cover
 // one request would be of no use to anybody.
 func (a *account) lendSpare(hold, request, has, lent float64) float64 {
-	units := math.Floor(max(min(hold-has, a.level-lent-kept*a.limit.Burst), 0))
+	units := math.Floor(max(min(hold-has, a.level-lent-kept*a.limit.most()), 0))
 	if has+units < request {
 		return 0
 	}
@@ -172,8 +224,8 @@
 func (a *account) lendWanted(b *borrower, ahead, short float64) float64 {
 	free := a.level - ahead
 	switch {
-	case b.need > a.limit.Burst:
-		if ahead > 0 || a.level+a.outstanding() < a.limit.Burst {
+	case b.need > a.limit.most():
+		if ahead > 0 || a.level+a.outstanding() < a.limit.most() {
 			return 0
 		}
 		return b.need
@@ -190,5 +242,8 @@
 
 // waitFor returns the time until the bucket covers the units, at least a millisecond.
 func (a *account) waitFor(units float64) time.Duration {
+	if a.limit.Window > 0 {
+		return max(a.used.until(units-a.level, a.at), a.unknown.until(units-a.level, a.at), time.Millisecond)
+	}
 	return max(time.Duration((units-a.level)/a.limit.Rate*float64(time.Second)), time.Millisecond)
 }
--- a/pkg/allowance/ledger.go
+++ b/pkg/allowance/ledger.go
@@ -42,13 +42,10 @@
 		ids[id] = name
 		a, ok := l.accounts[id]
 		if !ok {
-			a = &account{id: id, at: now, borrowers: map[string]*borrower{}}
-			if l.started {
-				a.level = limit.Burst
-			}
+			a = newAccount(id, limit, l.started, now)
 			l.accounts[id] = a
 		}
-		a.limit = limit
+		a.setLimit(limit)
 	}
 	maps.DeleteFunc(l.accounts, func(id uint64, _ *account) bool { return ids[id] == "" })
 	maps.DeleteFunc(l.exhausted, func(id uint64, _ time.Duration) bool { return ids[id] == "" })
--- a/pkg/allowance/part.go
+++ b/pkg/allowance/part.go
@@ -40,7 +40,9 @@
 	// waitUntil is when the allowance covers what was wanted at the last report.
 	waitUntil time.Duration
 	usage     usage
-	stats     Stats
+	// recent is what requests used within the window of the limit, if it has one.
+	recent usedWindow
+	stats  Stats
 }
 
 // limited reports whether the allowance has a limit now.
@@ -87,6 +89,9 @@
 	if p.available-ahead >= units {
 		p.available -= units
 		p.usage.add(units, now)
+		if p.limit.Window > 0 {
+			p.recent.add(units, now, now)
+		}
 		p.stats.Taken += units
 		return Result{Taken: true}
 	}
@@ -111,10 +116,11 @@
 	p.lapse(now)
 	spare := p.usage.spare(now)
 	hold := min(p.hold, spare)
-	if !p.due(spare, hold, now) {
+	recent := p.unreported(now)
+	if recent == 0 && !p.due(spare, hold, now) {
 		return Use{}, false
 	}
-	out = Use{ID: p.id, Received: p.received, Wanted: math.Ceil(p.wanted()), First: math.Ceil(p.usage.size), Spare: spare}
+	out = Use{ID: p.id, Received: p.received, Wanted: math.Ceil(p.wanted()), First: math.Ceil(p.usage.size), Spare: spare, Recent: recent}
 	if len(p.waiting) > 0 {
 		out.First = math.Ceil(p.waiting[0].units)
 	} else if back := math.Floor(p.available - hold); back > 0 {
@@ -125,6 +131,22 @@
 	return out, true
 }
 
+// unreported returns what was used within the window of the limit before the present holder answered.
+func (p *part) unreported(now time.Duration) float64 {
+	if p.answered || p.limit.Window == 0 {
+		return 0
+	}
+	return math.Ceil(p.recent.sum(now))
+}
+
+// setLimit changes the limit. What was used within a window of another length is forgotten: no bound spans both.
+func (p *part) setLimit(limit Limit) {
+	if limit.Window > 0 && limit.Window != p.recent.length {
+		p.recent = usedWindow{length: limit.Window}
+	}
+	p.limit = limit
+}
+
 // due reports whether the holder has to be told something now.
 func (p *part) due(spare, hold float64, now time.Duration) bool {
 	since := now - p.toldAt
--- a/pkg/allowance/table.go
+++ b/pkg/allowance/table.go
@@ -36,7 +36,7 @@
 		if t.parts[name] == nil {
 			t.parts[name] = &part{id: ID(name)}
 		}
-		t.parts[name].limit = limit
+		t.parts[name].setLimit(limit)
 	}
 }
 
--- a/pkg/allowance/use.go
+++ b/pkg/allowance/use.go
@@ -16,6 +16,8 @@
 	First  float64
 	// Spare is what the daemon wants to hold for requests to come.
 	Spare float64
+	// Recent is what the daemon used within the window of the limit, in its first report to a holder.
+	Recent float64
 }
 
 // ID returns the identifier of an allowance in messages.
--- a/pkg/coordinator/allowance_reporter.go
+++ b/pkg/coordinator/allowance_reporter.go
@@ -62,10 +62,10 @@
 
 func useToProto(u *allowance.Use) *ferrypb.AllowanceUse {
 	return &ferrypb.AllowanceUse{Id: u.ID, Received: uint64(u.Received), Returned: uint64(u.Returned), Available: uint64(u.Available),
-		Wanted: uint64(u.Wanted), First: uint64(u.First), Spare: uint64(u.Spare)}
+		Wanted: uint64(u.Wanted), First: uint64(u.First), Spare: uint64(u.Spare), Recent: uint64(u.Recent)}
 }
 
 func useFromProto(m *ferrypb.AllowanceUse) allowance.Use {
 	return allowance.Use{ID: m.Id, Received: float64(m.Received), Returned: float64(m.Returned), Available: float64(m.Available),
-		Wanted: float64(m.Wanted), First: float64(m.First), Spare: float64(m.Spare)}
+		Wanted: float64(m.Wanted), First: float64(m.First), Spare: float64(m.Spare), Recent: float64(m.Recent)}
 }
--- a/pkg/coordinator/allowances.go
+++ b/pkg/coordinator/allowances.go
@@ -59,7 +59,7 @@
 	}
 	if config := c.fleet.View().Config; config != nil && config != c.ledgerConfig {
 		c.ledgerConfig = config
-		c.ledger.SetLimits(gateway.AllowanceLimits(config), now)
+		c.ledger.SetLimits(gateway.AllowanceLimits(config, c.config.Quotas), now)
 	}
 }
 
--- a/pkg/coordinator/config.go
+++ b/pkg/coordinator/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"trefoilferry.example/ferry/pkg/availability"
+	"trefoilferry.example/ferry/pkg/gateway"
 	"trefoilferry.example/ferry/pkg/quarantine"
 )
 
@@ -16,4 +17,6 @@
 	Board *quarantine.Board
 	// Availability is what runners have told this daemon about taking requests; nil for none.
 	Availability *availability.Table
+	// Quotas is how the quotas of workspaces are measured.
+	Quotas gateway.QuotaBound
 }
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -150,7 +150,7 @@
 	next := *current
 	next.Config, next.ConfigAt, next.Keys = config, at, keyring.New(config)
 	if c.allowances != nil {
-		c.allowances.SetLimits(AllowanceLimits(config))
+		c.allowances.SetLimits(AllowanceLimits(config, c.timing.Quotas))
 	}
 	c.publish(&next)
 	c.log.Log(eventlog.ConfigApplied, "version", config.Version, "routes", len(config.Routes), "services", len(config.Services))
--- a/pkg/gateway/poll_timing.go
+++ b/pkg/gateway/poll_timing.go
@@ -22,6 +22,8 @@
 	// RevokeBound is the time within which a key that was taken away must be out of force, also at a daemon that hears from
 	// nobody; 0 for no bound.
 	RevokeBound time.Duration
+	// Quotas is how the quotas of workspaces are measured.
+	Quotas QuotaBound
 }
 
 // Shares of the time within which a change must be applied. The age of relayed state, a read that times out because
--- a/pkg/gateway/quota.go
+++ b/pkg/gateway/quota.go
@@ -14,7 +14,7 @@
 const (
 	// quotaWaitShare is the part of the target latency for which a request waits until the quota of its workspace covers it;
 	// the rest is for running it.
-	quotaWaitShare = 0.25
+	quotaWaitShare = 0.1
 	// quotaAnswerWait is how long a request waits for the lease holder to say whether the quota covers it. An answer takes
 	// a report interval and a round trip to another region.
 	quotaAnswerWait = 400 * time.Millisecond
@@ -28,12 +28,29 @@
 // AllowanceName returns the name of the shared allowance of a workspace's quota.
 func AllowanceName(workspace string) string { return "workspace/" + workspace }
 
+// toleranceUsed is the part of the tolerance that is used. The rest covers units that were lent by a holder which a new one
+// does not know of.
+const toleranceUsed = 0.9
+
+// QuotaBound is how the users measure the quotas of workspaces: in any time of length Window, (Rate*Window + Burst)*(1 + Excess) +
+// Slack units may be used. Requests within that are owed a response.
+type QuotaBound struct {
+	// Window is 0 if quotas are plain token buckets.
+	Window time.Duration
+	Excess float64
+	Slack  float64
+}
+
 // AllowanceLimits returns the limits of a configuration by the names of their allowances.
-func AllowanceLimits(config *fleet.Config) map[string]allowance.Limit {
+func AllowanceLimits(config *fleet.Config, bound QuotaBound) map[string]allowance.Limit {
 	out := map[string]allowance.Limit{}
 	for i := range config.Workspaces {
 		if w := &config.Workspaces[i]; w.Quota.Limited() {
-			out[AllowanceName(w.Name)] = allowance.Limit{Rate: w.Quota.Rate, Burst: w.Quota.Burst}
+			limit := allowance.Limit{Rate: w.Quota.Rate, Burst: w.Quota.Burst, Window: bound.Window}
+			if bound.Window > 0 {
+				limit.Burst += toleranceUsed * (bound.Excess*(limit.Rate*limit.Window.Seconds()+limit.Burst) + bound.Slack)
+			}
+			out[AllowanceName(w.Name)] = limit
 		}
 	}
 	return out
--- a/pkg/gatewaydaemon/module.go
+++ b/pkg/gatewaydaemon/module.go
@@ -36,7 +36,7 @@
 			gateway.NewAvailability,
 			func(l *eventlog.Logger, allowances *allowance.Table) *gateway.Control {
 				timing := gateway.NewPollTiming(settings.MaxChangeDelay)
-				timing.RevokeBound = settings.RevokeBound
+				timing.RevokeBound, timing.Quotas = settings.RevokeBound, settings.Quotas
 				control := gateway.NewControl(l, timing)
 				control.ShareAllowances(allowances)
 				return control
@@ -91,7 +91,7 @@
 }
 
 func newCoordinator(s *Settings, clients *Clients, control *gateway.Control, elector *lease.Elector, board *quarantine.Board, servers *availability.Table, ref *coordinatorRef, l *eventlog.Logger) *coordinator.Coordinator {
-	config := coordinator.Config{Holder: s.Host, RegionOf: s.RegionOf, LoadLimits: s.Loads, Board: board, Availability: servers}
+	config := coordinator.Config{Holder: s.Host, RegionOf: s.RegionOf, LoadLimits: s.Loads, Board: board, Availability: servers, Quotas: s.Quotas}
 	c := coordinator.New(config, control, elector, clients.Runners, l)
 	ref.StateHandover = c
 	return c
--- a/pkg/gatewaydaemon/settings.go
+++ b/pkg/gatewaydaemon/settings.go
@@ -29,6 +29,8 @@
 	MaxChangeDelay time.Duration
 	// RevokeBound is the time within which a key that was taken away must be out of force at every daemon; 0 for no bound.
 	RevokeBound time.Duration
+	// Quotas is how the quotas of workspaces are measured.
+	Quotas gateway.QuotaBound
 	// Cores is the processor capacity of the host in cores; 0 if unknown.
 	Cores float64
 	// MemoryLimitBytes is the memory above which the process is killed.
