allowance: use within the quota survives the loss of the holder; tests of faults

A grant now names a pace and a reserve for a daemon that hears of no lending holder. The holder charges them to daemons that do not report, and a new holder gains only for the part of the daemons that have reported, until the paces have ended. Requests larger than what a daemon has draw a lot.

--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -13,6 +13,8 @@
 	reportLag = 250 * time.Millisecond
 	// kept is the part of the burst that is not lent for requests to come.
 	kept = 0.25
+	// reserved is the part of what could be lent that daemons may use when they do not hear of the holder.
+	reserved = 0.5
 	// forgetTime is the time without a report after which a daemon is forgotten.
 	forgetTime = 30 * time.Second
 )
@@ -38,9 +40,10 @@
 	return sum
 }
 
-// refill advances the bucket to now. The bucket holds only a part of the burst while another holder's parts are out.
-func (a *account) refill(now time.Duration, capacity float64) {
+// refill advances the bucket to now; seen is when each daemon last reported.
+func (a *account) refill(now time.Duration, s settling, seen map[string]time.Duration) {
 	for name, b := range a.borrowers {
+		a.level -= b.charge(seen[name], now)
 		if now >= b.expires {
 			b.outstanding = 0
 		}
@@ -48,17 +51,17 @@
 			b.short, b.need, b.turn = 0, 0, 0
 		}
 		if now-b.seen >= idleTime {
-			b.spare = 0
+			b.spare, b.rate = 0, 0
 		}
 		if now-b.seen >= forgetTime {
 			delete(a.borrowers, name)
 		}
 	}
 	if now > a.at {
-		a.level += a.limit.Rate * (now - a.at).Seconds()
+		a.level += s.rate * a.limit.Rate * (now - a.at).Seconds()
 		a.at = now
 	}
-	a.level = min(a.level, max(capacity*(a.limit.Burst+a.limit.Rate*reportLag.Seconds())-a.outstanding(), 0))
+	a.level = min(a.level, max(s.capacity*(a.limit.Burst+a.limit.Rate*reportLag.Seconds())-a.outstanding(), 0))
 }
 
 // report applies what a daemon tells and returns its state; nil for a report that is older than the last one. first is set
@@ -83,7 +86,7 @@
 	// Parts from earlier holders run out at the latest when one that was lent now would.
 	b.expires = max(b.expires, now+lendTime)
 	b.short, b.need = max(u.Wanted-u.Available, 0), max(u.First-u.Available, 0)
-	b.spare = u.Spare
+	b.spare, b.rate = u.Spare, u.Rate
 	if u.Wanted == 0 {
 		b.need = 0
 	}
@@ -122,6 +125,7 @@
 	a.level -= units
 	b.granted += units
 	b.outstanding += units
+	a.promise(b, u)
 	if b.short == 0 {
 		return units, hold, 0
 	}
@@ -140,6 +144,22 @@
 	return units, hold, a.waitFor(short - served)
 }
 
+// promise decides what a daemon may use without a holder. All daemons together get the rate and a part of what could be lent.
+func (a *account) promise(b *borrower, u *Use) {
+	rates, pace, reserve := 0.0, 0.0, 0.0
+	for _, other := range a.borrowers {
+		rates += other.rate
+		if other != b {
+			pace += other.pace()
+			reserve += other.reserve()
+		}
+	}
+	b.before = b.silence
+	part, spare := u.Rate/max(rates, 1), max(a.level, 0)*reserved
+	b.silence.pace = math.Floor(max(min(part*a.limit.Rate, a.limit.Rate-pace), 0))
+	b.silence.reserve = math.Floor(max(min(part*spare, spare-reserve), 0))
+}
+
 // hold returns what a daemon may keep while none of its requests waits: what it wants, less if all daemons together want more
 // than may be lent for that, and nothing if that would not be enough for one request.
 func (a *account) hold(u *Use) float64 {
--- a/pkg/allowance/ledger.go
+++ b/pkg/allowance/ledger.go
@@ -6,13 +6,8 @@
 	"time"
 )
 
-const (
-	// settleCapacity is the part of the burst that a bucket holds while parts that an earlier holder lent may be in use by
-	// daemons that this one has not heard of.
-	settleCapacity = 0.5
-	// availableTime is how long no request lacks units before an exhausted allowance counts as available again.
-	availableTime = 5 * time.Second
-)
+// availableTime is how long no request lacks units before an exhausted allowance counts as available again.
+const availableTime = 5 * time.Second
 
 // Ledger is the holder's state of all allowances in one tenure. It is not safe for concurrent use.
 type Ledger struct {
@@ -21,6 +16,8 @@
 	// began is when the first limits were set; started is set from then on.
 	began   time.Duration
 	started bool
+	// expected is the number of daemons that may have followed an earlier holder; 0 if unknown.
+	expected int
 	// seen is when each daemon last reported.
 	seen map[string]time.Duration
 	// exhausted is when requests last lacked units of the allowances of which Changes told so.
@@ -28,9 +25,10 @@
 	changes   []Change
 }
 
-// NewLedger returns a ledger without limits.
-func NewLedger() *Ledger {
-	return &Ledger{accounts: map[uint64]*account{}, names: map[uint64]string{}, seen: map[string]time.Duration{}, exhausted: map[uint64]time.Duration{}}
+// NewLedger returns a ledger without limits; expected is the number of daemons that may have followed an earlier holder, 0 if
+// unknown.
+func NewLedger(expected int) *Ledger {
+	return &Ledger{expected: expected, accounts: map[uint64]*account{}, names: map[uint64]string{}, seen: map[string]time.Duration{}, exhausted: map[uint64]time.Duration{}}
 }
 
 // SetLimits sets the limits by the names of their allowances. The buckets of the first limits start empty, because an earlier
@@ -64,6 +62,11 @@
 // Report applies the report of a daemon and returns what it is lent. first is set if the daemon has had no answer of this
 // holder. Without lends nothing is lent and no part is prolonged.
 func (l *Ledger) Report(daemon string, first bool, uses []Use, lends bool, now time.Duration) []Grant {
+	if now-l.seen[daemon] >= silenceGrace {
+		for _, a := range l.accounts {
+			a.refill(now, l.settling(now), l.seen)
+		}
+	}
 	l.seen[daemon] = now
 	if first {
 		for _, a := range l.accounts {
@@ -90,7 +93,7 @@
 	if b == nil {
 		return Grant{}, false
 	}
-	a.refill(now, l.capacity(now))
+	a.refill(now, l.settling(now), l.seen)
 	if !lends {
 		return Grant{}, false
 	}
@@ -98,15 +101,19 @@
 	if wait > 0 {
 		l.noteExhausted(a, now)
 	}
-	return Grant{ID: a.id, Units: units, Hold: hold, Valid: lendTime, Wait: wait}, true
+	return Grant{ID: a.id, Units: units, Hold: hold, Pace: b.silence.pace, Reserve: b.silence.reserve, Valid: lendTime, Wait: wait}, true
 }
 
-// capacity returns the part of the bursts that buckets hold.
-func (l *Ledger) capacity(now time.Duration) float64 {
+// settling returns what is left to an earlier holder now.
+func (l *Ledger) settling(now time.Duration) settling {
+	s := settling{capacity: 1, rate: 1}
 	if now-l.began < lendTime {
-		return settleCapacity
+		s.capacity = settleCapacity
+	}
+	if now-l.began < settleTime && l.expected > 0 {
+		s.rate = min(float64(len(l.seen))/float64(l.expected), 1)
 	}
-	return 1
+	return s
 }
 
 // AllFollow reports whether every daemon that has reported within forgetTime has done so within the given time. None of them
--- a/pkg/allowance/part.go
+++ b/pkg/allowance/part.go
@@ -1,9 +1,12 @@
 package allowance
 
 import (
+	"encoding/binary"
 	"math"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -35,6 +38,9 @@
 	answered bool
 	// waiting are the requests that wait, in the order in which they began to.
 	waiting []*waiter
+	// silence is what the daemon gains while no holder lends, gained the total since the first answer of the holder.
+	silence silence
+	gained  float64
 	// hold is what the holder lets the daemon keep while no request waits.
 	hold float64
 	// waitUntil is when the allowance covers what was wanted at the last report.
@@ -47,10 +53,13 @@
 func (p *part) limited() bool { return p.limit.Rate > 0 }
 
 // free drops the units because the allowance has no limit any more. The totals stay: the holder may never learn of it.
-func (p *part) free() { p.limit, p.available, p.waitUntil = Limit{}, 0, 0 }
+func (p *part) free() { p.limit, p.available, p.waitUntil, p.silence = Limit{}, 0, 0, silence{} }
 
-// lapse drops units that have run out.
-func (p *part) lapse(now time.Duration) {
+// lapse adds units that the daemon gains without a holder, since it last heard from one, and drops those that have run out.
+func (p *part) lapse(heard, now time.Duration) {
+	units := p.silence.gain(heard, now)
+	p.available += units
+	p.gained += units
 	if now >= p.expires {
 		p.stats.Lapsed += p.available
 		p.available = 0
@@ -78,14 +87,18 @@
 	return sum, false
 }
 
-func (p *part) take(units float64, now time.Duration) Result {
-	p.lapse(now)
+func (p *part) take(units float64, heard, now time.Duration) Result {
+	p.lapse(heard, now)
 	ahead, waits := p.ahead(units)
 	if !waits {
 		p.stats.Asked += units
 	}
-	if p.available-ahead >= units {
-		p.available -= units
+	covered := p.available-ahead >= units
+	if !covered && ahead == 0 && p.available > 0 && now-heard >= silenceGrace {
+		covered = p.draw(units, now)
+	}
+	if covered {
+		p.available = max(p.available-units, 0)
 		p.usage.add(units, now)
 		p.stats.Taken += units
 		return Result{Taken: true}
@@ -97,6 +110,16 @@
 	return Result{RetryAfter: wait}
 }
 
+// draw decides by lot on a request larger than what the daemon has while no holder lends, so that all daemons together use
+// what they have although none has enough for a request. What it has is used up either way.
+func (p *part) draw(units float64, now time.Duration) bool {
+	const lots = 1 << 16
+	lot := float64(xxhash.Sum64(binary.LittleEndian.AppendUint64(nil, uint64(now)^p.id))%lots) / lots
+	won := lot < p.available/units
+	p.available = 0
+	return won
+}
+
 // retryAfter returns the wait that the holder told, longer by what requests have come to wait for here since.
 func (p *part) retryAfter(now time.Duration) time.Duration {
 	if p.waitUntil <= now {
@@ -107,31 +130,33 @@
 }
 
 // use returns what the holder has to be told now; ok is false if that is nothing. Units that are given back are deducted.
-func (p *part) use(now time.Duration) (out Use, ok bool) {
-	p.lapse(now)
+func (p *part) use(heard, now time.Duration) (out Use, ok bool) {
+	p.lapse(heard, now)
 	spare := p.usage.spare(now)
 	hold := min(p.hold, spare)
-	if !p.due(spare, hold, now) {
+	silent := now-heard >= silenceGrace
+	if !p.due(spare, hold, silent, now) {
 		return Use{}, false
 	}
-	out = Use{ID: p.id, Received: p.received, Wanted: math.Ceil(p.wanted()), First: math.Ceil(p.usage.size), Spare: spare}
+	out = Use{ID: p.id, Received: p.received, Wanted: math.Ceil(p.wanted()), First: math.Ceil(p.usage.size), Spare: spare, Rate: math.Ceil(p.usage.decayed(now))}
 	if len(p.waiting) > 0 {
 		out.First = math.Ceil(p.waiting[0].units)
-	} else if back := math.Floor(p.available - hold); back > 0 {
+	} else if back := math.Floor(p.available - hold); back > 0 && !silent {
 		p.available -= back
 		p.returned += back
 	}
-	out.Returned, out.Available = p.returned, math.Floor(p.available)
+	out.Returned, out.Available, out.Gained = p.returned, math.Floor(p.available), math.Ceil(p.gained)
 	return out, true
 }
 
-// due reports whether the holder has to be told something now.
-func (p *part) due(spare, hold float64, now time.Duration) bool {
+// due reports whether the holder has to be told something now. silent is set if no holder lends; what the daemon has is
+// then kept.
+func (p *part) due(spare, hold float64, silent bool, now time.Duration) bool {
 	since := now - p.toldAt
 	switch {
 	case len(p.waiting) > 0 || p.told.Wanted > 0 || p.told.Returned != p.returned:
 		return true
-	case math.Floor(p.available) > excess*hold:
+	case math.Floor(p.available) > excess*hold && !silent:
 		return true
 	case !p.answered || since >= renewTime:
 		return p.available > 0 || spare > 0
@@ -154,7 +179,7 @@
 	p.available += g.Units
 	p.received += g.Units
 	p.stats.Lent += g.Units
-	p.hold = g.Hold
+	p.hold, p.silence.pace, p.silence.reserve = g.Hold, g.Pace, g.Reserve
 	p.expires = max(p.expires, sent+g.Valid)
 	p.told, p.toldAt, p.answered = *told, sent, true
 	p.waitUntil = 0
@@ -165,7 +190,7 @@
 
 // restart forgets the totals of the last holder. The units that were lent stay until they run out.
 func (p *part) restart() {
-	p.received, p.returned, p.told, p.answered, p.waitUntil = 0, 0, Use{}, false, 0
+	p.received, p.returned, p.told, p.answered, p.waitUntil, p.gained, p.silence = 0, 0, Use{}, false, 0, 0, silence{}
 }
 
 func (p *part) remove(w *waiter) {
--- a/pkg/allowance/sim_test.go
+++ b/pkg/allowance/sim_test.go
@@ -40,8 +40,11 @@
 	holder  *simHolder
 	tenure  int
 	waiting []simRequest
+	changed <-chan struct{}
 	// cut drops all messages; stopped stops its clock at the time.
-	cut     bool
+	cut bool
+	// stays makes the daemon follow its holder even if there is another one.
+	stays   bool
 	stopped time.Duration
 	// report is the one in progress, nil for none.
 	report *simReport
@@ -58,6 +61,7 @@
 	grants   []Grant
 	sent, at time.Duration
 	answered bool
+	lends    bool
 }
 
 type simSend struct {
@@ -76,12 +80,13 @@
 	now    time.Duration
 	random *rand.Rand
 	sends  []simSend
-	// weight is the part of the demand that each daemon gets.
-	weight func(d int) float64
+	// hot is the daemon that gets all requests; -1 spreads them.
+	hot int
 	size   func() float64
 	ideal  simIdeal
 	admits float64
-	bytes  int
+	// entries is the number of uses in reports.
+	entries int
 }
 
 // simIdeal is a limiter that knows all requests at once and lets them wait as the daemons do.
@@ -92,7 +97,7 @@
 }
 
 func newSimFleet(daemons int, limit Limit, seed uint64) *simFleet {
-	f := &simFleet{limit: limit, random: rand.New(rand.NewPCG(seed, 1)), now: time.Hour, weight: func(int) float64 { return 1 }}
+	f := &simFleet{limit: limit, random: rand.New(rand.NewPCG(seed, 1)), now: time.Hour, hot: -1}
 	// Short and long requests of the first customer, in tokens.
 	f.size = func() float64 {
 		if f.random.Float64() < 0.5 {
@@ -101,27 +106,43 @@
 		return 9190
 	}
 	f.ideal.level = limit.Burst
-	for d := range daemons {
-		table := NewTable()
-		table.SetLimits(map[string]Limit{simName: limit})
-		f.daemons = append(f.daemons, &simDaemon{name: fmt.Sprint(d), table: table, next: f.now + time.Duration(d)*time.Millisecond})
+	for n := range daemons {
+		d := &simDaemon{name: fmt.Sprint(n), next: f.now + time.Duration(n)*time.Millisecond}
+		f.restart(d)
+		f.daemons = append(f.daemons, d)
 	}
 	f.replaceHolder()
 	return f
 }
 
+// restart starts the process of a daemon.
+func (f *simFleet) restart(d *simDaemon) {
+	d.table, d.tenure, d.waiting, d.report = NewTable(), 0, nil, nil
+	d.changed = d.table.Changed()
+	d.table.SetLimits(map[string]Limit{simName: f.limit})
+}
+
 // replaceHolder makes another daemon the holder. Daemons learn of it within half a second.
 func (f *simFleet) replaceHolder() {
-	f.holder = &simHolder{ledger: NewLedger(), tenure: len(f.holders) + 1, confirmed: f.now, stored: true}
+	expected := len(f.daemons)
+	if len(f.holders) == 0 {
+		expected = 0
+	}
+	f.holder = &simHolder{ledger: NewLedger(expected), tenure: len(f.holders) + 1, confirmed: f.now, stored: true}
 	f.holder.ledger.SetLimits(map[string]Limit{simName: f.limit}, f.now)
 	f.holders = append(f.holders, f.holder)
 }
 
+// setLimit publishes another limit; one without a rate removes it.
 func (f *simFleet) setLimit(limit Limit) {
 	f.limit = limit
-	f.holder.ledger.SetLimits(map[string]Limit{simName: limit}, f.now)
+	limits := map[string]Limit{}
+	if limit.Rate > 0 {
+		limits[simName] = limit
+	}
+	f.holder.ledger.SetLimits(limits, f.now)
 	for _, d := range f.daemons {
-		d.table.SetLimits(map[string]Limit{simName: limit})
+		d.table.SetLimits(limits)
 	}
 }
 
@@ -150,24 +171,24 @@
 
 // arrive lets requests of about so many units arrive.
 func (f *simFleet) arrive(units float64) {
-	total, mean := 0.0, 5008.0
-	for d := range f.daemons {
-		total += f.weight(d)
-	}
-	for d := range f.daemons {
-		for expected := units / mean * f.weight(d) / total; expected > 0; expected-- {
-			if f.random.Float64() < expected {
-				r := simRequest{units: f.size(), until: f.now + simPatience}
-				f.ideal.queue = append(f.ideal.queue, r)
-				f.offer(f.daemons[d], r)
-			}
+	const mean = 5008
+	for expected := units / mean; expected > 0; expected-- {
+		if f.random.Float64() >= expected {
+			continue
 		}
+		r := simRequest{units: f.size(), until: f.now + simPatience}
+		f.ideal.queue = append(f.ideal.queue, r)
+		d := f.hot
+		if d < 0 {
+			d = f.random.IntN(len(f.daemons))
+		}
+		f.offer(f.daemons[d], r)
 	}
 }
 
 func (i *simIdeal) serve(limit Limit, now time.Duration) {
 	i.level = min(i.level+limit.Rate*simTick.Seconds(), limit.Burst)
-	var left []simRequest
+	left := i.queue[:0]
 	for _, r := range i.queue {
 		switch {
 		case len(left) == 0 && i.level >= min(r.units, limit.Burst):
@@ -206,7 +227,7 @@
 
 // retry lets waiting requests take units, or give up.
 func (f *simFleet) retry(d *simDaemon, changed bool) {
-	var left []simRequest
+	left := d.waiting[:0]
 	for _, r := range d.waiting {
 		switch {
 		case changed && d.table.Take(simName, r.units, f.clock(d)).Taken:
@@ -222,25 +243,33 @@
 }
 
 func (f *simFleet) step(d *simDaemon) {
-	changed := false
 	if r := d.report; r != nil {
 		switch {
 		case f.now-r.sent >= simTimeout:
 			f.late = append(f.late, r)
 			d.report = nil
 		case d.cut || f.now < r.at:
+		case r.to.dead:
+			// The connection is refused.
+			d.report = nil
 		case !r.answered:
 			f.answer(r)
 		default:
-			d.table.Apply(r.uses, r.grants, r.first, r.sent)
-			d.tenure, d.report, changed = r.tenure, nil, true
+			d.table.Apply(r.uses, r.grants, r.first, r.lends, r.sent)
+			d.tenure, d.report = r.tenure, nil
 			if wait, ok := d.table.NextReport(f.clock(d)); ok {
 				d.next = min(d.next, f.now+max(wait, 25*time.Millisecond))
 			}
 		}
 	}
-	f.retry(d, changed)
-	if d.holder != f.holder && (d.holder == nil || f.random.Float64() < 0.01) && !d.cut {
+	select {
+	case <-d.changed:
+		d.changed = d.table.Changed()
+		f.retry(d, true)
+	default:
+		f.retry(d, false)
+	}
+	if d.holder != f.holder && (d.holder == nil || f.random.Float64() < 0.05) && !d.cut && !d.stays {
 		d.holder, d.tenure = f.holder, 0
 	}
 	select {
@@ -251,7 +280,7 @@
 	if d.report == nil && f.now >= d.next {
 		d.next = f.now + 60*time.Millisecond + time.Duration(max(len(f.daemons)-30, 0))*3*time.Millisecond
 		r := &simReport{daemon: d.name, to: d.holder, first: d.tenure != d.holder.tenure, uses: d.table.Uses(f.clock(d)), sent: f.clock(d), at: f.now + simDelay}
-		f.bytes += 30 * len(r.uses)
+		f.entries += len(r.uses)
 		d.report = r
 	}
 }
@@ -263,6 +292,7 @@
 		return h.dead
 	}
 	lends := f.now-h.confirmed < 1500*time.Millisecond || h.ledger.AllFollow(300*time.Millisecond, f.now)
+	r.lends = lends
 	r.grants = h.ledger.Report(r.daemon, r.first, r.uses, lends, f.now)
 	r.tenure, r.answered, r.at = h.tenure, true, f.now+simDelay
 	return true
--- a/pkg/allowance/table.go
+++ b/pkg/allowance/table.go
@@ -13,6 +13,8 @@
 	parts   map[string]*part
 	wanted  chan struct{}
 	changed chan struct{}
+	// heard is when the last report was sent that a lending holder has answered.
+	heard time.Duration
 	// latest is the largest time passed in: parts run out even if readings of the clock went back.
 	latest time.Duration
 }
@@ -49,7 +51,7 @@
 	if !ok || !p.limited() {
 		return Result{Taken: true}
 	}
-	return p.take(units, t.advance(now))
+	return p.take(units, t.heard, t.advance(now))
 }
 
 // Await counts a request as waiting for units until done is called, and signals Wanted. The request calls Take again after
@@ -81,7 +83,7 @@
 	if p, ok := t.parts[name]; ok && p.limited() {
 		p.available += units
 		p.stats.Taken -= units
-		p.lapse(t.advance(now))
+		p.lapse(t.heard, t.advance(now))
 	}
 }
 
@@ -102,7 +104,7 @@
 	return wait, ok
 }
 
-// Changed is closed when the next answer of a holder has been applied.
+// Changed is closed when the next answer of a holder has been applied, or units may have been gained without one.
 func (t *Table) Changed() <-chan struct{} {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -114,10 +116,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now = t.advance(now)
+	if now-t.heard >= silenceGrace {
+		// Waiting requests may use what the daemon has gained.
+		t.notify()
+	}
 	var out []Use
 	for _, name := range slices.Sorted(maps.Keys(t.parts)) {
 		p := t.parts[name]
-		if u, ok := p.use(now); ok && p.limited() {
+		if u, ok := p.use(t.heard, now); ok && p.limited() {
 			out = append(out, u)
 		}
 	}
@@ -125,10 +131,16 @@
 }
 
 // Apply applies the answer of a holder to a report that was sent at the given time with these uses. first is set for the
-// first answer of a holder, which ignored the totals.
-func (t *Table) Apply(uses []Use, grants []Grant, first bool, sent time.Duration) {
+// first answer of a holder, which ignored the totals; lends is set unless the holder lends nothing now.
+func (t *Table) Apply(uses []Use, grants []Grant, first, lends bool, sent time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if lends {
+		for _, p := range t.parts {
+			p.lapse(t.heard, t.latest)
+		}
+		t.heard = max(t.heard, sent)
+	}
 	byID := make(map[uint64]*part, len(t.parts))
 	for name, p := range t.parts {
 		byID[p.id] = p
@@ -147,11 +159,15 @@
 		g := &grants[i]
 		if p, u := byID[g.ID], told[g.ID]; p != nil && u != nil {
 			if first {
-				u.Received, u.Returned = 0, 0
+				u.Received, u.Returned, u.Gained = 0, 0, 0
 			}
 			p.apply(u, g, sent)
 		}
 	}
+	t.notify()
+}
+
+func (t *Table) notify() {
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
--- a/pkg/allowance/use.go
+++ b/pkg/allowance/use.go
@@ -16,6 +16,10 @@
 	First  float64
 	// Spare is what the daemon wants to hold for requests to come.
 	Spare float64
+	// Rate is what requests lately took a second.
+	Rate float64
+	// Gained is what the daemon gained while it heard of no lending holder, in total like Received.
+	Gained float64
 }
 
 // ID returns the identifier of an allowance in messages.
--- a/pkg/coordinator/allowance_reporter.go
+++ b/pkg/coordinator/allowance_reporter.go
@@ -55,17 +55,18 @@
 	}
 	grants := make([]allowance.Grant, 0, len(view.Allowances))
 	for _, g := range view.Allowances {
-		grants = append(grants, allowance.Grant{ID: g.Id, Units: float64(g.Units), Hold: float64(g.Hold), Valid: millis(g.ValidMillis), Wait: millis(g.WaitMillis)})
+		grants = append(grants, allowance.Grant{ID: g.Id, Units: float64(g.Units), Hold: float64(g.Hold), Pace: float64(g.Pace), Reserve: float64(g.Reserve),
+			Valid: millis(g.ValidMillis), Wait: millis(g.WaitMillis)})
 	}
-	r.table.Apply(r.sent, grants, m.Tenure != view.Tenure, sent)
+	r.table.Apply(r.sent, grants, m.Tenure != view.Tenure, view.Lends, sent)
 }
 
 func useToProto(u *allowance.Use) *ferrypb.AllowanceUse {
 	return &ferrypb.AllowanceUse{Id: u.ID, Received: uint64(u.Received), Returned: uint64(u.Returned), Available: uint64(u.Available),
-		Wanted: uint64(u.Wanted), First: uint64(u.First), Spare: uint64(u.Spare)}
+		Wanted: uint64(u.Wanted), First: uint64(u.First), Spare: uint64(u.Spare), Rate: uint64(u.Rate), Gained: uint64(u.Gained)}
 }
 
 func useFromProto(m *ferrypb.AllowanceUse) allowance.Use {
 	return allowance.Use{ID: m.Id, Received: float64(m.Received), Returned: float64(m.Returned), Available: float64(m.Available),
-		Wanted: float64(m.Wanted), First: float64(m.First), Spare: float64(m.Spare)}
+		Wanted: float64(m.Wanted), First: float64(m.First), Spare: float64(m.Spare), Rate: float64(m.Rate), Gained: float64(m.Gained)}
 }
--- a/pkg/coordinator/allowances.go
+++ b/pkg/coordinator/allowances.go
@@ -21,9 +21,9 @@
 	allowanceCopyWait = 50 * time.Millisecond
 )
 
-// lendAllowances applies what a daemon tells of its parts of shared allowances and returns what it is lent. first is set if
-// the daemon has had no response in this tenure.
-func (c *Coordinator) lendAllowances(report *ferrypb.LoadReport, tenure int64, first bool) []*ferrypb.AllowanceGrant {
+// lendAllowances applies what a daemon tells of its parts of shared allowances and returns what it is lent, and whether
+// anything is lent now. first is set if the daemon has had no response in this tenure.
+func (c *Coordinator) lendAllowances(report *ferrypb.LoadReport, tenure int64, first bool) (out []*ferrypb.AllowanceGrant, lends bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := clock.Uptime()
@@ -32,14 +32,15 @@
 	for _, m := range report.Allowances {
 		uses = append(uses, useFromProto(m))
 	}
-	grants := c.ledger.Report(report.Daemon, first, uses, c.lends(now), now)
+	lends = c.lends(now)
+	grants := c.ledger.Report(report.Daemon, first, uses, lends, now)
 	c.logAllowances()
-	out := make([]*ferrypb.AllowanceGrant, 0, len(grants))
 	for i := range grants {
 		g := &grants[i]
-		out = append(out, &ferrypb.AllowanceGrant{Id: g.ID, Units: uint64(g.Units), Hold: uint64(g.Hold), ValidMillis: uint32(g.Valid.Milliseconds()), WaitMillis: uint32(g.Wait.Milliseconds())})
+		out = append(out, &ferrypb.AllowanceGrant{Id: g.ID, Units: uint64(g.Units), Hold: uint64(g.Hold), Pace: uint64(g.Pace), Reserve: uint64(g.Reserve),
+			ValidMillis: uint32(g.Valid.Milliseconds()), WaitMillis: uint32(g.Wait.Milliseconds())})
 	}
-	return out
+	return out, lends
 }
 
 // meetDaemon records a report whose response holds no grants.
@@ -54,7 +55,7 @@
 // syncLedger applies the limits of the configuration in force.
 func (c *Coordinator) syncLedger(tenure int64, now time.Duration) {
 	if c.ledgerTenure != tenure {
-		c.ledger, c.ledgerTenure, c.ledgerConfig = allowance.NewLedger(), tenure, nil
+		c.ledger, c.ledgerTenure, c.ledgerConfig = allowance.NewLedger(c.lease.Daemons()), tenure, nil
 		c.suspended = false
 	}
 	if config := c.fleet.View().Config; config != nil && config != c.ledgerConfig {
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -112,7 +112,7 @@
 	c.digests = nil
 	c.judge = quarantine.NewJudge()
 	c.limits = serverlimit.NewTotals()
-	c.ledger, c.ledgerTenure, c.ledgerConfig = allowance.NewLedger(), 0, nil
+	c.ledger, c.ledgerTenure, c.ledgerConfig = allowance.NewLedger(0), 0, nil
 }
 
 // Run plans until ctx ends and then waits for the orders in progress.
--- a/pkg/coordinator/lease_view.go
+++ b/pkg/coordinator/lease_view.go
@@ -15,6 +15,8 @@
 	// ConfirmedAge returns the time since the latest renewal that is known to have taken effect was sent, by a clock that
 	// counts time spent suspended.
 	ConfirmedAge() time.Duration
+	// Daemons returns the number of daemons that may take the lease, as the last holder told; 0 if unknown.
+	Daemons() int
 	// Position returns the store position of the latest renewal.
 	Position() int64
 	// RecordFenced records that a runner rejected an order because it has seen a higher token.
--- a/pkg/coordinator/report.go
+++ b/pkg/coordinator/report.go
@@ -34,7 +34,7 @@
 	}
 	view := c.buildView(report, tenure)
 	// The answer to a delayed report lends as of now, because units run out from when the report was sent.
-	view.Allowances = c.lendAllowances(report, tenure, first)
+	view.Allowances, view.Lends = c.lendAllowances(report, tenure, first)
 	return view, nil
 }
 
--- a/pkg/coordinator/takeover_test.go
+++ b/pkg/coordinator/takeover_test.go
@@ -28,6 +28,7 @@
 func (fixedLease) Token() (int64, bool)        { return 7, true }
 func (fixedLease) Tenure() int64               { return 7 }
 func (fixedLease) IsSoleHolder() bool          { return true }
+func (fixedLease) Daemons() int                { return 0 }
 func (fixedLease) ConfirmedAge() time.Duration { return 0 }
 func (fixedLease) Position() int64             { return 1 }
 func (fixedLease) RecordFenced(int64)          {}
--- a/pkg/coordinator/two_holders_test.go
+++ b/pkg/coordinator/two_holders_test.go
@@ -94,6 +94,7 @@
 }
 func (l scriptedLease) Token() (int64, bool)      { return 0, false }
 func (l scriptedLease) IsSoleHolder() bool        { return false }
+func (scriptedLease) Daemons() int                { return 0 }
 func (scriptedLease) ConfirmedAge() time.Duration { return 0 }
 func (l scriptedLease) Position() int64           { return int64(l.holder.Load()) }
 func (scriptedLease) RecordFenced(int64)          {}
--- a/pkg/lease/elector.go
+++ b/pkg/lease/elector.go
@@ -307,6 +307,13 @@
 	return e.machine.Holder().Token
 }
 
+// Daemons returns the number of daemons that may take the lease; 0 if it is unknown.
+func (e *Elector) Daemons() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.daemons
+}
+
 // ConfirmedAge returns the time since the latest renewal that is known to have taken effect was sent.
 func (e *Elector) ConfirmedAge() time.Duration {
 	e.mu.Lock()
