--- a/pkg/allowance/sim_test.go
+++ b/pkg/allowance/sim_test.go
@@ -81,7 +81,7 @@
 	random *rand.Rand
 	sends  []simSend
 	// hot is the daemon that gets all requests; -1 spreads them.
-	hot int
+	hot    int
 	size   func() float64
 	ideal  simIdeal
 	admits float64
