gateway: one owner of what is known of servers' speeds; choices use it where servers differ

Cause: a load header with a fourth figure was dropped whole, and one prefill rate, step time and cost per request stood for every server, so that servers that take 0.55 and 1.2 times as long got the same predictions.

pkg/serverspeed keeps statements and answers apart by incarnation and learns the rates of a service. Until a statement differs from 100 by 15% or the answers of a service differ by a factor of two between quartiles, all is as before. Two entries of odd loads with a fourth field are replaced: four fields are valid now; the new test reads each by itself.

--- a/pkg/eventlog/catalog_gateway.go
+++ b/pkg/eventlog/catalog_gateway.go
@@ -25,6 +25,8 @@
 	KeyWithdrawn           = register(150, log.InfoLevel, "key withdrawn", "A request waited for a server when a new configuration took its key away; it is refused. key is the beginning of the key's digest.")
 	KeysTooOld             = register(151, log.WarnLevel, "keys too old", "The configuration was last confirmed longer ago than the limit, so that a key may have been taken away without this daemon knowing. Callers with a key are refused as not run, and the daemon is not ready.")
 	KeysRecent             = register(152, log.InfoLevel, "keys recent", "The configuration was confirmed again; keys are accepted.")
+	ServerSlow             = register(155, log.InfoLevel, "server judged slow", "A server takes much longer than the median of its service (mean), so that it gets fewer requests. slowness is the estimate for this moment, by the evidence that decided and value what it was: the factor that the server stated, or the seconds that it took.")
+	ServerFit              = register(156, log.InfoLevel, "server judged fit", "A server that was judged slow takes about as long as the median of its service again.")
 	RequestServed          = register(210, log.InfoLevel, "request served", "A caller received a complete response; candidates and predictions show why this server was chosen. superseded lists servers that had the request as well and were cancelled.")
 	RequestRefused         = register(211, log.InfoLevel, "request refused", "A request was refused without being run; reason says why, told the status of the response and retry_after when the caller may retry.")
 	StreamResumed          = register(212, log.InfoLevel, "stream resumed", "A broken response stream continues at another backend server after the last delivered event.")
--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -67,6 +67,7 @@
 	judged := verdict.Judge(meta.Head)
 	now := time.Now()
 	b.tracker.RecordLoad(c.server.ID, meta.Load, now)
+	b.recordStatement(&c.server, meta.Load, judged.Code, now)
 	b.recordLimit(c.server.ID, meta.Limit, now)
 	b.recordAvailability(&c.server, j, &meta, judged.Outcome != failure.NotRun, sentAt, now)
 	if judged.Outcome == failure.NotRun {
--- a/pkg/gateway/choice.go
+++ b/pkg/gateway/choice.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"trefoilferry.example/ferry/pkg/fleet"
+	"trefoilferry.example/ferry/pkg/serverspeed"
 )
 
 // choice is the server chosen for an attempt, with the figures that the choice rests on.
@@ -15,6 +16,12 @@
 	predicted time.Duration
 	// prefill is the number of prompt tokens that the server is expected to process, without the cached ones.
 	prefill int
+	// work is what the server has to do until the first event, its part that is known to this daemon.
+	work serverspeed.Work
+	// slowness is how slow the server was expected to be; 1 for servers that are not known to differ.
+	slowness float64
+	// far is set if the server is in another region.
+	far bool
 	// reportAge is the age of the server list that the choice used.
 	reportAge time.Duration
 	// limited is set, without a server, if the only servers that can run the request take no more requests now.
--- a/pkg/gateway/chooser.go
+++ b/pkg/gateway/chooser.go
@@ -7,6 +7,7 @@
 	"trefoilferry.example/ferry/pkg/availability"
 	"trefoilferry.example/ferry/pkg/routing"
 	"trefoilferry.example/ferry/pkg/serverlimit"
+	"trefoilferry.example/ferry/pkg/serverspeed"
 )
 
 const (
@@ -83,20 +84,22 @@
 	owner, second := c.cacheOwners(j, candidates)
 	scored := make([]routing.Scored, 0, len(candidates))
 	prefill := make(map[string]int, len(candidates))
+	speeds := c.speedsFor(j, tracker, now)
 	for i := range candidates {
 		cand := candidates[i]
 		if j.needsModel() {
 			prefill[cand.Runner] = c.uncachedTokens(j, cand.Runner, tracker, expectedCacheShare(i, owner, second))
-			cand.Prediction = c.predictModel(view, tracker, cand.Runner, prefill[cand.Runner], now)
+			cand.Prediction = c.predictModel(view, tracker, cand.Runner, prefill[cand.Runner], speeds, now)
 		} else {
-			cand.Prediction = c.predictPlain(view, tracker, cand.Runner, now)
+			cand.Prediction = c.predictPlain(view, tracker, cand.Runner, speeds, now)
 		}
-		scored = append(scored, routing.Scored{Candidate: cand, Score: policy.Score(query, cand)})
+		scored = append(scored, routing.Scored{Candidate: cand, Score: policy.Score(query, cand) + speeds.spread(j, cand.Runner)})
 	}
 	best := policy.Picker.Pick(query, scored)
 	return choice{
 		server: view.Servers[best.Runner], candidates: len(candidates), predicted: best.Prediction.FirstToken,
-		prefill: prefill[best.Runner], reportAge: now.Sub(view.ServersAt),
+		prefill: prefill[best.Runner], reportAge: now.Sub(view.ServersAt), far: best.Region != c.region,
+		work: serverspeed.Work{Tokens: best.Prediction.PromptTokens, Running: best.Prediction.Streams}, slowness: best.Prediction.Slowness,
 		leaving: slices.ContainsFunc(known, func(c routing.Candidate) bool { return c.Draining }),
 		paused:  slices.ContainsFunc(known, func(c routing.Candidate) bool { return c.PauseLeft > 0 }),
 	}, true
@@ -193,7 +196,7 @@
 
 // predictModel predicts the time to the first token at a runner from this daemon's requests there, those of other
 // daemons and the load that the runner reported.
-func (c *chooser) predictModel(view *View, tracker *Tracker, runner string, prefill int, now time.Time) *routing.Prediction {
+func (c *chooser) predictModel(view *View, tracker *Tracker, runner string, prefill int, speeds *serviceSpeeds, now time.Time) *routing.Prediction {
 	local := tracker.Work(runner)
 	queued, running := local.promptTokens, local.requests
 	if view.Placement != nil && now.Sub(view.PlacementAt) < maxPlacementAge {
@@ -203,20 +206,23 @@
 	if local.load.Known && now.Sub(local.loadAt) < maxLoadAge {
 		running = max(running, local.load.Running+local.load.Waiting)
 	}
+	w := serverspeed.Work{Tokens: max(queued, 0) + prefill, Running: running}
+	slowness := speeds.slowness(view, runner, now)
 	return &routing.Prediction{
-		Accepts: true, AdapterResident: true, FirstToken: predictFirstToken(queued, prefill, running),
-		BacklogTokens: max(queued, 0) + prefill, Streams: running,
+		Accepts: true, AdapterResident: true, FirstToken: predictFirstToken(speeds.rates, w, slowness),
+		BacklogTokens: int(float64(w.Tokens) * slowness), PromptTokens: w.Tokens, Streams: running, Slowness: slowness,
 	}
 }
 
 // predictPlain predicts the time to the response, queueing included, at a server of a plain service.
-func (c *chooser) predictPlain(view *View, tracker *Tracker, server string, now time.Time) *routing.Prediction {
+func (c *chooser) predictPlain(view *View, tracker *Tracker, server string, speeds *serviceSpeeds, now time.Time) *routing.Prediction {
 	local := tracker.Work(server)
 	slots := max(view.Servers[server].Slots, 1)
 	busy := local.requests
 	if local.load.Known && now.Sub(local.loadAt) < maxLoadAge {
 		busy = max(busy, local.load.Running+local.load.Waiting)
 	}
-	first := plainServiceTime * time.Duration(slots+busy) / time.Duration(slots)
-	return &routing.Prediction{Accepts: true, AdapterResident: true, FirstToken: first}
+	slowness := speeds.slowness(view, server, now)
+	first := time.Duration(float64(plainTime(slots, busy)) * slowness)
+	return &routing.Prediction{Accepts: true, AdapterResident: true, FirstToken: first, Streams: busy, Slowness: slowness}
 }
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -23,11 +23,16 @@
 	pauses     prometheus.Counter
 	told       *prometheus.CounterVec
 	turned     *prometheus.CounterVec
+	prediction *prometheus.HistogramVec
+	services   labelNames
 }
 
 // latencyBuckets are bucket bounds in seconds, from plain responses of some milliseconds to long streams.
 var latencyBuckets = []float64{0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8}
 
+// predictionBuckets are the bounds of the ratios of actual to predicted times, in steps of the square root of 2 around 1.
+var predictionBuckets = []float64{0.125, 0.25, 0.35, 0.5, 0.71, 1, 1.41, 2, 2.83, 4, 8, 16}
+
 // NewMetrics registers the metrics.
 func NewMetrics(registry *prometheus.Registry) *Metrics {
 	m := &Metrics{
@@ -44,10 +49,17 @@
 	m.pauses = prometheus.NewCounter(prometheus.CounterOpts{Name: "ferry_gateway_pause_refusals_total", Help: "Requests refused because all servers that can run them pause or leave."})
 	m.turned = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_turned_attempts_total", Help: "Attempts for which a server that could run the request was passed over, because it leaves or pauses."}, []string{"reason"})
 	m.told = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_failures_told_total", Help: "Failed requests by the status that callers were told, 0 for an aborted stream, and by whether a backend server may have run them."}, []string{"status", "outcome"})
-	registry.MustRegister(m.told, m.requests, m.results, m.attempts, m.durations, m.firstEvent, m.aborted, m.silences, m.crashes, m.suspects, m.pauses, m.turned)
+	m.prediction = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "ferry_gateway_prediction_ratio", Help: "Time to the first event, or to the whole of a buffered response, as a multiple of the predicted one, by service.", Buckets: predictionBuckets}, []string{"service"})
+	registry.MustRegister(m.prediction, m.told, m.requests, m.results, m.attempts, m.durations, m.firstEvent, m.aborted, m.silences, m.crashes, m.suspects, m.pauses, m.turned)
 	return m
 }
 
+func (m *Metrics) recordPrediction(j *job, c *choice, took time.Duration) {
+	if c.predicted > 0 {
+		m.prediction.WithLabelValues(m.services.name(j.service.Name)).Observe(float64(took) / float64(c.predicted))
+	}
+}
+
 func (m *Metrics) recordRequest(j *job) { m.requests.WithLabelValues(string(j.route.Kind)).Inc() }
 
 func (m *Metrics) recordServed(j *job, took, first time.Duration) {
--- a/pkg/gateway/predict.go
+++ b/pkg/gateway/predict.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"trefoilferry.example/ferry/pkg/serverspeed"
+)
 
 const (
 	// prefillTokensPerMillisecond is the rate at which a runner processes prompts while it decodes a usual batch.
@@ -16,8 +20,17 @@
 	return time.Duration(float64(tokens) / prefillTokensPerMillisecond * float64(time.Millisecond))
 }
 
-// predictFirstToken returns the expected time to the first token of a request with uncachedTokens, at a runner with
-// queuedTokens of other prompts to process and the given number of running requests.
-func predictFirstToken(queuedTokens, uncachedTokens, running int) time.Duration {
-	return decodeStepTime + prefillTime(max(queuedTokens, 0)+uncachedTokens) + time.Duration(running)*decodeDelayPerRequest
+// plainTime returns the time of a request at a usual server of a plain service with busy of its slots taken or waited for.
+func plainTime(slots, busy int) time.Duration {
+	slots = max(slots, 1)
+	return plainServiceTime * time.Duration(slots+busy) / time.Duration(slots)
+}
+
+// startingRates are the rates of a service until its own are learned.
+var startingRates = serverspeed.Rates{PrefillPerMs: prefillTokensPerMillisecond, Step: decodeStepTime, PerRequest: decodeDelayPerRequest}
+
+// predictFirstToken returns the expected time to the first token at a runner that has to do the work first, given the rates
+// of its service and how slow it is.
+func predictFirstToken(rates serverspeed.Rates, w serverspeed.Work, slowness float64) time.Duration {
+	return time.Duration(float64(rates.FirstToken(w.Tokens, w.Running)) * slowness)
 }
--- a/pkg/gateway/run_attempt.go
+++ b/pkg/gateway/run_attempt.go
@@ -36,7 +36,7 @@
 
 // attempt sends the request to a server and reads its response. cancel ends ctx; watch is told of the events of a stream.
 func (f *Forwarder) attempt(ctx context.Context, cancel context.CancelCauseFunc, j *job, c *choice, p *progress, watch *silenceWatch) attemptResult {
-	tokens := c.prefill
+	tokens, began := c.prefill, time.Now()
 	f.backend.tracker.BeginAttempt(c.server.ID, tokens)
 	defer func() { f.backend.tracker.EndAttempt(c.server.ID, tokens) }()
 	prompt := &promptWatch{board: f.board, id: j.meta.RequestID, parts: j.parts}
@@ -45,7 +45,12 @@
 	stopWatch := f.board.Watch(j.parts, func() { cancel(errBarred) })
 	defer stopWatch()
 	first := func() {
-		prompt.recordFirstEvent(time.Now())
+		now := time.Now()
+		prompt.recordFirstEvent(now)
+		if !p.relay.started {
+			f.backend.recordFirstEvent(j, c, now.Sub(began), now)
+			f.metrics.recordPrediction(j, c, now.Sub(began))
+		}
 		stopWatch()
 		f.backend.tracker.RecordFirstToken(c.server.ID, tokens)
 		tokens = 0
@@ -74,6 +79,11 @@
 			a.fail = f.classifyFailure(ctx, j, c, prompt, a.fail)
 		}
 		complete = a.fail == nil
+		if complete {
+			now := time.Now()
+			f.backend.recordPlain(j, c, now.Sub(began), now)
+			f.metrics.recordPrediction(j, c, now.Sub(began))
+		}
 		if p.relay.started && a.fail == nil {
 			a.fail = failure.New(failure.EngineFailed, failure.Ran, "the server did not resume the stream after event "+lastEvent)
 		}
--- a/pkg/gateway/tracker.go
+++ b/pkg/gateway/tracker.go
@@ -7,6 +7,7 @@
 
 	"trefoilferry.example/ferry/pkg/fleet"
 	"trefoilferry.example/ferry/pkg/routing"
+	"trefoilferry.example/ferry/pkg/serverspeed"
 )
 
 // Tracker holds what this daemon knows about each backend server from its own requests: work in flight, reported load,
@@ -23,6 +24,8 @@
 	unreachedAt map[string]time.Time
 	// started holds the start times of the incarnations to which the records belong, in Unix milliseconds.
 	started map[string]int64
+	// speeds is what is known of the speed of the servers; it has its own lock.
+	speeds *serverspeed.Table
 }
 
 // unreachedReportTime is how long a failed connection is reported to the coordinator; it covers several reports,
@@ -88,7 +91,7 @@
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker {
 	return &Tracker{servers: map[string]*serverWork{}, suspects: routing.NewSuspects(), caches: map[string]*prefixCache{},
-		notLoadedUntil: map[string]time.Time{}, unreachedAt: map[string]time.Time{}, started: map[string]int64{}}
+		notLoadedUntil: map[string]time.Time{}, unreachedAt: map[string]time.Time{}, started: map[string]int64{}, speeds: serverspeed.NewTable(startingRates)}
 }
 
 func (t *Tracker) work(server string) *serverWork {
@@ -194,6 +197,7 @@
 func (t *Tracker) Retain(servers map[string]fleet.Server) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.speeds.Retain(func(id string) (int64, bool) { s, ok := servers[id]; return s.StartMillis, ok })
 	for id := range servers {
 		born := servers[id].StartMillis
 		if before, ok := t.started[id]; ok && before != born {
--- a/pkg/gatewaydaemon/module.go
+++ b/pkg/gatewaydaemon/module.go
@@ -53,14 +53,16 @@
 	)
 }
 
-func newMetrics(r *prometheus.Registry, limits *serverlimit.Table, servers *availability.Table) *gateway.Metrics {
+func newMetrics(r *prometheus.Registry, limits *serverlimit.Table, servers *availability.Table, t *gateway.Tracker) *gateway.Metrics {
 	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "ferry_gateway_leaving_servers", Help: "Servers that said in a response that they leave."},
 		func() float64 { leaving, _ := servers.Count(time.Now()); return float64(leaving) }))
 	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "ferry_gateway_paused_servers", Help: "Servers that refused a request and want none for a while."},
 		func() float64 { _, paused := servers.Count(time.Now()); return float64(paused) }))
 	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "ferry_gateway_limited_servers", Help: "Servers that name a limit of requests per second."},
 		func() float64 { return float64(limits.Limited(time.Now())) }))
-	return gateway.NewMetrics(r)
+	m := gateway.NewMetrics(r)
+	m.WatchSpeeds(r, t)
+	return m
 }
 
 // watchConnections registers the metrics of the connections to backend servers.
--- a/pkg/routing/candidate.go
+++ b/pkg/routing/candidate.go
@@ -30,8 +30,14 @@
 	Code string
 	// FirstToken is the predicted time to the first token.
 	FirstToken time.Duration
-	// BacklogTokens is the number of prompt tokens that the runner has to process, including those of the request.
+	// BacklogTokens is the number of prompt tokens that the runner has to process, including those of the request, in tokens
+	// of a usual runner: a runner that takes twice as long (Slowness) has twice the backlog.
 	BacklogTokens int
+	// PromptTokens is the plain number of these tokens.
+	PromptTokens int
+	// Slowness is how long work takes at the runner, as a multiple of the usual time; 0 if unknown. FirstToken and
+	// BacklogTokens include it.
+	Slowness float64
 	// Streams is the number of requests in flight at the runner.
 	Streams int
 	// AdapterResident is set if the runner has loaded the adapter that the request names.
