serverspeed: means over time, answers correct statements only where they clearly differ; uneven servers in the load simulation

Cause: corrections by answers blurred statements that are exact, and the mean by number of statements followed bursts of them. The random part of a score is 8 ms at least (4 before). Half-lives of 200 to 500 ms and a steeper fade made no difference beyond chance.

--- a/pkg/gateway/loadsim_runner_test.go
+++ b/pkg/gateway/loadsim_runner_test.go
@@ -5,6 +5,7 @@
 // simRunner is a simulated runner: it processes queued prompts in chunks and decodes the running streams in steps.
 type simRunner struct {
 	id       string
+	number   int
 	region   string
 	queue    []*simRequest
 	running  []*simRequest
@@ -43,10 +44,15 @@
 		runner.prefilled[r] = n
 		ms += float64(n)/simTokensPerMs + simMsPerMillionPairs*float64(n)*float64(r.promptDone+n/2)/1e6
 	}
+	ms *= s.load.uneven.slowness(runner.number, s.now)
 	s.after(time.Duration(ms*float64(time.Millisecond)), func() { s.finishStep(runner) })
 }
 
 func (s *simulation) finishStep(runner *simRunner) {
+	if len(runner.running) == 0 && len(runner.queue) == 0 {
+		runner.stepping = false
+		return
+	}
 	streams := runner.running[:0]
 	for _, r := range runner.running {
 		if !s.emitToken(runner, r) {
@@ -79,6 +85,7 @@
 		if r.tokensMade == 1 {
 			r.firstAt = s.now
 			work.RecordFirstToken(runner.id, r.prefill)
+			s.tell(runner, r)
 		} else if s.now-r.lastAt > simLatePause {
 			r.paused = true
 		}
--- a/pkg/gateway/service_speeds.go
+++ b/pkg/gateway/service_speeds.go
@@ -14,7 +14,7 @@
 	// event and at least. Without it all daemons that hear of a fast server send their next requests there, and each
 	// learns of the others' only with the next report.
 	spreadShare = 0.2
-	minSpread   = 4 * time.Millisecond
+	minSpread   = 8 * time.Millisecond
 )
 
 // serviceSpeeds is what a choice among the servers of one service uses of their speeds.
--- a/pkg/serverspeed/server.go
+++ b/pkg/serverspeed/server.go
@@ -9,9 +9,11 @@
 	// statedHalfLife is how fast a statement loses to the mean of the earlier ones: machines turn slow and fit again within
 	// 600 ms, so that an older statement tells little more than the mean.
 	statedHalfLife = 350 * time.Millisecond
-	// meanMinGain is the least share of a statement in the mean, so that a server that turns slow for good is known to be
-	// after a few statements.
-	meanMinGain = 0.12
+	// meanTime is the time over which the mean of the statements is taken, meanPrior the time that the initial value counts
+	// for and meanStep the longest time that one statement counts for. The mean is over time, as statements come in bursts.
+	meanTime  = 4 * time.Second
+	meanPrior = 500 * time.Millisecond
+	meanStep  = time.Second
 	// meanHalfLife is how fast a mean without new evidence goes back to the median of the service: a server that gets
 	// nothing is asked again.
 	meanHalfLife = 20 * time.Second
@@ -19,13 +21,16 @@
 	// answers that the initial value counts as.
 	shownMinGain = 0.05
 	shownPrior   = 4
+	// shownMargin is what answers have to differ from the statements, as a logarithm, before they correct them: what waits at
+	// a server is not all known, and the noise of that must not blur statements that are exact.
+	shownMargin = 0.45
 	// shownErrorLimit bounds the influence of one answer, as a logarithm: times to the first event have a long tail.
 	shownErrorLimit = 0.7
 	// spreadGain is the share of the newest deviation in the spread.
 	spreadGain = 0.1
-	// MinSlowness and MaxSlowness bound an estimate, so that no statement or answer keeps a server from all requests.
-	MinSlowness = 0.25
-	MaxSlowness = 8.0
+	// minSlowness and maxSlowness bound an estimate, so that no statement or answer keeps a server from all requests.
+	minSlowness = 0.25
+	maxSlowness = 8.0
 	// maxShown bounds the correction of the statements by answers, either way.
 	maxShown = 4.0
 )
@@ -38,7 +43,8 @@
 	stated     float64
 	statedAt   time.Time
 	statedMean float64
-	statements int
+	// seen is the time that statedMean covers.
+	seen time.Duration
 	// shown is the logarithm of what answers took beside what the statements had them expected to take.
 	shown   float64
 	answers int
@@ -50,12 +56,12 @@
 }
 
 func newServer(i Incarnation, median float64) *server {
-	return &server{incarnation: i, statedMean: median}
+	return &server{incarnation: i, statedMean: median, seen: meanPrior}
 }
 
 // mean returns the slowness without the statement of the moment. It goes back to the median of the service with its age.
 func (s *server) mean(median float64, now time.Time) float64 {
-	own := s.statedMean * math.Exp(s.shown)
+	own := s.statedMean * s.correction()
 	if s.evidenceAt.IsZero() {
 		return clamp(own)
 	}
@@ -69,28 +75,46 @@
 	mean := s.mean(median, now)
 	current := mean
 	if s.stated > 0 {
-		current += (s.stated*math.Exp(s.shown) - mean) * fade(now.Sub(s.statedAt), statedHalfLife)
+		current += (s.stated*s.correction() - mean) * fade(now.Sub(s.statedAt), statedHalfLife)
 	}
 	return Estimate{Slowness: clamp(current), Mean: mean, Age: max(now.Sub(s.evidenceAt), 0), Spread: math.Exp(s.spread)}
 }
 
-// state records a statement.
-func (s *server) state(slowness float64, now time.Time) {
+// correction returns the factor by which the answers correct the statements: none up to shownMargin, all from twice as much.
+func (s *server) correction() float64 {
+	trust := min(max(math.Abs(s.shown)/shownMargin-1, 0), 1)
+	return math.Exp(trust * s.shown)
+}
+
+// state records a statement made at a time. One that is older than the newest changes nothing.
+func (s *server) state(slowness float64, at time.Time) {
+	if !at.After(s.statedAt) {
+		return
+	}
+	step := meanPrior
+	if !s.statedAt.IsZero() {
+		step = min(at.Sub(s.statedAt), meanStep)
+	}
+	s.seen = min(s.seen+step, meanTime)
 	slowness = clamp(slowness)
-	s.statements++
-	s.statedMean += (slowness - s.statedMean) * max(1/float64(s.statements+1), meanMinGain)
-	s.stated, s.statedAt, s.evidenceAt = slowness, now, now
+	s.statedMean += (slowness - s.statedMean) * float64(step) / float64(s.seen)
+	s.stated, s.statedAt = slowness, at
+	if at.After(s.evidenceAt) {
+		s.evidenceAt = at
+	}
 }
 
 // show records that an answer took the given multiple of what was expected of a server as usual.
 func (s *server) show(multiple, median float64, now time.Time) {
-	err := math.Log(clamp(multiple)) - math.Log(s.estimate(median, now).Slowness)
+	err := math.Log(clamp(multiple)) - math.Log(s.estimate(median, now).Slowness/s.correction()) - s.shown
 	s.spread += (math.Abs(err) - s.spread) * spreadGain
 	err = min(max(err, -shownErrorLimit), shownErrorLimit)
 	s.answers++
 	s.shown += err * max(1/float64(s.answers+shownPrior), shownMinGain)
 	s.shown = min(max(s.shown, -math.Log(maxShown)), math.Log(maxShown))
-	s.evidenceAt = now
+	if now.After(s.evidenceAt) {
+		s.evidenceAt = now
+	}
 }
 
 // judge updates what the server counts as.
@@ -111,4 +135,4 @@
 	return math.Exp2(-max(age, 0).Seconds() / halfLife.Seconds())
 }
 
-func clamp(slowness float64) float64 { return min(max(slowness, MinSlowness), MaxSlowness) }
+func clamp(slowness float64) float64 { return min(max(slowness, minSlowness), maxSlowness) }
--- a/pkg/serverspeed/table.go
+++ b/pkg/serverspeed/table.go
@@ -1,6 +1,7 @@
 package serverspeed
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -15,11 +16,13 @@
 	mu       sync.Mutex
 	servers  map[string]*server
 	services map[string]*service
+	// news holds the newest statements that TakeNews has not returned, by server.
+	news map[string]Statement
 }
 
 // NewTable returns an empty table whose services start with the given rates.
 func NewTable(start Rates) *Table {
-	return &Table{start: start, servers: map[string]*server{}, services: map[string]*service{}}
+	return &Table{start: start, servers: map[string]*server{}, services: map[string]*service{}, news: map[string]Statement{}}
 }
 
 // State records that a server stated its slowness. Values that are not positive are ignored.
@@ -35,6 +38,31 @@
 		of.unevenAt = now
 	}
 	s.state(slowness, now)
+	t.news[i.Server] = Statement{Server: i.Server, Slowness: slowness, At: now}
+	return t.judged(s, of, now)
+}
+
+// TakeNews returns what servers stated to this daemon since the last call, the newest of each.
+func (t *Table) TakeNews() []Statement {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := slices.Collect(maps.Values(t.news))
+	clear(t.news)
+	return out
+}
+
+// Hear records what a server stated to another daemon.
+func (t *Table) Hear(i Incarnation, slowness float64, at, now time.Time) (Judgement, Estimate) {
+	if valid := slowness > 0; !valid || now.Sub(at) > maxStatementAge {
+		return Unchanged, usual
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, of := t.server(i, now), t.service(i.Service)
+	if math.Abs(slowness-1) >= unevenStatement {
+		of.unevenAt = now
+	}
+	s.state(slowness, at)
 	return t.judged(s, of, now)
 }
 
@@ -101,6 +129,7 @@
 	for id, s := range t.servers {
 		if born, ok := start(id); !ok || born != s.incarnation.StartMillis {
 			delete(t.servers, id)
+			delete(t.news, id)
 			continue
 		}
 		used[s.incarnation.Service] = true
@@ -171,7 +200,7 @@
 		if s.incarnation.Service != name || s.evidenceAt.IsZero() {
 			continue
 		}
-		own = append(own, clamp(s.statedMean*math.Exp(s.shown)))
+		own = append(own, clamp(s.statedMean*s.correction()))
 		if s.answers >= unevenAnswers {
 			shown = append(shown, s.shown)
 		}
