coordinator: daemons pass on what runners state about their speed, on the reports that exist

Cause: at 21 daemons and 40 runners a daemon hears of a runner once in five seconds by its own requests, while runners turn slow for 600 ms. An index names one incarnation, so that no statement reaches another.

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -12,6 +12,7 @@
 	"trefoilferry.example/ferry/pkg/fleet"
 	"trefoilferry.example/ferry/pkg/quarantine"
 	"trefoilferry.example/ferry/pkg/serverlimit"
+	"trefoilferry.example/ferry/pkg/serverspeed"
 )
 
 const (
@@ -49,7 +50,9 @@
 	// judgedAt is when it last decided.
 	judgedAt time.Time
 	// limits holds the requests to servers that name a limit.
-	limits      *serverlimit.Totals
+	limits *serverlimit.Totals
+	// speeds passes on what runners state about their speed, by runner index.
+	speeds      *serverspeed.Exchange
 	viewVersion uint64
 	// removed holds the runners that left the list, with the view version at which they left.
 	removed map[string]removedRunner
@@ -105,6 +108,7 @@
 	c.digests = nil
 	c.judge = quarantine.NewJudge()
 	c.limits = serverlimit.NewTotals()
+	c.speeds = serverspeed.NewExchange()
 }
 
 // Run plans until ctx ends and then waits for the orders in progress.
@@ -173,6 +177,7 @@
 		if !ok || r.Server.StartMillis != s.StartMillis {
 			if ok {
 				delete(c.indexTaken, r.index)
+				c.speeds.Forget(r.index)
 			}
 			delete(c.removed, id)
 			c.runners[id] = &Runner{id: id, index: c.freeIndex(id, s.StartMillis), Server: s, Region: c.config.RegionOf[s.FailureDomain], Models: s.Models,
@@ -185,6 +190,7 @@
 	for id := range c.runners {
 		if _, ok := servers[id]; !ok {
 			delete(c.indexTaken, c.runners[id].index)
+			c.speeds.Forget(c.runners[id].index)
 			delete(c.runners, id)
 			c.markChanged(nil)
 			c.removed[id] = removedRunner{version: c.viewVersion}
--- a/pkg/coordinator/report.go
+++ b/pkg/coordinator/report.go
@@ -24,13 +24,17 @@
 	}
 	if report.Tenure != tenure {
 		// Versions and indexes of another tenure are invalid here, even if this daemon held the lease then.
-		report.ViewVersion, report.ServersVersion, report.Work, report.Unreached = 0, 0, nil, nil
+		report.ViewVersion, report.ServersVersion, report.Work, report.Unreached, report.Speeds = 0, 0, nil, nil, nil
 	}
-	if wanted := c.applyReport(report, time.Now()); len(wanted) > 0 {
+	now := time.Now()
+	wanted, previous := c.applyReport(report, now)
+	if len(wanted) > 0 {
 		c.requestPlan()
 		c.awaitCopy(ctx, wanted)
 	}
-	return c.buildView(report, tenure), nil
+	view := c.buildView(report, tenure)
+	c.addSpeeds(view, previous, now)
+	return view, nil
 }
 
 // awaitCopy waits until a further runner has loaded one of the models and adapters, for at most longPollTimeout. Other
@@ -86,10 +90,15 @@
 }
 
 // applyReport applies a report. If the daemon's view is current, it returns the models and adapters that its requests
-// wait for, so that the response should wait for one of them.
-func (c *Coordinator) applyReport(report *ferrypb.LoadReport, now time.Time) []adapterKey {
+// wait for, so that the response should wait for one of them. previous is when the daemon's report before came; the zero
+// time for none.
+func (c *Coordinator) applyReport(report *ferrypb.LoadReport, now time.Time) (missing []adapterKey, previous time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if d, ok := c.daemons[report.Daemon]; ok {
+		previous = d.receivedAt
+	}
+	c.applySpeeds(report, now)
 	var wanted []adapterKey
 	for _, d := range report.Demand {
 		c.applyDemand(report.Daemon, d, now)
@@ -108,9 +117,9 @@
 		c.requestRefresh(index, now)
 	}
 	if report.ViewVersion != c.viewVersion {
-		return nil
+		return nil, previous
 	}
-	return wanted
+	return wanted, previous
 }
 
 func (c *Coordinator) applyDemand(daemon string, d *ferrypb.Demand, now time.Time) {
--- a/pkg/coordinator/reporter.go
+++ b/pkg/coordinator/reporter.go
@@ -75,6 +75,7 @@
 	evidence   *evidenceReporter
 	limits     *limitReporter
 	leaving    *leavingReporter
+	speeds     *speedReporter
 	source     string
 	holderLost bool
 	// refusedRelay is why the last relayed configuration was refused that a line was written for.
@@ -88,7 +89,7 @@
 		client: &http.Client{Timeout: reportTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true,
 			IdleConnTimeout: 5 * time.Second, MaxResponseHeaderBytes: oncehttp.MaxHeaderBytes}},
 		clients: map[string]ferrypb.Coordinator{}, view: newRunnerView(), evidence: newEvidenceReporter(board, log), limits: &limitReporter{table: limits},
-		leaving: &leavingReporter{table: servers}}
+		leaving: &leavingReporter{table: servers}, speeds: &speedReporter{tracker: tracker, log: log}}
 }
 
 // Run sends reports until ctx ends.
@@ -129,6 +130,7 @@
 	r.evidence.addTo(message, sent)
 	r.limits.addTo(message, sent)
 	r.leaving.addTo(message, sent)
+	r.speeds.addTo(message, r.view, sent)
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	view, err := target.Report(ctx, message)
@@ -148,6 +150,7 @@
 	r.evidence.apply(view, message, sent)
 	r.limits.apply(view, time.Now())
 	r.leaving.apply(view, time.Now())
+	r.speeds.apply(view, r.view, r.control.View().Servers, time.Now())
 	if !cutOff {
 		r.applyStoreState(ctx, view, sent, sentUp)
 	}
--- a/pkg/gateway/speed_watch.go
+++ b/pkg/gateway/speed_watch.go
@@ -50,11 +50,24 @@
 // logJudgement records evidence of a server's speed and logs the server if it is judged slow or fit again.
 func (b *backend) logJudgement(s *fleet.Server, by string, value float64, record func() (serverspeed.Judgement, serverspeed.Estimate)) {
 	judgement, e := record()
+	logJudgement(b.log, s, judgement, e, by, value)
+}
+
+func logJudgement(log *eventlog.Logger, s *fleet.Server, judgement serverspeed.Judgement, e serverspeed.Estimate, by string, value float64) {
 	switch judgement {
 	case serverspeed.TurnedSlow:
-		b.log.Log(eventlog.ServerSlow, "server", s.ID, "service", s.Service, "mean", e.Mean, "slowness", e.Slowness, "by", by, "value", value)
+		log.Log(eventlog.ServerSlow, "server", s.ID, "service", s.Service, "mean", e.Mean, "slowness", e.Slowness, "by", by, "value", value)
 	case serverspeed.TurnedFit:
-		b.log.Log(eventlog.ServerFit, "server", s.ID, "service", s.Service, "mean", e.Mean, "slowness", e.Slowness, "by", by, "value", value)
+		log.Log(eventlog.ServerFit, "server", s.ID, "service", s.Service, "mean", e.Mean, "slowness", e.Slowness, "by", by, "value", value)
 	case serverspeed.Unchanged:
 	}
 }
+
+// TakeSpeedNews returns what servers stated to this daemon about their speed since the last call.
+func (t *Tracker) TakeSpeedNews() []serverspeed.Statement { return t.speeds.TakeNews() }
+
+// HearSpeed records what a server stated to another daemon about its speed.
+func (t *Tracker) HearSpeed(s *fleet.Server, slowness float64, at, now time.Time, log *eventlog.Logger) {
+	judgement, e := t.speeds.Hear(speedKey(s), slowness, at, now)
+	logJudgement(log, s, judgement, e, "stated to another daemon", slowness)
+}
--- a/pkg/serverspeed/exchange.go
+++ b/pkg/serverspeed/exchange.go
@@ -26,6 +26,8 @@
 	slowness float64
 	at       time.Time
 	cameAt   time.Time
+	// newestAt is the time of the newest statement, passed on or not.
+	newestAt time.Time
 }
 
 // NewExchange returns an empty exchange.
@@ -35,13 +37,15 @@
 func (x *Exchange) Record(index uint32, slowness float64, at, now time.Time) {
 	last, ok := x.servers[index]
 	// The comparison is written so that NaN is invalid.
-	if valid := slowness > 0; !valid || (ok && !at.After(last.at)) || now.Sub(at) > maxStatementAge {
+	if valid := slowness > 0; !valid || (ok && !at.After(last.newestAt)) || now.Sub(at) > maxStatementAge {
 		return
 	}
 	if ok && math.Abs(math.Log(slowness/last.slowness)) < relayedChange && now.Sub(last.cameAt) < relayPeriod {
+		last.newestAt = at
+		x.servers[index] = last
 		return
 	}
-	x.servers[index] = exchanged{slowness: slowness, at: at, cameAt: now}
+	x.servers[index] = exchanged{slowness: slowness, at: at, cameAt: now, newestAt: at}
 }
 
 // News calls f for the statements that came after a time and are not too old.
@@ -53,11 +57,5 @@
 	}
 }
 
-// Retain removes the servers whose index is not used.
-func (x *Exchange) Retain(used func(index uint32) bool) {
-	for index := range x.servers {
-		if !used(index) {
-			delete(x.servers, index)
-		}
-	}
-}
+// Forget removes what is known of an index, which another server may get.
+func (x *Exchange) Forget(index uint32) { delete(x.servers, index) }
