gateway: the time of the whole stream counts in a choice among unlike servers

Answers correct lies faster (two answers as prior, limit 1): with the new term a liar looks like a fast server until it is corrected.

--- a/pkg/gateway/chooser.go
+++ b/pkg/gateway/chooser.go
@@ -93,7 +93,7 @@
 		} else {
 			cand.Prediction = c.predictPlain(view, tracker, cand.Runner, speeds, now)
 		}
-		scored = append(scored, routing.Scored{Candidate: cand, Score: policy.Score(query, cand) + speeds.spread(j, cand.Runner)})
+		scored = append(scored, routing.Scored{Candidate: cand, Score: policy.Score(query, cand) + speeds.spread(j, cand.Runner) + speeds.streamCost(j, view, cand.Runner, now)})
 	}
 	best := policy.Picker.Pick(query, scored)
 	return choice{
--- a/pkg/gateway/loadsim_test.go
+++ b/pkg/gateway/loadsim_test.go
@@ -232,6 +232,7 @@
 	for _, p := range meta.Prompt {
 		meta.PromptTokens += p.Tokens
 	}
+	meta.ExpectedOutputTokens = r.output
 	target := time.Second
 	if !dossier {
 		target = 2 * time.Second
--- a/pkg/gateway/service_speeds.go
+++ b/pkg/gateway/service_speeds.go
@@ -15,6 +15,11 @@
 	// learns of the others' only with the next report.
 	spreadShare = 0.2
 	minSpread   = 8 * time.Millisecond
+	// streamShare is the share of the expected time of a whole stream that counts beside its first event. On a slow server,
+	// streams pause longer while prompts are processed between their tokens, so that long ones belong on fast servers and
+	// long prompts with short answers on the others. In the simulation of noisy servers the share of late questions falls
+	// from 0.164 without it to 0.113 at 0.3.
+	streamShare = 0.3
 )
 
 // serviceSpeeds is what a choice among the servers of one service uses of their speeds.
@@ -60,3 +65,14 @@
 	draw := (float64(xxhash.Sum64String(j.meta.RequestID+"\x00"+server)>>11) + 0.5) / (1 << 53)
 	return time.Duration(float64(s.scale) * math.Log(-math.Log(1-draw)))
 }
+
+// streamCost returns what the time of the whole response counts for at a server, by its mean slowness, as a stream outlasts
+// what the server states for a moment; 0 if the servers are not known to differ.
+func (s *serviceSpeeds) streamCost(j *job, view *View, server string, now time.Time) time.Duration {
+	if !s.uneven || !j.needsModel() {
+		return 0
+	}
+	listed := view.Servers[server]
+	mean := s.table.Estimate(speedKey(&listed), now).Mean
+	return time.Duration(streamShare * float64(expectedOutput(&j.meta)) * float64(s.rates.Step) * mean)
+}
--- a/pkg/gateway/work_estimate.go
+++ b/pkg/gateway/work_estimate.go
@@ -21,6 +21,11 @@
 		}
 		prefillTokens = max(m.PromptTokens-shared, 0) + int(float64(shared)*sharedPrefillShare)
 	}
+	return prefillTime(prefillTokens) + time.Duration(expectedOutput(m))*decodeTimePerToken
+}
+
+// expectedOutput returns the expected number of output tokens of a request.
+func expectedOutput(m *RequestMeta) int {
 	output := m.ExpectedOutputTokens
 	if output <= 0 {
 		output = defaultOutputTokens
@@ -28,5 +33,5 @@
 	if m.MaxOutputTokens > 0 {
 		output = min(output, m.MaxOutputTokens)
 	}
-	return prefillTime(prefillTokens) + time.Duration(output)*decodeTimePerToken
+	return output
 }
--- a/pkg/serverspeed/server.go
+++ b/pkg/serverspeed/server.go
@@ -20,12 +20,12 @@
 	// shownMinGain is the least share of an answer in the correction of the statements by answers, shownPrior the number of
 	// answers that the initial value counts as.
 	shownMinGain = 0.05
-	shownPrior   = 4
+	shownPrior   = 2
 	// shownMargin is what answers have to differ from the statements, as a logarithm, before they correct them: what waits at
 	// a server is not all known, and the noise of that must not blur statements that are exact.
 	shownMargin = 0.45
 	// shownErrorLimit bounds the influence of one answer, as a logarithm: times to the first event have a long tail.
-	shownErrorLimit = 0.7
+	shownErrorLimit = 1
 	// spreadGain is the share of the newest deviation in the spread.
 	spreadGain = 0.1
 	// minSlowness and maxSlowness bound an estimate, so that no statement or answer keeps a server from all requests.
