--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -13,6 +13,7 @@
 	"trefoilferry.example/ferry/pkg/fleet"
 	"trefoilferry.example/ferry/pkg/quarantine"
 	"trefoilferry.example/ferry/pkg/serverlimit"
+	"trefoilferry.example/ferry/pkg/serverspeed"
 )
 
 const (
@@ -56,7 +57,9 @@
 	ledgerTenure int64
 	ledgerConfig *fleet.Config
 	// suspended is set while nothing is lent.
-	suspended   bool
+	suspended bool
+	// speeds passes on what runners state about their speed, by runner index.
+	speeds      *serverspeed.Exchange
 	viewVersion uint64
 	// removed holds the runners that left the list, with the view version at which they left.
 	removed map[string]removedRunner
@@ -113,6 +116,7 @@
 	c.judge = quarantine.NewJudge()
 	c.limits = serverlimit.NewTotals()
 	c.ledger, c.ledgerTenure, c.ledgerConfig = allowance.NewLedger(0), 0, nil
+	c.speeds = serverspeed.NewExchange()
 }
 
 // Run plans until ctx ends and then waits for the orders in progress.
@@ -181,6 +185,7 @@
 		if !ok || r.Server.StartMillis != s.StartMillis {
 			if ok {
 				delete(c.indexTaken, r.index)
+				c.speeds.Forget(r.index)
 			}
 			delete(c.removed, id)
 			c.runners[id] = &Runner{id: id, index: c.freeIndex(id, s.StartMillis), Server: s, Region: c.config.RegionOf[s.FailureDomain], Models: s.Models,
@@ -193,6 +198,7 @@
 	for id := range c.runners {
 		if _, ok := servers[id]; !ok {
 			delete(c.indexTaken, c.runners[id].index)
+			c.speeds.Forget(c.runners[id].index)
 			delete(c.runners, id)
 			c.markChanged(nil)
 			c.removed[id] = removedRunner{version: c.viewVersion}
--- a/pkg/coordinator/reporter.go
+++ b/pkg/coordinator/reporter.go
@@ -80,6 +80,7 @@
 	limits     *limitReporter
 	leaving    *leavingReporter
 	allowances *allowanceReporter
+	speeds     *speedReporter
 	source     string
 	holderLost bool
 	// refusedRelay is why the last relayed configuration was refused that a line was written for.
@@ -93,7 +94,7 @@
 		client: &http.Client{Timeout: reportTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true,
 			IdleConnTimeout: 5 * time.Second, MaxResponseHeaderBytes: oncehttp.MaxHeaderBytes}},
 		clients: map[string]ferrypb.Coordinator{}, view: newRunnerView(), evidence: newEvidenceReporter(board, log), limits: &limitReporter{table: limits},
-		leaving: &leavingReporter{table: servers}, allowances: &allowanceReporter{table: allowances}}
+		leaving: &leavingReporter{table: servers}, allowances: &allowanceReporter{table: allowances}, speeds: &speedReporter{tracker: tracker, log: log}}
 }
 
 // Run sends reports until ctx ends.
@@ -138,6 +139,7 @@
 	r.limits.addTo(message, sent)
 	r.leaving.addTo(message, sent)
 	r.allowances.addTo(message, sentUp)
+	r.speeds.addTo(message, r.view, sent)
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	view, err := target.Report(ctx, message)
@@ -158,6 +160,7 @@
 	r.limits.apply(view, time.Now())
 	r.leaving.apply(view, time.Now())
 	r.allowances.apply(view, message, sentUp)
+	r.speeds.apply(view, r.view, r.control.View().Servers, time.Now())
 	if !cutOff {
 		r.applyStoreState(ctx, view, sent, sentUp)
 	}
