--- a/pkg/routing/score_backlog.go
+++ b/pkg/routing/score_backlog.go
@@ -4,7 +4,7 @@
 
 // BacklogScorer adds the cost that a long prompt backlog causes to the streams in flight at a runner: a runner
 // processes prompts in chunks between the tokens of its streams, so that several full chunks in a row delay every
-// stream.
+// stream. What counts is the time that the backlog takes there: at a slow runner it is longer.
 type BacklogScorer struct {
 	// Cost is the cost of a backlog of BacklogUnitTokens. The cost grows with the square of the backlog, because short
 	// backlogs end before callers notice a pause.
@@ -22,5 +22,8 @@
 		return 0
 	}
 	units := float64(c.Prediction.BacklogTokens) / BacklogUnitTokens
+	if c.Prediction.Slowness > 0 {
+		units *= c.Prediction.Slowness
+	}
 	return time.Duration(float64(s.Cost) * units * units * (1 + s.PerStream*float64(c.Prediction.Streams)))
 }
