--- a/pkg/routing/candidate.go
+++ b/pkg/routing/candidate.go
@@ -19,6 +19,8 @@
 	PauseLeft time.Duration
 	// LimitUsed is the used share of the limit of requests that the server names; 0 without a limit.
 	LimitUsed float64
+	// ForLongPrompts is set on the servers of a model on which its long prompts gather.
+	ForLongPrompts bool
 	// Prediction is nil if the runner was not probed or did not respond to the probe.
 	Prediction *Prediction
 }
@@ -30,14 +32,12 @@
 	Code string
 	// FirstToken is the predicted time to the first token.
 	FirstToken time.Duration
-	// BacklogTokens is the number of prompt tokens that the runner has to process, including those of the request, in tokens
-	// of a usual runner: a runner that takes twice as long (Slowness) has twice the backlog.
+	// BacklogTokens is the number of prompt tokens that the runner has to process, including those of the request.
 	BacklogTokens int
-	// PromptTokens is the plain number of these tokens.
-	PromptTokens int
-	// Slowness is how long work takes at the runner, as a multiple of the usual time; 0 if unknown. FirstToken and
-	// BacklogTokens include it.
+	// Slowness is how long work takes at the runner, as a multiple of the usual time; 0 if unknown. FirstToken includes it.
 	Slowness float64
+	// UncachedTokens is the number of prompt tokens of the request that the runner has to process.
+	UncachedTokens int
 	// Streams is the number of requests in flight at the runner.
 	Streams int
 	// AdapterResident is set if the runner has loaded the adapter that the request names.
