--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -25,8 +25,10 @@
 	id    uint64
 	limit Limit
 	// level is what can be lent; it is negative after a request larger than the bucket.
-	level     float64
-	at        time.Duration
+	level float64
+	at    time.Duration
+	// full is set while the bucket gains nothing because of what is outstanding.
+	full      bool
 	borrowers map[string]*borrower
 	turns     uint64
 }
@@ -43,11 +45,11 @@
 // refill advances the bucket to now; seen is when each daemon last reported.
 func (a *account) refill(now time.Duration, s settling, seen map[string]time.Duration) {
 	for name, b := range a.borrowers {
-		a.level -= b.charge(seen[name], now)
+		a.level -= b.charge(seen[name], now, silenceGrace(s.interval))
 		if now >= b.expires {
 			b.outstanding = 0
 		}
-		if now-b.seen >= waitTime {
+		if now-b.seen >= waitTime(s.interval) {
 			b.short, b.need, b.turn = 0, 0, 0
 		}
 		if now-b.seen >= idleTime {
@@ -61,7 +63,9 @@
 		a.level += s.rate * a.limit.Rate * (now - a.at).Seconds()
 		a.at = now
 	}
-	a.level = min(a.level, max(s.capacity*(a.limit.Burst+a.limit.Rate*reportLag.Seconds())-a.outstanding(), 0))
+	ceiling := max(s.capacity*(a.limit.Burst+a.limit.Rate*reportLag.Seconds())-a.outstanding(), 0)
+	a.full = a.level >= ceiling
+	a.level = min(a.level, ceiling)
 }
 
 // report applies what a daemon tells and returns its state; nil for a report that is older than the last one. first is set
@@ -187,15 +191,13 @@
 	return units
 }
 
-// lendWanted returns what waiting requests get: at least what the first one lacks, or nothing. A request larger than the
-// burst is lent when the bucket is full, and leaves a debt.
+// lendWanted returns what waiting requests get: at least what the first one lacks, or nothing. A request larger than
+// what the bucket comes to hold, because of its size or of what is outstanding, is lent when the bucket is full, and leaves a
+// debt.
 func (a *account) lendWanted(b *borrower, ahead, short float64) float64 {
 	free := a.level - ahead
 	switch {
-	case b.need > a.limit.Burst:
-		if ahead > 0 || a.level+a.outstanding() < a.limit.Burst {
-			return 0
-		}
+	case b.need > free && ahead == 0 && a.full:
 		return b.need
 	case b.need > free:
 		return 0
--- a/pkg/allowance/borrower.go
+++ b/pkg/allowance/borrower.go
@@ -33,8 +33,9 @@
 	turn uint64
 }
 
-// waitTime is how long the wishes of a daemon count without a new report.
-const waitTime = 300 * time.Millisecond
+// waitTime is how long the wishes of a daemon count without a new report. interval is the usual time between reports: with a
+// shorter time, the units that a daemon waits for are reserved, but never lent.
+func waitTime(interval time.Duration) time.Duration { return 150*time.Millisecond + interval*3/2 }
 
 // pace and reserve return the most that the daemon may have been promised.
 func (b *borrower) pace() float64    { return max(b.silence.pace, b.before.pace) }
@@ -42,8 +43,8 @@
 
 // charge returns what the daemon, which reported last at the given time, may have gained since the last charge. It counts as
 // outstanding.
-func (b *borrower) charge(reported, now time.Duration) float64 {
-	units := max(b.silence.gain(reported, now), b.before.gain(reported, now))
+func (b *borrower) charge(reported, now, grace time.Duration) float64 {
+	units := max(b.silence.gain(reported, now, grace), b.before.gain(reported, now, grace))
 	b.charged += units
 	b.outstanding += units
 	if now-reported >= silenceTime {
--- a/pkg/allowance/ledger.go
+++ b/pkg/allowance/ledger.go
@@ -18,6 +18,8 @@
 	started bool
 	// expected is the number of daemons that may have followed an earlier holder; 0 if unknown.
 	expected int
+	// interval is the usual time between two reports of a daemon.
+	interval time.Duration
 	// seen is when each daemon last reported.
 	seen map[string]time.Duration
 	// exhausted is when requests last lacked units of the allowances of which Changes told so.
@@ -56,13 +58,16 @@
 	l.names = ids
 }
 
+// SetInterval sets the usual time between two reports of a daemon.
+func (l *Ledger) SetInterval(interval time.Duration) { l.interval = interval }
+
 // Limited reports whether there is a limit.
 func (l *Ledger) Limited() bool { return len(l.accounts) > 0 }
 
 // Report applies the report of a daemon and returns what it is lent. first is set if the daemon has had no answer of this
 // holder. Without lends nothing is lent and no part is prolonged.
 func (l *Ledger) Report(daemon string, first bool, uses []Use, lends bool, now time.Duration) []Grant {
-	if now-l.seen[daemon] >= silenceGrace {
+	if now-l.seen[daemon] >= silenceGrace(l.interval) {
 		for _, a := range l.accounts {
 			a.refill(now, l.settling(now), l.seen)
 		}
@@ -106,7 +111,7 @@
 
 // settling returns what is left to an earlier holder now.
 func (l *Ledger) settling(now time.Duration) settling {
-	s := settling{capacity: 1, rate: 1}
+	s := settling{capacity: 1, rate: 1, interval: l.interval}
 	if now-l.began < lendTime {
 		s.capacity = settleCapacity
 	}
--- a/pkg/allowance/part.go
+++ b/pkg/allowance/part.go
@@ -56,8 +56,8 @@
 func (p *part) free() { p.limit, p.available, p.waitUntil, p.silence = Limit{}, 0, 0, silence{} }
 
 // lapse adds units that the daemon gains without a holder, since it last heard from one, and drops those that have run out.
-func (p *part) lapse(heard, now time.Duration) {
-	units := p.silence.gain(heard, now)
+func (p *part) lapse(heard, grace, now time.Duration) {
+	units := p.silence.gain(heard, now, grace)
 	p.available += units
 	p.gained += units
 	if now >= p.expires {
@@ -87,14 +87,14 @@
 	return sum, false
 }
 
-func (p *part) take(units float64, heard, now time.Duration) Result {
-	p.lapse(heard, now)
+func (p *part) take(units float64, heard, grace, now time.Duration) Result {
+	p.lapse(heard, grace, now)
 	ahead, waits := p.ahead(units)
 	if !waits {
 		p.stats.Asked += units
 	}
 	covered := p.available-ahead >= units
-	if !covered && ahead == 0 && p.available > 0 && now-heard >= silenceGrace {
+	if !covered && ahead == 0 && p.available > 0 && now-heard >= grace {
 		covered = p.draw(units, now)
 	}
 	if covered {
@@ -130,11 +130,11 @@
 }
 
 // use returns what the holder has to be told now; ok is false if that is nothing. Units that are given back are deducted.
-func (p *part) use(heard, now time.Duration) (out Use, ok bool) {
-	p.lapse(heard, now)
+func (p *part) use(heard, grace, now time.Duration) (out Use, ok bool) {
+	p.lapse(heard, grace, now)
 	spare := p.usage.spare(now)
 	hold := min(p.hold, spare)
-	silent := now-heard >= silenceGrace
+	silent := now-heard >= grace
 	if !p.due(spare, hold, silent, now) {
 		return Use{}, false
 	}
--- a/pkg/allowance/settling.go
+++ b/pkg/allowance/settling.go
@@ -11,9 +11,10 @@
 	settleTime = 2800 * time.Millisecond
 )
 
-// settling is what a new holder leaves to the parts and paces of an earlier one.
+// settling is what a new holder leaves to the parts and paces of an earlier one, and the usual time between reports.
 type settling struct {
 	// capacity is the part of the burst that buckets hold, rate the part of the rate that they gain.
 	capacity float64
 	rate     float64
+	interval time.Duration
 }
--- a/pkg/allowance/sim_test.go
+++ b/pkg/allowance/sim_test.go
@@ -76,10 +76,12 @@
 	holder  *simHolder
 	holders []*simHolder
 	// late are reports whose daemons have given up waiting for an answer.
-	late   []*simReport
-	now    time.Duration
-	random *rand.Rand
-	sends  []simSend
+	late []*simReport
+	now  time.Duration
+	// interval is the time between two reports of a daemon.
+	interval time.Duration
+	random   *rand.Rand
+	sends    []simSend
 	// hot is the daemon that gets all requests; -1 spreads them.
 	hot    int
 	size   func() float64
@@ -106,6 +108,7 @@
 		return 9190
 	}
 	f.ideal.level = limit.Burst
+	f.interval = 60*time.Millisecond + time.Duration(max(daemons-30, 0))*3*time.Millisecond
 	for n := range daemons {
 		d := &simDaemon{name: fmt.Sprint(n), next: f.now + time.Duration(n)*time.Millisecond}
 		f.restart(d)
@@ -119,6 +122,7 @@
 func (f *simFleet) restart(d *simDaemon) {
 	d.table, d.tenure, d.waiting, d.report = NewTable(), 0, nil, nil
 	d.changed = d.table.Changed()
+	d.table.SetInterval(f.interval)
 	d.table.SetLimits(map[string]Limit{simName: f.limit})
 }
 
@@ -129,6 +133,7 @@
 		expected = 0
 	}
 	f.holder = &simHolder{ledger: NewLedger(expected), tenure: len(f.holders) + 1, confirmed: f.now, stored: true}
+	f.holder.ledger.SetInterval(f.interval)
 	f.holder.ledger.SetLimits(map[string]Limit{simName: f.limit}, f.now)
 	f.holders = append(f.holders, f.holder)
 }
@@ -285,7 +290,7 @@
 		d.holder, d.tenure = f.holder, 0
 	}
 	if d.report == nil && f.now >= d.next {
-		d.next = f.now + 60*time.Millisecond + time.Duration(max(len(f.daemons)-30, 0))*3*time.Millisecond
+		d.next = f.now + f.interval
 		r := &simReport{daemon: d.name, to: d.holder, first: d.tenure != d.holder.tenure, uses: d.table.Uses(f.clock(d)), sent: f.clock(d), at: f.now + simDelay}
 		f.entries += len(r.uses)
 		d.report = r
@@ -298,7 +303,7 @@
 	if h.dead || h.frozen {
 		return h.dead
 	}
-	lends := f.now-h.confirmed < 1500*time.Millisecond || h.ledger.AllFollow(300*time.Millisecond, f.now)
+	lends := f.now-h.confirmed < 1500*time.Millisecond || h.ledger.AllFollow(5*f.interval, f.now)
 	r.lends = lends
 	r.grants = h.ledger.Report(r.daemon, r.first, r.uses, lends, f.now)
 	r.tenure, r.answered, r.at = h.tenure, true, f.now+simDelay
--- a/pkg/allowance/table.go
+++ b/pkg/allowance/table.go
@@ -15,13 +15,22 @@
 	changed chan struct{}
 	// heard is when the last report was sent that a lending holder has answered.
 	heard time.Duration
+	// grace is the age of it from which units are gained.
+	grace time.Duration
 	// latest is the largest time passed in: parts run out even if readings of the clock went back.
 	latest time.Duration
 }
 
 // NewTable returns a table without limits.
 func NewTable() *Table {
-	return &Table{parts: map[string]*part{}, wanted: make(chan struct{}, 1), changed: make(chan struct{})}
+	return &Table{parts: map[string]*part{}, wanted: make(chan struct{}, 1), changed: make(chan struct{}), grace: silenceGrace(0)}
+}
+
+// SetInterval sets the usual time between two reports.
+func (t *Table) SetInterval(interval time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.grace = silenceGrace(interval)
 }
 
 // SetLimits sets the limits by the names of their allowances. Others are unlimited, and what the daemon has of them is
@@ -51,7 +60,7 @@
 	if !ok || !p.limited() {
 		return Result{Taken: true}
 	}
-	return p.take(units, t.heard, t.advance(now))
+	return p.take(units, t.heard, t.grace, t.advance(now))
 }
 
 // Await counts a request as waiting for units until done is called, and signals Wanted. The request calls Take again after
@@ -83,7 +92,7 @@
 	if p, ok := t.parts[name]; ok && p.limited() {
 		p.available += units
 		p.stats.Taken -= units
-		p.lapse(t.heard, t.advance(now))
+		p.lapse(t.heard, t.grace, t.advance(now))
 	}
 }
 
@@ -116,14 +125,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now = t.advance(now)
-	if now-t.heard >= silenceGrace {
+	if now-t.heard >= t.grace {
 		// Waiting requests may use what the daemon has gained.
 		t.notify()
 	}
 	var out []Use
 	for _, name := range slices.Sorted(maps.Keys(t.parts)) {
 		p := t.parts[name]
-		if u, ok := p.use(t.heard, now); ok && p.limited() {
+		if u, ok := p.use(t.heard, t.grace, now); ok && p.limited() {
 			out = append(out, u)
 		}
 	}
@@ -137,7 +146,7 @@
 	defer t.mu.Unlock()
 	if lends {
 		for _, p := range t.parts {
-			p.lapse(t.heard, t.latest)
+			p.lapse(t.heard, t.grace, t.latest)
 		}
 		t.heard = max(t.heard, sent)
 	}
--- a/pkg/allowance/table_test.go
+++ b/pkg/allowance/table_test.go
@@ -1,6 +1,7 @@
 package allowance
 
 import (
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -123,3 +124,32 @@
 		t.Errorf("%v units lent, want 0: 70 of 125 are used and 55 left", units)
 	}
 }
+
+// Load pattern: requests of one unit wait at 5 of 350 daemons, which report every 1,020 ms, for 1.6 units a second. Guards
+// against places in the line that end before the daemon's next report: each daemon then found another one before it, and none
+// was ever served.
+func TestLargeFleetServesDaemonsInTurn(t *testing.T) {
+	const daemons, interval = 350, 1020 * time.Millisecond
+	limits := map[string]Limit{testName: {Rate: 1.6, Burst: 1}}
+	l, now := NewLedger(0), time.Hour
+	l.SetInterval(interval)
+	l.SetLimits(limits, now)
+	served := 0
+	waiting := map[int]float64{}
+	for i := range 20 * daemons {
+		d := i % daemons
+		now += interval / daemons
+		if d%70 != 3 {
+			l.Report(strconv.Itoa(d), i < daemons, nil, true, now)
+			continue
+		}
+		received := waiting[d]
+		for _, g := range l.Report(strconv.Itoa(d), i < daemons, []Use{{ID: ID(testName), Received: received, Wanted: 1, First: 1}}, true, now) {
+			waiting[d] += g.Units
+			served += int(g.Units)
+		}
+	}
+	if least := 12; served < least {
+		t.Errorf("%d requests served in 20 s, want %d or more", served, least)
+	}
+}
--- a/pkg/coordinator/allowance_reporter.go
+++ b/pkg/coordinator/allowance_reporter.go
@@ -30,6 +30,7 @@
 	if r.table == nil {
 		return usual
 	}
+	r.table.SetInterval(usual)
 	early, ok := r.table.NextReport(clock.Uptime())
 	if !ok {
 		return usual
--- a/pkg/coordinator/allowances.go
+++ b/pkg/coordinator/allowances.go
@@ -16,6 +16,8 @@
 	lendWhile = 1500 * time.Millisecond
 	// followIntervals is the number of report intervals within which a daemon that follows this holder reports.
 	followIntervals = 5
+	// suspendedLogTime is the least time between two lines that lending is suspended.
+	suspendedLogTime = 10 * time.Second
 	// allowanceCopyWait bounds the delay of a response while there are allowances: requests that begin to wait for units
 	// have to wait for it.
 	allowanceCopyWait = 50 * time.Millisecond
@@ -28,6 +30,7 @@
 	defer c.mu.Unlock()
 	now := clock.Uptime()
 	c.syncLedger(tenure, now)
+	c.ledger.SetInterval(reportInterval(len(c.daemons)))
 	uses := make([]allowance.Use, 0, len(report.Allowances))
 	for _, m := range report.Allowances {
 		uses = append(uses, useFromProto(m))
@@ -77,20 +80,25 @@
 
 // lends reports whether parts may be lent: no other daemon holds the lease, or follows another holder.
 func (c *Coordinator) lends(now time.Duration) bool {
-	interval := baseReportInterval + time.Duration(max(len(c.daemons)-baseIntervalDaemons, 0))*intervalPerDaemon
 	age := c.lease.ConfirmedAge()
-	ok := age < lendWhile || c.ledger.AllFollow(followIntervals*interval, now)
-	if ok == c.suspended && c.ledger.Limited() {
-		c.suspended = !ok
-		event := eventlog.AllowancesSuspended
-		if ok {
-			event = eventlog.AllowancesResumed
-		}
-		c.log.Log(event, "confirmed_age", age, "daemons", len(c.daemons))
-	}
+	ok := age < lendWhile || c.ledger.AllFollow(followIntervals*reportInterval(len(c.daemons)), now)
+	c.logSuspension(ok, age, now)
 	return ok
 }
 
+// logSuspension writes that lending is suspended or resumed. While the store is away a late report of any daemon suspends it
+// for a moment, so a line for that is written once in suspendedLogTime at most.
+func (c *Coordinator) logSuspension(lends bool, age, now time.Duration) {
+	switch {
+	case lends && c.suspended:
+		c.suspended = false
+		c.log.Log(eventlog.AllowancesResumed, "confirmed_age", age, "daemons", len(c.daemons))
+	case !lends && !c.suspended && c.ledger.Limited() && (c.suspendedAt == 0 || now-c.suspendedAt >= suspendedLogTime):
+		c.suspended, c.suspendedAt = true, now
+		c.log.Log(eventlog.AllowancesSuspended, "confirmed_age", age, "daemons", len(c.daemons))
+	}
+}
+
 // logAllowances writes what has changed.
 func (c *Coordinator) logAllowances() {
 	for _, change := range c.ledger.TakeChanges() {
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -55,8 +55,9 @@
 	ledger       *allowance.Ledger
 	ledgerTenure int64
 	ledgerConfig *fleet.Config
-	// suspended is set while nothing is lent.
+	// suspended is set while nothing is lent, as far as a line of the log told so at suspendedAt.
 	suspended   bool
+	suspendedAt time.Duration
 	viewVersion uint64
 	// removed holds the runners that left the list, with the view version at which they left.
 	removed map[string]removedRunner
--- a/pkg/coordinator/reporter.go
+++ b/pkg/coordinator/reporter.go
@@ -118,8 +118,11 @@
 }
 
 // reportInterval returns the time between reports.
-func (r *Reporter) reportInterval() time.Duration {
-	return baseReportInterval + time.Duration(max(r.daemons-baseIntervalDaemons, 0))*intervalPerDaemon
+func (r *Reporter) reportInterval() time.Duration { return reportInterval(r.daemons) }
+
+// reportInterval returns the time between reports of so many daemons.
+func reportInterval(daemons int) time.Duration {
+	return baseReportInterval + time.Duration(max(daemons-baseIntervalDaemons, 0))*intervalPerDaemon
 }
 
 // report sends one report. It returns whether the holder responded and requests are waiting.
