allowance: no early reports while no holder lends

Cause: by reading. Units gained without a holder count as more than the daemon may keep, which asks for a report at once, so a daemon would have called a lost holder every 25 ms. Ruled out: leaving it to the back-off of connections, there is none.

--- a/pkg/allowance/part.go
+++ b/pkg/allowance/part.go
@@ -166,8 +166,11 @@
 }
 
 // nextReport returns the time until an early report: when the holder has units for a waiting request, as it told, and at once
-// when the daemon got units for requests that no longer wait.
-func (p *part) nextReport(now time.Duration) (time.Duration, bool) {
+// when the daemon got units for requests that no longer wait. Without a holder there is nobody to tell.
+func (p *part) nextReport(heard, grace, now time.Duration) (time.Duration, bool) {
+	if now-heard >= grace {
+		return 0, false
+	}
 	if len(p.waiting) > 0 {
 		return p.waitUntil - now, p.waitUntil > now
 	}
--- a/pkg/allowance/table.go
+++ b/pkg/allowance/table.go
@@ -106,7 +106,7 @@
 	defer t.mu.Unlock()
 	now = t.advance(now)
 	for _, p := range t.parts {
-		if left, due := p.nextReport(now); due && (!ok || left < wait) {
+		if left, due := p.nextReport(t.heard, t.grace, now); due && (!ok || left < wait) {
 			wait, ok = left, true
 		}
 	}
--- a/pkg/allowance/table_test.go
+++ b/pkg/allowance/table_test.go
@@ -125,6 +125,20 @@
 	}
 }
 
+// Guards against units that stay with a daemon whose requests gave up, and against a daemon that calls a lost holder as often
+// as it may because of units that it gained.
+func TestNextReport(t *testing.T) {
+	table := lent(0)
+	table.SetInterval(60 * time.Millisecond)
+	grant(table, Grant{Units: 50, Pace: 100}, time.Second)
+	if wait, ok := table.NextReport(1100 * time.Millisecond); !ok || wait != 0 {
+		t.Errorf("next report in %v, %v; want one at once to give units back", wait, ok)
+	}
+	if wait, ok := table.NextReport(2 * time.Second); ok {
+		t.Errorf("next report in %v without a holder, want none before the usual one", wait)
+	}
+}
+
 // Load pattern: requests of one unit wait at 5 of 350 daemons, which report every 1,020 ms, for 1.6 units a second. Guards
 // against places in the line that end before the daemon's next report: each daemon then found another one before it, and none
 // was ever served.
