--- a/pkg/bytebudget/budget.go
+++ b/pkg/bytebudget/budget.go
@@ -22,6 +22,9 @@
 // Used returns the bytes that all shares have taken together.
 func (b *Budget) Used() int64 { return b.used.Load() }
 
+// Limit returns the size of the budget in bytes.
+func (b *Budget) Limit() int64 { return b.limit }
+
 // take takes n bytes for a share that has taken held before.
 func (b *Budget) take(held, n int64) bool {
 	for {
--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -68,7 +68,7 @@
 	if req.ID != "" {
 		c.carried.add(req.ID)
 	}
-	c.send(req.encode())
+	c.send(req)
 	for range maxStaleResponses + 1 {
 		a, err := c.readHead(req.Method, share)
 		if err != nil {
@@ -114,18 +114,22 @@
 	return nil, failure.New(failure.FrameMismatch, failure.Unknown, "more than "+strconv.Itoa(maxInterimResponses)+" informational responses come before the response")
 }
 
-// send writes a small request before it returns. A larger one is written in the background while its response is read.
-func (c *conn) send(data []byte) {
+// send writes a small request before it returns. A larger one is written in the background while its response is read, from
+// the body itself: a copy would double what the process holds for a server that reads slowly.
+func (c *conn) send(req *Request) {
 	c.written = make(chan struct{})
-	write := func() {
-		c.bytesWritten, c.writeErr = c.Write(data)
+	head := req.encodeHead()
+	if len(head)+len(req.Body) <= maxSyncWriteBytes {
+		c.bytesWritten, c.writeErr = c.Write(append(head, req.Body...))
 		close(c.written)
-	}
-	if len(data) <= maxSyncWriteBytes {
-		write()
 		return
 	}
-	go write()
+	go func() {
+		defer close(c.written)
+		parts := net.Buffers{head, req.Body}
+		n, err := parts.WriteTo(c.Conn)
+		c.bytesWritten, c.writeErr = int(n), err
+	}()
 }
 
 // classify closes the connection and returns the failure for a failed exchange.
--- a/pkg/exchange/request.go
+++ b/pkg/exchange/request.go
@@ -36,10 +36,14 @@
 	MaxIdle int
 }
 
-// encode returns the bytes of the request.
-func (r *Request) encode() []byte {
+// encodeHead returns the bytes of the request before its body, with room for a small one.
+func (r *Request) encodeHead() []byte {
 	var b bytes.Buffer
-	b.Grow(len(r.Body) + headBytesEstimate)
+	size := headBytesEstimate
+	if len(r.Body) <= maxSyncWriteBytes {
+		size += len(r.Body)
+	}
+	b.Grow(size)
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if r.SingleUse {
 		b.WriteString("Connection: close\r\n")
@@ -50,7 +54,6 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
 
--- a/pkg/gateway/endless_test.go
+++ b/pkg/gateway/endless_test.go
@@ -209,7 +209,7 @@
 			defer cancelDeadline()
 			ctx, cancel := context.WithCancelCause(deadline)
 			defer cancel(nil)
-			relay := &streamRelay{w: httptest.NewRecorder(), codec: plainCodec{}}
+			relay := &streamRelay{w: httptest.NewRecorder(), codec: plainCodec{}, budget: bytebudget.New(1 << 20)}
 			resp := sendTo(ctx, t, serveRaw(t, head, c.part, c.pause))
 			defer resp.Close()
 			watch := newSilenceWatch(time.Minute, cancel, func(silence) *choice { return &choice{} })
--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -47,7 +47,7 @@
 // completeRequest writes a buffered response, and records and logs the served request. Streams are already written.
 func (f *Forwarder) completeRequest(w http.ResponseWriter, j *job, c *choice, p *progress, a attemptResult) {
 	if a.response != nil {
-		f.writeResponse(w, a.response)
+		f.writeResponse(w, j, a.response)
 	}
 	f.metrics.recordServed(j, time.Since(j.arrived), p.relay.firstEvent(j.arrived))
 	f.log.Log(eventlog.RequestServed, "request", j.meta.RequestID, "route", j.route.Name, "version", j.version,
@@ -57,15 +57,14 @@
 		"superseded", strings.Join(a.superseded, ","))
 }
 
-func (f *Forwarder) writeResponse(w http.ResponseWriter, resp *bufferedResponse) {
+func (f *Forwarder) writeResponse(w http.ResponseWriter, j *job, resp *bufferedResponse) {
 	header := w.Header()
 	for name, values := range f.codec.ResponseHeader(resp.header) {
 		header[name] = values
 	}
 	header.Set("Content-Length", strconv.Itoa(len(resp.body)))
 	w.WriteHeader(resp.status)
-	// A failed write means that the caller disconnected; its request has already been counted.
-	_, _ = w.Write(resp.body)
+	f.writeBody(w, j, resp.body)
 }
 
 // failRequest ends a request whose attempts failed: with the last error response of a server if there is one, otherwise
@@ -80,7 +79,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if p.failureResponse != nil {
-		f.writeResponse(w, p.failureResponse)
+		f.writeResponse(w, j, p.failureResponse)
 		return
 	}
 	f.writeFailure(w, told)
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -23,6 +23,8 @@
 	pauses     prometheus.Counter
 	told       *prometheus.CounterVec
 	turned     *prometheus.CounterVec
+	backlogs   prometheus.Histogram
+	slow       *prometheus.CounterVec
 }
 
 // latencyBuckets are bucket bounds in seconds, from plain responses of some milliseconds to long streams.
@@ -44,7 +46,9 @@
 	m.pauses = prometheus.NewCounter(prometheus.CounterOpts{Name: "ferry_gateway_pause_refusals_total", Help: "Requests refused because all servers that can run them pause or leave."})
 	m.turned = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_turned_attempts_total", Help: "Attempts for which a server that could run the request was passed over, because it leaves or pauses."}, []string{"reason"})
 	m.told = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_failures_told_total", Help: "Failed requests by the status that callers were told, 0 for an aborted stream, and by whether a backend server may have run them."}, []string{"status", "outcome"})
-	registry.MustRegister(m.told, m.requests, m.results, m.attempts, m.durations, m.firstEvent, m.aborted, m.silences, m.crashes, m.suspects, m.pauses, m.turned)
+	m.backlogs = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "ferry_gateway_backlog_bytes", Help: "Most bytes held for the caller of a stream that did not keep up.", Buckets: prometheus.ExponentialBuckets(1<<10, 4, 6)})
+	m.slow = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_slow_callers_total", Help: "Responses ended because their callers read too slowly, by reason."}, []string{"reason"})
+	registry.MustRegister(m.backlogs, m.slow, m.told, m.requests, m.results, m.attempts, m.durations, m.firstEvent, m.aborted, m.silences, m.crashes, m.suspects, m.pauses, m.turned)
 	return m
 }
 
@@ -99,6 +103,10 @@
 	}
 }
 
+func (m *Metrics) recordBacklog(peak int) { m.backlogs.Observe(float64(peak)) }
+
+func (m *Metrics) recordSlowCaller(reason slowReason) { m.slow.WithLabelValues(string(reason)).Inc() }
+
 func (m *Metrics) recordCrash(suspects int) {
 	m.crashes.Inc()
 	m.suspects.Observe(float64(suspects))
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"trefoilferry.example/ferry/pkg/bytebudget"
 	"trefoilferry.example/ferry/pkg/exchange"
 	"trefoilferry.example/ferry/pkg/failure"
 )
@@ -22,6 +23,10 @@
 type streamRelay struct {
 	w     http.ResponseWriter
 	codec Codec
+	// out writes the events to w; nil before the first one.
+	out *callerStream
+	// budget is what out holds events from.
+	budget *bytebudget.Budget
 	// lastEvent is the id of the last event that was written.
 	lastEvent string
 	// started is set once the response header has been sent.
@@ -107,7 +112,7 @@
 			}
 		}
 		watch.pause()
-		if f := r.deliver(resp, events); f != nil {
+		if f := r.deliver(ctx, resp, events); f != nil {
 			return f
 		}
 		switch {
@@ -131,18 +136,19 @@
 	return f
 }
 
-// deliver writes events and flushes them. It fails if they do not directly follow the last event that was written.
-func (r *streamRelay) deliver(resp *exchange.Response, events []byte) *failure.Failure {
+// deliver writes events, or holds them for the caller. It fails if they do not directly follow the last event that was
+// written or held.
+func (r *streamRelay) deliver(ctx context.Context, resp *exchange.Response, events []byte) *failure.Failure {
 	firstID, lastID := eventIDs(events)
 	if r.lastEvent != "" && firstID != "" && !isNextEventID(r.lastEvent, firstID) {
 		return failure.New(failure.FrameMismatch, failure.Unknown, "the stream goes on with event "+firstID+" after event "+r.lastEvent)
 	}
 	r.start(resp)
-	if _, err := r.w.Write(events); err != nil {
-		return failure.Wrap(failure.ClientCancelled, failure.Unknown, "the caller's connection is closed", err)
+	if r.out == nil {
+		r.out = newCallerStream(ctx, r.w, r.budget)
 	}
-	if err := http.NewResponseController(r.w).Flush(); err != nil {
-		return failure.Wrap(failure.ClientCancelled, failure.Unknown, "the caller's connection is closed", err)
+	if fail := r.out.write(ctx, events); fail != nil {
+		return fail
 	}
 	r.unnumbered = endsUnnumbered(events, r.unnumbered)
 	if lastID != "" {
@@ -150,3 +156,18 @@
 	}
 	return nil
 }
+
+// finish waits until the caller has taken all events of a stream that is complete.
+func (r *streamRelay) finish() *failure.Failure {
+	if r.out == nil {
+		return nil
+	}
+	return r.out.finish()
+}
+
+// close drops the events that the caller has not taken.
+func (r *streamRelay) close() {
+	if r.out != nil {
+		r.out.close()
+	}
+}
--- a/pkg/gateway/resumption_test.go
+++ b/pkg/gateway/resumption_test.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+
+	"trefoilferry.example/ferry/pkg/bytebudget"
 )
 
 // Guards against resuming a stream whose last event had no id: the next server would send it once more, or leave it out.
@@ -19,7 +21,7 @@
 		{"data: a\n\nid: 1\r\ndata: b\r\n\r\n", true},
 	} {
 		head := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(c.events)
-		relay := &streamRelay{w: httptest.NewRecorder(), codec: plainCodec{}}
+		relay := &streamRelay{w: httptest.NewRecorder(), codec: plainCodec{}, budget: bytebudget.New(1 << 20)}
 		resp := sendTo(t.Context(), t, serveAnswers(t, head))
 		fail := relay.run(t.Context(), resp, unwatched(), 0, func() {})
 		resp.Close()
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -54,14 +54,17 @@
 		ctx, cancel = context.WithDeadline(ctx, j.deadline)
 		defer cancel()
 	}
-	p := &progress{outcome: failure.NotRun, relay: &streamRelay{w: w, codec: f.codec, lastEvent: j.meta.LastEventID}}
-	defer p.release()
+	p := &progress{outcome: failure.NotRun, relay: &streamRelay{w: w, codec: f.codec, lastEvent: j.meta.LastEventID, budget: f.backend.pool.Budget()}}
+	defer f.releaseRequest(j, p)
 	for {
 		c, fail := f.nextServer(ctx, j, p)
 		f.announceClose(w)
 		if fail == nil {
 			a := f.runAttempt(ctx, j, c, p)
 			f.announceClose(w)
+			if a.fail == nil {
+				a.fail = p.relay.finish()
+			}
 			if a.fail == nil {
 				f.completeRequest(w, j, c, p, a)
 				return
@@ -86,6 +89,13 @@
 	}
 }
 
+// releaseRequest returns what a request holds at its end.
+func (f *Forwarder) releaseRequest(j *job, p *progress) {
+	p.relay.close()
+	f.recordBacklog(j, p.relay.out)
+	p.release()
+}
+
 // release returns what the buffered responses hold.
 func (p *progress) release() {
 	for _, r := range p.kept {
--- a/pkg/gateway/slow_caller_test.go
+++ b/pkg/gateway/slow_caller_test.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"trefoilferry.example/ferry/pkg/bytebudget"
 )
 
 // slowCaller is a caller that takes a second to read the first event.
@@ -37,7 +39,7 @@
 	var silences atomic.Int32
 	watch := newSilenceWatch(time.Minute, cancel, func(silence) *choice { silences.Add(1); return &choice{} })
 	var w http.ResponseWriter = &slowCaller{ResponseRecorder: httptest.NewRecorder()}
-	relay := &streamRelay{w: w, codec: plainCodec{}}
+	relay := &streamRelay{w: w, codec: plainCodec{}, budget: bytebudget.New(1 << 20)}
 	fail := relay.run(ctx, resp, watch, stall, func() {})
 	if n := silences.Load(); n != 0 {
 		t.Errorf("server with an event every 20 ms counted as silent %d times (%v), want 0", n, fail)
--- a/pkg/gatewaydaemon/daemon.go
+++ b/pkg/gatewaydaemon/daemon.go
@@ -94,7 +94,7 @@
 
 	d.callerConns, d.callersServed = newCallerConns(), make(chan struct{})
 	d.callerServer = &http.Server{Handler: d.forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
-		ConnState: d.callerConns.record}
+		ConnContext: gateway.WithCallerConn, ConnState: d.recordCallerConn}
 	ready := mux.NewRouter()
 	ready.PathPrefix("/").HandlerFunc(d.serveReadiness).Methods(http.MethodGet)
 	peers := mux.NewRouter()
@@ -144,6 +144,16 @@
 	return nil
 }
 
+// recordCallerConn records a change of the state of a caller's connection. The deadline of the last write of a response does
+// not hold for the next one.
+func (d *Daemon) recordCallerConn(c net.Conn, state http.ConnState) {
+	if state == http.StateIdle {
+		// A closed connection fails at its next use.
+		_ = c.SetWriteDeadline(time.Time{})
+	}
+	d.callerConns.record(c, state)
+}
+
 func (d *Daemon) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	if d.draining.Load() || !d.control.View().Ready() || d.control.KeysTooOld() {
 		w.WriteHeader(http.StatusServiceUnavailable)
