gateway: a key is withheld by the configuration that accepted it

Cause: whether the key is withheld was decided by the view that matched the route, and the key was checked in a newer one. If the first configuration with workspaces came between, the server got the key (TestKeyIsWithheldByTheConfigurationThatAcceptedIt, failing before).

Changed: authorize sets keyed by the view in which it looks the key up.

--- a/pkg/gateway/authorize.go
+++ b/pkg/gateway/authorize.go
@@ -15,6 +15,8 @@
 func (f *Forwarder) authorize(ctx context.Context, j *job) *failure.Failure {
 	for {
 		view := f.control.View()
+		// The view may be newer than the one by which the route was matched.
+		j.keyed = j.keyed || view.Keys != nil
 		if view.Keys == nil || j.route.Public {
 			return nil
 		}
