--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -26,6 +26,8 @@
 	prediction *prometheus.HistogramVec
 	services   labelNames
 	separated  *prometheus.CounterVec
+	backlogs   prometheus.Histogram
+	slow       *prometheus.CounterVec
 }
 
 // latencyBuckets are bucket bounds in seconds, from plain responses of some milliseconds to long streams.
@@ -52,7 +54,9 @@
 	m.told = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_failures_told_total", Help: "Failed requests by the status that callers were told, 0 for an aborted stream, and by whether a backend server may have run them."}, []string{"status", "outcome"})
 	m.prediction = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "ferry_gateway_prediction_ratio", Help: "Time to the first event, or to the whole of a buffered response, as a multiple of the predicted one, by service.", Buckets: predictionBuckets}, []string{"service"})
 	m.separated = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_separated_attempts_total", Help: "Attempts that went to another server because long and short prompts were kept apart, by the length of the uncached prompt."}, []string{"prompt"})
-	registry.MustRegister(m.separated, m.prediction, m.told, m.requests, m.results, m.attempts, m.durations, m.firstEvent, m.aborted, m.silences, m.crashes, m.suspects, m.pauses, m.turned)
+	m.backlogs = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "ferry_gateway_backlog_bytes", Help: "Most bytes held for the caller of a stream that did not keep up.", Buckets: prometheus.ExponentialBuckets(1<<10, 4, 6)})
+	m.slow = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_slow_callers_total", Help: "Responses ended because their callers read too slowly, by reason."}, []string{"reason"})
+	registry.MustRegister(m.separated, m.prediction, m.backlogs, m.slow, m.told, m.requests, m.results, m.attempts, m.durations, m.firstEvent, m.aborted, m.silences, m.crashes, m.suspects, m.pauses, m.turned)
 	return m
 }
 
@@ -125,6 +129,10 @@
 	}
 }
 
+func (m *Metrics) recordBacklog(peak int) { m.backlogs.Observe(float64(peak)) }
+
+func (m *Metrics) recordSlowCaller(reason slowReason) { m.slow.WithLabelValues(string(reason)).Inc() }
+
 func (m *Metrics) recordCrash(suspects int) {
 	m.crashes.Inc()
 	m.suspects.Observe(float64(suspects))
