--- a/pkg/gateway/interference_marks.go
+++ b/pkg/gateway/interference_marks.go
@@ -28,10 +28,9 @@
 }
 
 // separationCost is the gain in time for which a request goes to a server of the other kind nevertheless. In the simulation
-// of 8 servers and 24 daemons (16 seeds, bounds of 1,000 and 5,000 tokens), late chats fall from 0.091 to 0.063, 0.059,
-// 0.059 and 0.057 at 50, 100, 150 and 250 ms, and late summaries change from 0.054 to 0.053, 0.054, 0.055 and 0.063. It
-// is less than the cost of a region.
-const separationCost = 100 * time.Millisecond
+// of 8 servers (16 seeds), late chats fall from 0.080 to 0.039 and 0.034 at 50 and 100 ms with 5 daemons and from 0.091 to
+// 0.063 and 0.059 with 24, and late summaries change from 0.044 to 0.053 and 0.058, and from 0.054 to 0.053 and 0.054.
+const separationCost = 50 * time.Millisecond
 
 // separation keeps long and short prompts apart where SeparateLengths is set.
 var separation = routing.SeparationScorer{Cost: separationCost, ShortTokens: shortPromptTokens, LongTokens: longPromptTokens}
--- a/pkg/gateway/interference_mix.go
+++ b/pkg/gateway/interference_mix.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -8,18 +9,21 @@
 
 const (
 	// mixMemory is the time after which what was seen of a service counts by the factor 1/e. It covers ten requests
-	// of a daemon with one in six seconds, as in fleets of a hundred daemons; the marks need not follow a burst.
-	mixMemory = 60 * time.Second
+	// of a daemon with one in two seconds, and follows a change of the callers.
+	mixMemory = 20 * time.Second
+	// forgetMixAfter is the time without a request after which nothing of a service is left to count.
+	forgetMixAfter = 10 * mixMemory
 	// minMixRequests is the number of requests lately seen below which nothing is said about a service.
 	minMixRequests = 5
 	// minMixShare is the least share of the work that each kind must have. Below it, one server set apart for the kind
 	// would be mostly idle.
 	minMixShare = 0.1
 	// shortPromptTokens and longPromptTokens bound the uncached tokens of short and long prompts. A runner processes 1,000
-	// tokens within about one event of its streams; 10,000 tokens delay its streams by over 300 ms. In the simulation, an
-	// upper bound of 5,000 makes as many chats late and up to one summary in a hundred more.
+	// tokens within about one event of its streams; 5,000 tokens delay its streams by about 160 ms, which callers notice
+	// when two such prompts follow each other or the server is slow. A bound of 10,000 was better in the simulation and worse
+	// on the bench (docs/design/long-and-short-prompts.md).
 	shortPromptTokens = 1000
-	longPromptTokens  = 10000
+	longPromptTokens  = 5000
 	// countedPromptTokens divides the prompts into two kinds when their work is counted.
 	countedPromptTokens = 3000
 )
@@ -48,6 +52,8 @@
 	defer p.mu.Unlock()
 	c, ok := p.services[service]
 	if !ok {
+		// Services that are gone are dropped when another one is first seen.
+		maps.DeleteFunc(p.services, func(_ string, old *mixCount) bool { return now.Sub(old.at) > forgetMixAfter })
 		c = &mixCount{at: now}
 		p.services[service] = c
 	}
