--- a/pkg/gateway/choice.go
+++ b/pkg/gateway/choice.go
@@ -15,8 +15,6 @@
 	predicted time.Duration
 	// prefill is the number of prompt tokens that the server is expected to process, without the cached ones.
 	prefill int
-	// separated is set if another server would have been chosen, had long and short prompts not been kept apart.
-	separated bool
 	// reportAge is the age of the server list that the choice used.
 	reportAge time.Duration
 	// limited is set, without a server, if the only servers that can run the request take no more requests now.
--- a/pkg/gateway/chooser.go
+++ b/pkg/gateway/chooser.go
@@ -39,15 +39,13 @@
 	plain  *routing.Policy
 	// limits keeps the requests within the limits that servers name; nil for none.
 	limits *serverlimit.Table
-	// mix is what long and short prompts have lately asked of each service.
-	mix *promptMix
 	// availability is what the servers say about taking requests; nil for none.
 	availability *availability.Table
 }
 
 func newChooser(region string, regionOf map[string]string) *chooser {
 	backlog := routing.BacklogScorer{Cost: backlogCost, PerStream: backlogPerStream}
-	return &chooser{region: region, regionOf: regionOf, mix: newPromptMix(), models: newPolicy(modelRegionCost, backlog), plain: newPolicy(plainRegionCost)}
+	return &chooser{region: region, regionOf: regionOf, models: newPolicy(modelRegionCost, backlog), plain: newPolicy(plainRegionCost)}
 }
 
 func newPolicy(regionPenalty time.Duration, further ...routing.Scorer) *routing.Policy {
@@ -82,10 +80,8 @@
 	if len(candidates) == 0 {
 		return choice{limited: true, limitWait: limitWait}, false
 	}
-	query.SeparateLengths = c.separateLengths(j, view, candidates, now)
 	owner, second := c.cacheOwners(j, candidates)
 	scored := make([]routing.Scored, 0, len(candidates))
-	apart := make([]routing.Scored, 0, len(candidates))
 	prefill := make(map[string]int, len(candidates))
 	for i := range candidates {
 		cand := candidates[i]
@@ -95,15 +91,12 @@
 		} else {
 			cand.Prediction = c.predictPlain(view, tracker, cand.Runner, now)
 		}
-		score := policy.Score(query, cand)
-		scored = append(scored, routing.Scored{Candidate: cand, Score: score})
-		apart = append(apart, routing.Scored{Candidate: cand, Score: score + separation.Score(query, cand)})
+		scored = append(scored, routing.Scored{Candidate: cand, Score: policy.Score(query, cand)})
 	}
-	best := policy.Picker.Pick(query, apart)
+	best := policy.Picker.Pick(query, scored)
 	return choice{
 		server: view.Servers[best.Runner], candidates: len(candidates), predicted: best.Prediction.FirstToken,
-		separated: query.SeparateLengths && policy.Picker.Pick(query, scored).Runner != best.Runner,
-		prefill:   prefill[best.Runner], reportAge: now.Sub(view.ServersAt),
+		prefill: prefill[best.Runner], reportAge: now.Sub(view.ServersAt),
 		leaving: slices.ContainsFunc(known, func(c routing.Candidate) bool { return c.Draining }),
 		paused:  slices.ContainsFunc(known, func(c routing.Candidate) bool { return c.PauseLeft > 0 }),
 	}, true
@@ -126,25 +119,6 @@
 	return out
 }
 
-// separateLengths reports whether the request's choice keeps long and short prompts apart, and marks the candidates for
-// long ones if so.
-func (c *chooser) separateLengths(j *job, view *View, candidates []routing.Candidate, now time.Time) bool {
-	if !j.needsModel() || len(candidates) < 2 {
-		return false
-	}
-	share, meet := c.mix.longShare(j.service.Name, now)
-	if !meet {
-		return false
-	}
-	var holders []string
-	for _, id := range view.ByService[j.service.Name] {
-		if s := view.Servers[id]; view.holding(&s, now).Serves(j.meta.Model, "") {
-			holders = append(holders, id)
-		}
-	}
-	return markForLong(j.meta.Model, holders, share, candidates)
-}
-
 // withinLimits returns the candidates that may get another request now. If there are none, the request counts as held back
 // at all of them, and withinLimits returns how long it will wait.
 func (c *chooser) withinLimits(candidates []routing.Candidate, j *job, now time.Time) ([]routing.Candidate, time.Duration) {
@@ -231,7 +205,7 @@
 	}
 	return &routing.Prediction{
 		Accepts: true, AdapterResident: true, FirstToken: predictFirstToken(queued, prefill, running),
-		BacklogTokens: max(queued, 0) + prefill, UncachedTokens: prefill, Streams: running,
+		BacklogTokens: max(queued, 0) + prefill, Streams: running,
 	}
 }
 
--- a/pkg/gateway/finish.go
+++ b/pkg/gateway/finish.go
@@ -52,7 +52,7 @@
 	f.metrics.recordServed(j, time.Since(j.arrived), p.relay.firstEvent(j.arrived))
 	f.log.Log(eventlog.RequestServed, "request", j.meta.RequestID, "route", j.route.Name, "version", j.version,
 		"server", c.server.ID, "status", a.head.Status, "candidates", c.candidates, "predicted", c.predicted, "took", time.Since(j.arrived),
-		"first_event", p.relay.firstEvent(j.arrived), "longest_pause", p.relay.longestPause, "prefill", c.prefill, "separated", c.separated,
+		"first_event", p.relay.firstEvent(j.arrived), "longest_pause", p.relay.longestPause, "prefill", c.prefill,
 		"sent", p.sent+1, "refused", p.refused, "unreached", p.unreached,
 		"superseded", strings.Join(a.superseded, ","))
 }
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -23,7 +23,6 @@
 	pauses     prometheus.Counter
 	told       *prometheus.CounterVec
 	turned     *prometheus.CounterVec
-	separated  *prometheus.CounterVec
 }
 
 // latencyBuckets are bucket bounds in seconds, from plain responses of some milliseconds to long streams.
@@ -45,8 +44,7 @@
 	m.pauses = prometheus.NewCounter(prometheus.CounterOpts{Name: "ferry_gateway_pause_refusals_total", Help: "Requests refused because all servers that can run them pause or leave."})
 	m.turned = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_turned_attempts_total", Help: "Attempts for which a server that could run the request was passed over, because it leaves or pauses."}, []string{"reason"})
 	m.told = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_failures_told_total", Help: "Failed requests by the status that callers were told, 0 for an aborted stream, and by whether a backend server may have run them."}, []string{"status", "outcome"})
-	m.separated = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_separated_attempts_total", Help: "Attempts that went to another server because long and short prompts were kept apart, by the length of the uncached prompt."}, []string{"prompt"})
-	registry.MustRegister(m.separated, m.told, m.requests, m.results, m.attempts, m.durations, m.firstEvent, m.aborted, m.silences, m.crashes, m.suspects, m.pauses, m.turned)
+	registry.MustRegister(m.told, m.requests, m.results, m.attempts, m.durations, m.firstEvent, m.aborted, m.silences, m.crashes, m.suspects, m.pauses, m.turned)
 	return m
 }
 
@@ -68,18 +66,6 @@
 	m.results.WithLabelValues("none", string(fail.Code)).Inc()
 }
 
-// recordSeparated counts an attempt whose server was chosen to keep long and short prompts apart.
-func (m *Metrics) recordSeparated(c *choice) {
-	if !c.separated {
-		return
-	}
-	prompt := "short"
-	if c.prefill >= countedPromptTokens {
-		prompt = "long"
-	}
-	m.separated.WithLabelValues(prompt).Inc()
-}
-
 func (m *Metrics) recordAborted(fail *failure.Failure) {
 	m.aborted.WithLabelValues(string(fail.Code)).Inc()
 }
--- a/pkg/gateway/run_attempt.go
+++ b/pkg/gateway/run_attempt.go
@@ -37,10 +37,6 @@
 // attempt sends the request to a server and reads its response. cancel ends ctx; watch is told of the events of a stream.
 func (f *Forwarder) attempt(ctx context.Context, cancel context.CancelCauseFunc, j *job, c *choice, p *progress, watch *silenceWatch) attemptResult {
 	tokens := c.prefill
-	if j.needsModel() {
-		f.chooser.recordMix(j, c, time.Now())
-		f.metrics.recordSeparated(c)
-	}
 	f.backend.tracker.BeginAttempt(c.server.ID, tokens)
 	defer func() { f.backend.tracker.EndAttempt(c.server.ID, tokens) }()
 	prompt := &promptWatch{board: f.board, id: j.meta.RequestID, parts: j.parts}
--- a/pkg/routing/candidate.go
+++ b/pkg/routing/candidate.go
@@ -19,8 +19,6 @@
 	PauseLeft time.Duration
 	// LimitUsed is the used share of the limit of requests that the server names; 0 without a limit.
 	LimitUsed float64
-	// ForLongPrompts is set on the servers of a model on which its long prompts gather.
-	ForLongPrompts bool
 	// Prediction is nil if the runner was not probed or did not respond to the probe.
 	Prediction *Prediction
 }
@@ -34,8 +32,6 @@
 	FirstToken time.Duration
 	// BacklogTokens is the number of prompt tokens that the runner has to process, including those of the request.
 	BacklogTokens int
-	// UncachedTokens is the number of prompt tokens of the request that the runner has to process.
-	UncachedTokens int
 	// Streams is the number of requests in flight at the runner.
 	Streams int
 	// Slowness is the time that work takes at the runner relative to the usual; 0 if unknown.
--- a/pkg/routing/query.go
+++ b/pkg/routing/query.go
@@ -17,8 +17,6 @@
 	Key string
 	// Region is that of the entry host.
 	Region string
-	// SeparateLengths is set if long and short prompts meet on the servers of the model and are kept apart.
-	SeparateLengths bool
 	// Tried holds the runners that have already failed this request.
 	Tried map[string]bool
 	// Suspects holds until when each suspected runner is avoided.
