--- a/pkg/gateway/choice.go
+++ b/pkg/gateway/choice.go
@@ -22,8 +22,6 @@
 	slowness float64
 	// far is set if the server is in another region.
 	far bool
-	// separated is set if another server would have been chosen, had long and short prompts not been kept apart.
-	separated bool
 	// reportAge is the age of the server list that the choice used.
 	reportAge time.Duration
 	// limited is set, without a server, if the only servers that can run the request take no more requests now.
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -25,7 +25,6 @@
 	turned     *prometheus.CounterVec
 	prediction *prometheus.HistogramVec
 	services   labelNames
-	separated  *prometheus.CounterVec
 	backlogs   prometheus.Histogram
 	slow       *prometheus.CounterVec
 }
@@ -53,10 +52,9 @@
 	m.turned = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_turned_attempts_total", Help: "Attempts for which a server that could run the request was passed over, because it leaves or pauses."}, []string{"reason"})
 	m.told = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_failures_told_total", Help: "Failed requests by the status that callers were told, 0 for an aborted stream, and by whether a backend server may have run them."}, []string{"status", "outcome"})
 	m.prediction = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "ferry_gateway_prediction_ratio", Help: "Time to the first event, or to the whole of a buffered response, as a multiple of the predicted one, by service.", Buckets: predictionBuckets}, []string{"service"})
-	m.separated = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_separated_attempts_total", Help: "Attempts that went to another server because long and short prompts were kept apart, by the length of the uncached prompt."}, []string{"prompt"})
 	m.backlogs = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "ferry_gateway_backlog_bytes", Help: "Most bytes held for the caller of a stream that did not keep up.", Buckets: prometheus.ExponentialBuckets(1<<10, 4, 6)})
 	m.slow = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_slow_callers_total", Help: "Responses ended because their callers read too slowly, by reason."}, []string{"reason"})
-	registry.MustRegister(m.separated, m.prediction, m.backlogs, m.slow, m.told, m.requests, m.results, m.attempts, m.durations, m.firstEvent, m.aborted, m.silences, m.crashes, m.suspects, m.pauses, m.turned)
+	registry.MustRegister(m.prediction, m.backlogs, m.slow, m.told, m.requests, m.results, m.attempts, m.durations, m.firstEvent, m.aborted, m.silences, m.crashes, m.suspects, m.pauses, m.turned)
 	return m
 }
 
@@ -84,18 +82,6 @@
 	m.results.WithLabelValues("none", string(fail.Code)).Inc()
 }
 
-// recordSeparated counts an attempt whose server was chosen to keep long and short prompts apart.
-func (m *Metrics) recordSeparated(c *choice) {
-	if !c.separated {
-		return
-	}
-	prompt := "short"
-	if c.prefill >= countedPromptTokens {
-		prompt = "long"
-	}
-	m.separated.WithLabelValues(prompt).Inc()
-}
-
 func (m *Metrics) recordAborted(fail *failure.Failure) {
 	m.aborted.WithLabelValues(string(fail.Code)).Inc()
 }
--- a/pkg/routing/candidate.go
+++ b/pkg/routing/candidate.go
@@ -19,8 +19,6 @@
 	PauseLeft time.Duration
 	// LimitUsed is the used share of the limit of requests that the server names; 0 without a limit.
 	LimitUsed float64
-	// ForLongPrompts is set on the servers of a model on which its long prompts gather.
-	ForLongPrompts bool
 	// Prediction is nil if the runner was not probed or did not respond to the probe.
 	Prediction *Prediction
 }
@@ -36,8 +34,6 @@
 	BacklogTokens int
 	// Slowness is how long work takes at the runner, as a multiple of the usual time; 0 if unknown. FirstToken includes it.
 	Slowness float64
-	// UncachedTokens is the number of prompt tokens of the request that the runner has to process.
-	UncachedTokens int
 	// Streams is the number of requests in flight at the runner.
 	Streams int
 	// AdapterResident is set if the runner has loaded the adapter that the request names.
