--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -11,7 +11,8 @@
 	// reportLag is the use that the holder does not know of yet. Units that have been used count as outstanding for that long,
 	// so the bucket may hold that much more.
 	reportLag = 250 * time.Millisecond
-	// kept is the part of what can be used at once that is not lent for requests to come.
+	// kept is the part of the burst that is not lent for requests to come; daemons hold at most the rest of what can be used
+	// at once for them.
 	kept = 0.25
 	// reserved is the part of what could be lent that daemons may use when they do not hear of the holder.
 	reserved = 0.5
@@ -123,6 +124,17 @@
 	}
 }
 
+// useRecent counts what a daemon used before it reported to this holder.
+func (a *account) useRecent(u *Use, now time.Duration) {
+	if a.limit.Window == 0 {
+		return
+	}
+	for i, units := range u.Recent {
+		// The youngest units of each part count, so none leave the window too early.
+		a.used.add(units, now, now-time.Duration(i)*a.limit.Window/recentParts)
+	}
+}
+
 // report applies what a daemon tells and returns its state; nil for a report that is older than the last one. first is set
 // if the daemon has had no answer of this holder.
 func (a *account) report(daemon string, first bool, u *Use, now time.Duration) *borrower {
@@ -130,11 +142,11 @@
 	switch {
 	case first:
 		b = &borrower{fresh: true}
-		a.use(u.Recent, now)
+		a.useRecent(u, now)
 	case !known:
 		b = &borrower{}
 		b.adopt(u)
-		a.use(u.Recent, now)
+		a.useRecent(u, now)
 	default:
 		back, ok := b.settle(u)
 		if !ok {
@@ -248,7 +260,7 @@
 // lendSpare returns what a daemon gets for requests to come, which has so much of what it may hold. A part that does not cover
 // one request would be of no use to anybody.
 func (a *account) lendSpare(hold, request, has, lent float64) float64 {
-	units := math.Floor(max(min(hold-has, a.level-lent-kept*a.limit.most()), 0))
+	units := math.Floor(max(min(hold-has, a.level-lent-kept*a.limit.Burst), 0))
 	if has+units < request {
 		return 0
 	}
--- a/pkg/allowance/part.go
+++ b/pkg/allowance/part.go
@@ -141,7 +141,7 @@
 	hold := min(p.hold, spare)
 	silent := now-heard >= grace
 	recent := p.recentUse(now)
-	if (p.answered || recent == 0) && !p.due(spare, hold, silent, now) {
+	if (p.answered || recent == [recentParts]float64{}) && !p.due(spare, hold, silent, now) {
 		return Use{}, false
 	}
 	out = Use{ID: p.id, Received: p.received, Wanted: math.Ceil(p.wanted()), First: math.Ceil(p.usage.size), Spare: spare, Rate: math.Ceil(p.usage.decayed(now)), Recent: recent}
@@ -155,12 +155,15 @@
 	return out, true
 }
 
-// recentUse returns what was used within the window of the limit; 0 if it has none.
-func (p *part) recentUse(now time.Duration) float64 {
+// recentUse returns what was used within the window of the limit, the latest part first; nothing if it has none.
+func (p *part) recentUse(now time.Duration) (out [recentParts]float64) {
 	if p.limit.Window == 0 {
-		return 0
+		return out
+	}
+	for i := range out {
+		out[i] = math.Ceil(p.recent.between(now, i*usedSlots/recentParts, (i+1)*usedSlots/recentParts))
 	}
-	return math.Ceil(p.recent.sum(now))
+	return out
 }
 
 // setLimit changes the limit. What was used within a window of another length is forgotten: no bound spans both.
--- a/pkg/allowance/use.go
+++ b/pkg/allowance/use.go
@@ -16,13 +16,17 @@
 	First  float64
 	// Spare is what the daemon wants to hold for requests to come.
 	Spare float64
-	// Recent is what the daemon used within the window of the limit. It counts when the holder hears first of the daemon's part.
-	Recent float64
+	// Recent is what the daemon used within the window of the limit, in equal parts of it, the latest first. It counts when the
+	// holder hears first of the daemon's part.
+	Recent [recentParts]float64
 	// Rate is what requests lately took a second.
 	Rate float64
 	// Gained is what the daemon gained while it heard of no lending holder, in total like Received.
 	Gained float64
 }
 
+// recentParts is the number of parts of a window in which recent use is told.
+const recentParts = 4
+
 // ID returns the identifier of an allowance in messages.
 func ID(name string) uint64 { return xxhash.Sum64String(name) }
--- a/pkg/allowance/used_window.go
+++ b/pkg/allowance/used_window.go
@@ -48,6 +48,19 @@
 	return w.total
 }
 
+// between returns the units in the slots of the given ages; the oldest slot belongs to the last age of the window.
+func (w *usedWindow) between(now time.Duration, from, to int) float64 {
+	w.advance(now)
+	if to == usedSlots {
+		to++
+	}
+	sum := 0.0
+	for age := from; age < to; age++ {
+		sum += w.units[(w.last-int64(age))%int64(len(w.units))]
+	}
+	return sum
+}
+
 // until returns the time until so many units have left the window; its length if it holds fewer.
 func (w *usedWindow) until(units float64, now time.Duration) time.Duration {
 	w.advance(now)
--- a/pkg/coordinator/allowance_reporter.go
+++ b/pkg/coordinator/allowance_reporter.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"trefoilferry.example/ferry/api/ferrypb"
@@ -63,11 +64,22 @@
 }
 
 func useToProto(u *allowance.Use) *ferrypb.AllowanceUse {
-	return &ferrypb.AllowanceUse{Id: u.ID, Received: uint64(u.Received), Returned: uint64(u.Returned), Available: uint64(u.Available),
-		Wanted: uint64(u.Wanted), First: uint64(u.First), Spare: uint64(u.Spare), Rate: uint64(u.Rate), Gained: uint64(u.Gained), Recent: uint64(u.Recent)}
+	m := &ferrypb.AllowanceUse{Id: u.ID, Received: uint64(u.Received), Returned: uint64(u.Returned), Available: uint64(u.Available),
+		Wanted: uint64(u.Wanted), First: uint64(u.First), Spare: uint64(u.Spare), Rate: uint64(u.Rate), Gained: uint64(u.Gained)}
+	for _, units := range u.Recent {
+		m.Recent = append(m.Recent, uint64(units))
+	}
+	if m.Recent[0] == 0 && slices.Max(m.Recent) == 0 {
+		m.Recent = nil
+	}
+	return m
 }
 
 func useFromProto(m *ferrypb.AllowanceUse) allowance.Use {
-	return allowance.Use{ID: m.Id, Received: float64(m.Received), Returned: float64(m.Returned), Available: float64(m.Available),
-		Wanted: float64(m.Wanted), First: float64(m.First), Spare: float64(m.Spare), Rate: float64(m.Rate), Gained: float64(m.Gained), Recent: float64(m.Recent)}
+	u := allowance.Use{ID: m.Id, Received: float64(m.Received), Returned: float64(m.Returned), Available: float64(m.Available),
+		Wanted: float64(m.Wanted), First: float64(m.First), Spare: float64(m.Spare), Rate: float64(m.Rate), Gained: float64(m.Gained)}
+	for i := range min(len(m.Recent), len(u.Recent)) {
+		u.Recent[i] = float64(m.Recent[i])
+	}
+	return u
 }
--- a/pkg/gateway/quota.go
+++ b/pkg/gateway/quota.go
@@ -48,7 +48,10 @@
 		if w := &config.Workspaces[i]; w.Quota.Limited() {
 			limit := allowance.Limit{Rate: w.Quota.Rate, Burst: w.Quota.Burst, Window: bound.Window}
 			if bound.Window > 0 {
-				limit.Burst += toleranceUsed * (bound.Excess*(limit.Rate*limit.Window.Seconds()+limit.Burst) + bound.Slack)
+				// Requests count by when they were sent, and some wait before they take their units.
+				limit.Window += quotaAnswerWait
+				limit.Burst += toleranceUsed*(bound.Excess*(limit.Rate*bound.Window.Seconds()+limit.Burst)+bound.Slack) - limit.Rate*quotaAnswerWait.Seconds()
+				limit.Burst = max(limit.Burst, 0)
 			}
 			out[AllowanceName(w.Name)] = limit
 		}
