allowance, gateway: each run counts against a quota; a new holder goes by what daemons tell of their recent use

What daemons that are lost used is estimated from the others for the length of the window now, and 0.7 of the tolerance is used in place of 0.9.

--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -18,6 +18,8 @@
 	reserved = 0.5
 	// minReported bounds the use that a new holder infers from the part of the daemons that have reported.
 	minReported = 0.1
+	// mostReported is the part of the daemons from which on a new holder goes by what they told of their recent use.
+	mostReported = 0.8
 	// forgetTime is the time without a report after which a daemon is forgotten.
 	forgetTime = 30 * time.Second
 )
@@ -103,7 +105,13 @@
 	if a.limit.Window > 0 {
 		a.at = max(a.at, now)
 		// Daemons that have not reported yet count as having used as much as the others.
-		used := max(a.used.sum(now)/max(s.rate, minReported), a.unknown.sum(now))
+		used := a.used.sum(now)
+		if s.known > 0 && now-s.began < a.limit.Window {
+			used /= max(s.known, minReported)
+		}
+		if s.known < mostReported {
+			used = max(used, a.unknown.sum(now))
+		}
 		a.level = a.limit.most() - used - a.outstanding()
 		a.full = used < 1
 		return
--- a/pkg/allowance/ledger.go
+++ b/pkg/allowance/ledger.go
@@ -112,8 +112,12 @@
 	if now-l.began < lendTime {
 		s.capacity = settleCapacity
 	}
+	s.began = l.began
+	if l.expected > 0 {
+		s.known = min(float64(len(l.seen))/float64(l.expected), 1)
+	}
 	if now-l.began < settleTime && l.expected > 0 {
-		s.rate = min(float64(len(l.seen))/float64(l.expected), 1)
+		s.rate = s.known
 	}
 	return s
 }
--- a/pkg/allowance/settling.go
+++ b/pkg/allowance/settling.go
@@ -16,5 +16,8 @@
 	// capacity is the part of the burst that buckets hold, rate the part of the rate that they gain.
 	capacity float64
 	rate     float64
+	// known is the part of the daemons that have reported since the tenure began; 0 if their number is unknown.
+	known    float64
+	began    time.Duration
 	interval time.Duration
 }
--- a/pkg/gateway/obstacle.go
+++ b/pkg/gateway/obstacle.go
@@ -8,6 +8,8 @@
 	obstacleAttempts obstacle = "attempts"
 	// obstacleBudget means that the retry budget of the service is spent.
 	obstacleBudget obstacle = "retry_budget"
+	// obstacleQuota means that the quota of the workspace does not cover another run.
+	obstacleQuota obstacle = "quota"
 	// obstaclePrompt means that the prompt of the request may crash servers.
 	obstaclePrompt obstacle = "prompt"
 	// obstacleServer means that no other server can serve the request in time.
--- a/pkg/gateway/quota.go
+++ b/pkg/gateway/quota.go
@@ -30,7 +30,7 @@
 
 // toleranceUsed is the part of the tolerance that is used. The rest covers units that were lent by a holder which a new one
 // does not know of.
-const toleranceUsed = 0.9
+const toleranceUsed = 0.7
 
 // QuotaBound is how the users measure the quotas of workspaces: in any time of length Window, (Rate*Window + Burst)*(1 + Excess) +
 // Slack units may be used. Requests within that are owed a response.
@@ -124,6 +124,12 @@
 	}
 }
 
+// takeRepeat deducts the units of a request once more, because it is sent to another server after it may have run at one: each
+// run counts. It reports whether the quota covers that now.
+func (f *Forwarder) takeRepeat(j *job) bool {
+	return j.quotaUnits == 0 || f.allowances.Take(AllowanceName(j.workspace.Name), j.quotaUnits, clock.Uptime()).Taken
+}
+
 // returnQuota gives back what a request took that was not run.
 func (f *Forwarder) returnQuota(j *job) {
 	if j.quotaUnits > 0 {
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -150,6 +150,9 @@
 		p.obstacle = obstacleBudget
 		f.log.Log(eventlog.RetryBudgetEmpty, "request", j.meta.RequestID, "service", j.service.Name)
 	}
+	if p.obstacle == "" && p.next == nil && fail.Outcome != failure.NotRun && !f.takeRepeat(j) {
+		p.obstacle = obstacleQuota
+	}
 	return p.obstacle == ""
 }
 
--- a/pkg/gateway/takeover.go
+++ b/pkg/gateway/takeover.go
@@ -69,6 +69,9 @@
 	if !f.backend.availability.Admit(incarnationOf(&next.server), now) {
 		return nil, obstacleServer
 	}
+	if !f.takeRepeat(j) {
+		return nil, obstacleQuota
+	}
 	if !f.budgets.take(j.service.Name, f.control.daemonCount(), now) {
 		return nil, obstacleBudget
 	}
