allowance, coordinator: the use of quotas is recorded with the lease, for a holder that knows no daemon

The holder's record has the use of each allowance in quarters of its window now; what that left of the limit counts as used after the record.

--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -36,31 +36,57 @@
 	full      bool
 	borrowers map[string]*borrower
 	turns     uint64
-	// used is what daemons used within the window of the limit, if it has one; unknown is what they may have used of it before
-	// this holder knew of them. The level follows from both then.
+	// used is what daemons used within the window of the limit, if it has one, in this tenure; told is what they told of their
+	// use before it, and unknown what may have been used then. The level follows from them.
 	used    usedWindow
+	told    usedWindow
 	unknown usedWindow
 }
 
 // newAccount returns the state of an allowance. full is set if nothing of it can have been used lately; otherwise it counts as
-// used evenly, up to its limit.
-func newAccount(id uint64, limit Limit, full bool, now time.Duration) *account {
+// used up to its limit: as an earlier holder recorded it (prior), or evenly if there is no record (nil).
+func newAccount(id uint64, limit Limit, full bool, prior *[recentParts]float64, now time.Duration) *account {
 	a := &account{id: id, at: now, borrowers: map[string]*borrower{}}
 	a.setLimit(limit)
 	switch {
 	case full:
 		a.level = limit.Burst
+	case limit.Window > 0 && prior != nil:
+		a.adoptPrior(prior, now)
 	case limit.Window > 0:
 		a.seed(now)
 	}
 	return a
 }
 
+// adoptPrior fills the window of what is unknown with the use that an earlier holder recorded. What that left of the limit may
+// have been used since.
+func (a *account) adoptPrior(prior *[recentParts]float64, now time.Duration) {
+	rest := a.limit.most()
+	for i, units := range prior {
+		a.unknown.add(units, now, now-time.Duration(i)*a.limit.Window/recentParts)
+		rest -= units
+	}
+	a.unknown.add(rest, now, now)
+}
+
+// record returns the use within the window for the next holder, the latest part first. What daemons may still use counts as
+// used now.
+func (a *account) record(now time.Duration) (out [recentParts]float64) {
+	for i := range out {
+		from, to := i*usedSlots/recentParts, (i+1)*usedSlots/recentParts
+		out[i] = a.used.between(now, from, to) + max(a.told.between(now, from, to), a.unknown.between(now, from, to))
+	}
+	out[0] += a.outstanding()
+	return out
+}
+
 // setLimit changes the limit. What was used within a window of another length counts as used evenly.
 func (a *account) setLimit(limit Limit) {
 	if limit.Window > 0 && limit.Window != a.used.length {
 		sum := a.used.total
-		a.used, a.unknown = usedWindow{length: limit.Window}, usedWindow{length: limit.Window}
+		empty := usedWindow{length: limit.Window}
+		a.used, a.told, a.unknown = empty, empty, empty
 		a.used.add(sum, a.at, a.at)
 	}
 	a.limit = limit
@@ -105,13 +131,14 @@
 	if a.limit.Window > 0 {
 		a.at = max(a.at, now)
 		// Daemons that have not reported yet count as having used as much as the others.
-		used := a.used.sum(now)
-		if s.known > 0 && now-s.began < a.limit.Window {
-			used /= max(s.known, minReported)
+		before := a.told.sum(now)
+		if s.known > 0 {
+			before /= max(s.known, minReported)
 		}
 		if s.known < mostReported {
-			used = max(used, a.unknown.sum(now))
+			before = max(before, a.unknown.sum(now))
 		}
+		used := a.used.sum(now) + before
 		a.level = a.limit.most() - used - a.outstanding()
 		a.full = used < 1
 		return
@@ -139,7 +166,7 @@
 	}
 	for i, units := range u.Recent {
 		// The youngest units of each part count, so none leave the window too early.
-		a.used.add(units, now, now-time.Duration(i)*a.limit.Window/recentParts)
+		a.told.add(units, now, now-time.Duration(i)*a.limit.Window/recentParts)
 	}
 }
 
@@ -297,7 +324,7 @@
 // waitFor returns the time until the bucket covers the units, at least a millisecond.
 func (a *account) waitFor(units float64) time.Duration {
 	if a.limit.Window > 0 {
-		return max(a.used.until(units-a.level, a.at), a.unknown.until(units-a.level, a.at), time.Millisecond)
+		return max(min(a.used.until(units-a.level, a.at), a.told.until(units-a.level, a.at), a.unknown.until(units-a.level, a.at)), time.Millisecond)
 	}
 	return max(time.Duration((units-a.level)/a.limit.Rate*float64(time.Second)), time.Millisecond)
 }
--- a/pkg/allowance/ledger.go
+++ b/pkg/allowance/ledger.go
@@ -20,6 +20,8 @@
 	expected int
 	// interval is the usual time between two reports of a daemon.
 	interval time.Duration
+	// recorded is the use that an earlier holder recorded, by the names of allowances; nil for no record.
+	recorded map[string][recentParts]float64
 	// seen is when each daemon last reported.
 	seen map[string]time.Duration
 	// exhausted is when requests last lacked units of the allowances of which Changes told so.
@@ -42,7 +44,7 @@
 		ids[id] = name
 		a, ok := l.accounts[id]
 		if !ok {
-			a = newAccount(id, limit, l.started, now)
+			a = newAccount(id, limit, l.started, l.prior(name), now)
 			l.accounts[id] = a
 		}
 		a.setLimit(limit)
@@ -58,6 +60,31 @@
 // SetInterval sets the usual time between two reports of a daemon.
 func (l *Ledger) SetInterval(interval time.Duration) { l.interval = interval }
 
+// Adopt takes over the use that an earlier holder recorded, by the names of allowances. It is called before the first limits
+// are set.
+func (l *Ledger) Adopt(recorded map[string][recentParts]float64) { l.recorded = recorded }
+
+func (l *Ledger) prior(name string) *[recentParts]float64 {
+	if use, ok := l.recorded[name]; ok {
+		return &use
+	}
+	return nil
+}
+
+// Record returns the use of the allowances with a window for the next holder, by their names; those without any are omitted.
+func (l *Ledger) Record(now time.Duration) map[string][recentParts]float64 {
+	out := map[string][recentParts]float64{}
+	for id, a := range l.accounts {
+		if a.limit.Window == 0 {
+			continue
+		}
+		if use := a.record(now); use != [recentParts]float64{} {
+			out[l.names[id]] = use
+		}
+	}
+	return out
+}
+
 // Limited reports whether there is a limit.
 func (l *Ledger) Limited() bool { return len(l.accounts) > 0 }
 
--- a/pkg/allowance/used_window_test.go
+++ b/pkg/allowance/used_window_test.go
@@ -82,3 +82,36 @@
 		}
 	}
 }
+
+// Load pattern: a workspace has used its whole window when all daemons are killed; a new holder that knows no daemon starts with
+// what the one before recorded. Guards against a restart that gives the quota anew (2,084,857 units in 8 s on a played day,
+// allowed 1,876,724), and against one after which a workspace within its quota is served nothing for the whole window.
+func TestRestartOfAllKeepsToTheWindow(t *testing.T) {
+	limit := Limit{Rate: 120_000, Burst: 120_000, Window: 8 * time.Second}
+	for name, c := range map[string]struct {
+		before, after float64
+		least         float64
+	}{"flood": {6, 6, 0}, "half of the quota": {0.5, 0.5, 0.6}} {
+		f := newSimFleet(24, limit, 4)
+		f.play(0.5*limit.Rate, 20*time.Second)
+		f.play(c.before*limit.Rate, 3*time.Second)
+		recorded := f.holder.ledger.Record(f.now)
+		f.holder.dead = true
+		f.now += time.Second
+		for _, d := range f.daemons {
+			d.table, d.holder, d.report, d.waiting, d.tenure = NewTable(), nil, nil, nil, 0
+			d.table.SetLimits(map[string]Limit{simName: limit})
+		}
+		f.holder = &simHolder{ledger: NewLedger(0), tenure: len(f.holders) + 1, confirmed: f.now, stored: true}
+		f.holder.ledger.Adopt(recorded)
+		f.holder.ledger.SetLimits(map[string]Limit{simName: limit}, f.now)
+		f.holders = append(f.holders, f.holder)
+		began, admitted := f.now, f.admits
+		f.play(c.after*limit.Rate, 7*time.Second)
+		f.check(t, limit)
+		offered := c.after * limit.Rate * (f.now - began).Seconds()
+		if share := (f.admits - admitted) / offered; share < c.least {
+			t.Errorf("%s: %.2f of what was asked in the 7 s after the restart was served, want %.2f", name, share, c.least)
+		}
+	}
+}
--- a/pkg/coordinator/allowances.go
+++ b/pkg/coordinator/allowances.go
@@ -59,6 +59,7 @@
 func (c *Coordinator) syncLedger(tenure int64, now time.Duration) {
 	if c.ledgerTenure != tenure {
 		c.ledger, c.ledgerTenure, c.ledgerConfig = allowance.NewLedger(c.lease.Daemons()), tenure, nil
+		c.ledger.Adopt(c.priorUse)
 		c.suspended = false
 	}
 	if config := c.fleet.View().Config; config != nil && config != c.ledgerConfig {
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -56,6 +56,8 @@
 	ledger       *allowance.Ledger
 	ledgerTenure int64
 	ledgerConfig *fleet.Config
+	// priorUse is the use of allowances that the holder before has recorded.
+	priorUse map[string][4]float64
 	// suspended is set while nothing is lent, as far as a line of the log told so at suspendedAt.
 	suspended   bool
 	suspendedAt time.Duration
--- a/pkg/coordinator/handover.go
+++ b/pkg/coordinator/handover.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"math"
 	"strconv"
 	"time"
 
+	"trefoilferry.example/ferry/pkg/clock"
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/quarantine"
 )
@@ -15,6 +17,40 @@
 	LoadAges map[string][]int64 `json:"load_ages"`
 	// Barred holds the requests that crash runners.
 	Barred []barredPrompt `json:"barred,omitempty"`
+	// Used is what was used of shared allowances within the last quarters of their windows, the latest first.
+	Used map[string][4]int64 `json:"used,omitempty"`
+}
+
+// maxHandoverAllowances bounds the allowances whose use is exported; each takes about 50 bytes.
+const maxHandoverAllowances = 500
+
+// exportUse exports the use of allowances, none if there are too many for the record.
+func exportUse(use map[string][4]float64) map[string][4]int64 {
+	if len(use) > maxHandoverAllowances {
+		return nil
+	}
+	out := make(map[string][4]int64, len(use))
+	for name, parts := range use {
+		var units [4]int64
+		for i := range parts {
+			units[i] = int64(math.Ceil(parts[i]))
+		}
+		out[name] = units
+	}
+	return out
+}
+
+// use returns the use of allowances in the state; negative numbers of another writer count as none.
+func (s *handoverState) use() map[string][4]float64 {
+	out := make(map[string][4]float64, len(s.Used))
+	for name, units := range s.Used {
+		var parts [4]float64
+		for i := range units {
+			parts[i] = float64(max(units[i], 0))
+		}
+		out[name] = parts
+	}
+	return out
 }
 
 const (
@@ -81,6 +117,7 @@
 			state.LoadAges[service] = append(state.LoadAges[service], now.Sub(t).Milliseconds())
 		}
 	}
+	state.Used = exportUse(c.ledger.Record(clock.Uptime()))
 	text, err := json.Marshal(state)
 	if err != nil {
 		return ""
@@ -98,6 +135,7 @@
 	now := time.Now()
 	// The record may be older than the view of the previous holder.
 	c.judge.Merge(append(state.barredEntries(now), c.config.Board.Entries(now)...))
+	c.priorUse = state.use()
 	for service, ages := range state.LoadAges {
 		limiter := &loadLimiter{limits: c.config.LoadLimits}
 		for _, age := range ages[:min(len(ages), maxHandoverLoads)] {
