allowance: what is used after a record counts as twice its latest part and half a second of the rate

Not covered: a flood of more than five times the usual that begins in the second before all daemons are lost.

--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -20,6 +20,8 @@
 	minReported = 0.1
 	// mostReported is the part of the daemons from which on a new holder goes by what they told of their recent use.
 	mostReported = 0.8
+	// unseenFactor multiplies the use of the last quarter of a window for what was used after a record of it.
+	unseenFactor = 2
 	// forgetTime is the time without a report after which a daemon is forgotten.
 	forgetTime = 30 * time.Second
 )
@@ -59,15 +61,17 @@
 	return a
 }
 
-// adoptPrior fills the window of what is unknown with the use that an earlier holder recorded. What that left of the limit may
-// have been used since.
+// adoptPrior fills the window of what is unknown with the use that an earlier holder recorded. What was used since, for about a
+// second, counts as unseenFactor times the latest part and half a second of the rate. A flood of more than five times the usual
+// that begins in that second, just before all daemons are lost, is not covered.
 func (a *account) adoptPrior(prior *[recentParts]float64, now time.Duration) {
 	rest := a.limit.most()
+	unseen := unseenFactor*prior[0] + a.limit.Rate/2
 	for i, units := range prior {
 		a.unknown.add(units, now, now-time.Duration(i)*a.limit.Window/recentParts)
 		rest -= units
 	}
-	a.unknown.add(rest, now, now)
+	a.unknown.add(min(rest, unseen), now, now)
 }
 
 // record returns the use within the window for the next holder, the latest part first. What daemons may still use counts as
