httpvalid: a response with a status outside 100 to 599 fails its request

What callers saw: a server in trouble sent a response with status 000. At ferry-gateway its caller waited until the timeout of the route, or got a success that the server had not sent, if the body of that response began like one. Statuses 600 to 999 were passed on with the server's signature. At ferry-agent the response was passed on as complete, and stored for repeats of a keyed call.

Cause: net/http reads any three digits as a status, and Atoi takes "+20" and "-00" too. pkg/exchange took what is below 200 for an informational response and read the body as the next head; clients of pkg/oncehttp took it as it was.

Ruled out, by reading: the writer towards the caller. net/http panics for a status below 100, so that no status line 000 leaves the gateway.

Why this works: the head is checked where it is read, for all requests, orders, reports and calls of the store through pkg/exchange, and for those of agents through pkg/oncehttp. RFC 9110, section 15 calls statuses outside 100 to 599 invalid. The request may have run, so the outcome is unknown.

--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -38,9 +38,9 @@
 // Failures with outcome NotRun: ConnectFailed if no byte was sent, Overloaded or NotLoaded if the engine returned
 // status 503, BadRequest if the body is not a JSON object. With outcome Ran: BadRequest for a 4xx status, EngineFailed
 // for any other error status or a response that is not an event stream. With outcome Unknown: ConnectionLost if the
-// connection broke, FrameMismatch if the response belongs to another request. Failures due to an error status wrap a
-// StatusError. If ctx is done, the code is ClientCancelled or DeadlineExceeded, with outcome NotRun if no byte was sent
-// and Unknown otherwise.
+// connection broke, FrameMismatch if the response is not valid HTTP or belongs to another request. Failures due to an
+// error status wrap a StatusError. If ctx is done, the code is ClientCancelled or DeadlineExceeded, with outcome NotRun if
+// no byte was sent and Unknown otherwise.
 func (c *Client) Generate(ctx context.Context, req GenerateRequest) (Stream, error) {
 	body, err := generateBody(req)
 	if err != nil {
--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -11,6 +11,7 @@
 
 	"trefoilferry.example/ferry/pkg/bytebudget"
 	"trefoilferry.example/ferry/pkg/failure"
+	"trefoilferry.example/ferry/pkg/httpvalid"
 	"trefoilferry.example/ferry/pkg/verdict"
 )
 
@@ -107,6 +108,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := httpvalid.CheckResponse(resp); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return newResponseHead(resp), nil
 		}
--- a/pkg/oncehttp/client.go
+++ b/pkg/oncehttp/client.go
@@ -19,23 +19,26 @@
 	MaxHeaderBytes = 256 << 10
 )
 
-// NewClient returns an HTTP client without a total timeout, because that would end streams, and without proxies.
-func NewClient() *http.Client {
+// NewClient returns an HTTP client without a total timeout, because that would end streams, and without proxies. Responses
+// that are not valid HTTP fail their requests.
+func NewClient() *http.Client { return &http.Client{Transport: Verifying(newTransport())} }
+
+// NewSingleUseClient is NewClient with a connection of its own for each request: a faulty server may write a response a
+// second time, late, and on a connection in use again it would pass for the response to the next request.
+func NewSingleUseClient() *http.Client {
+	transport := newTransport()
+	transport.DisableKeepAlives = true
+	return &http.Client{Transport: Verifying(transport)}
+}
+
+func newTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &http.Client{Transport: &http.Transport{
+	return &http.Transport{
 		DialContext:         dialer.DialContext,
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: MaxHeaderBytes,
-	}}
-}
-
-// NewSingleUseClient is NewClient with a connection of its own for each request: a faulty server may write a response a
-// second time, late, and on a connection in use again it would pass for the response to the next request.
-func NewSingleUseClient() *http.Client {
-	client := NewClient()
-	client.Transport.(*http.Transport).DisableKeepAlives = true
-	return client
+	}
 }
--- a/pkg/oncehttp/sender.go
+++ b/pkg/oncehttp/sender.go
@@ -37,8 +37,9 @@
 // Send sends req once. The caller must close the response body.
 //
 // Failures: BadRequest if req is not a valid request; ConnectFailed with outcome NotRun if no connection was obtained, so
-// that no byte was written; ConnectionLost with outcome Unknown otherwise. If ctx is done, the code is ClientCancelled or
-// DeadlineExceeded and the outcome is determined in the same way.
+// that no byte was written; FrameMismatch with outcome Unknown if the response is not valid HTTP; ConnectionLost with outcome
+// Unknown otherwise. If ctx is done, the code is ClientCancelled or DeadlineExceeded and the outcome is determined in the
+// same way.
 func (s *Sender) Send(ctx context.Context, req Request) (*http.Response, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
@@ -60,6 +61,9 @@
 	if connected {
 		code = failure.ConnectionLost
 	}
+	if failure.HasCode(err, failure.FrameMismatch) {
+		code = failure.FrameMismatch
+	}
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		code = failure.DeadlineExceeded
--- a/pkg/service/client.go
+++ b/pkg/service/client.go
@@ -29,7 +29,7 @@
 // Do sends the call once and returns the response, whatever its status. The caller must close the response body.
 //
 // Failures: BadRequest with outcome NotRun for an invalid path; ConnectFailed with outcome NotRun if no byte was sent,
-// ConnectionLost with outcome Unknown otherwise; ClientCancelled or DeadlineExceeded with either outcome if ctx is done;
+// FrameMismatch with outcome Unknown for a response that is not valid HTTP, ConnectionLost with outcome Unknown otherwise; ClientCancelled or DeadlineExceeded with either outcome if ctx is done;
 // ServiceFailed with outcome Ran if the service switched protocols.
 func (c *Client) Do(ctx context.Context, call Call) (*Response, error) {
 	if !strings.HasPrefix(call.Path, "/") {
