--- a/pkg/entry/executor_test.go
+++ b/pkg/entry/executor_test.go
@@ -113,6 +113,7 @@
 		"silent until the deadline":                 {rawAgent(t, "", 1<<20, ""), failure.ConnectFailed, failure.NotRun},
 		"other response before the body":            {rawAgent(t, "", 0, other), failure.FrameMismatch, failure.NotRun},
 		"other response after the body":             {rawAgent(t, asks, 1, other), failure.FrameMismatch, failure.Unknown},
+		"status that HTTP does not have":            {rawAgent(t, asks, 1, strings.Replace(other, "503", "000", 1)), failure.FrameMismatch, failure.Unknown},
 	} {
 		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 		message := &ferrypb.ExecRequest{RequestId: "q", AttemptId: "1", Kind: ferrypb.RequestKind_REQUEST_KIND_SERVICE}
--- a/pkg/oncehttp/client.go
+++ b/pkg/oncehttp/client.go
@@ -21,14 +21,14 @@
 
 // NewClient returns an HTTP client without a total timeout, because that would end streams, and without proxies. Responses
 // that are not valid HTTP fail their requests.
-func NewClient() *http.Client { return &http.Client{Transport: Verifying(newTransport())} }
+func NewClient() *http.Client { return &http.Client{Transport: verifyingTransport{newTransport()}} }
 
 // NewSingleUseClient is NewClient with a connection of its own for each request: a faulty server may write a response a
 // second time, late, and on a connection in use again it would pass for the response to the next request.
 func NewSingleUseClient() *http.Client {
 	transport := newTransport()
 	transport.DisableKeepAlives = true
-	return &http.Client{Transport: Verifying(transport)}
+	return &http.Client{Transport: verifyingTransport{transport}}
 }
 
 func newTransport() *http.Transport {
--- a/pkg/oncehttp/verifying_transport.go
+++ b/pkg/oncehttp/verifying_transport.go
@@ -6,15 +6,11 @@
 	"trefoilferry.example/ferry/pkg/httpvalid"
 )
 
-// verifyingTransport fails requests whose responses are not valid HTTP.
+// verifyingTransport fails requests whose responses are not valid HTTP, see httpvalid.CheckResponse.
 type verifyingTransport struct {
 	*http.Transport
 }
 
-// Verifying returns a RoundTripper that uses the transport and fails requests whose responses are not valid HTTP, see
-// httpvalid.CheckResponse.
-func Verifying(transport *http.Transport) http.RoundTripper { return verifyingTransport{transport} }
-
 // RoundTrip implements http.RoundTripper.
 func (t verifyingTransport) RoundTrip(req *http.Request) (*http.Response, error) {
 	resp, err := t.Transport.RoundTrip(req)
