exchange: a body without a length whose connection is reset during the request is cut off

What callers saw: a server in trouble responded to a long request at once without a length, sent a part of the body and reset the connection while the request was still being written. The caller got that part as a complete, signed response, on buffered and on streaming routes.

Cause: Linux reports a reset to one system call only. If that is the write of the request, which goes on in the background, the read gets an end of the connection, which ends a body without a length.

Why this works: where the end of the connection ends a body, the write of the request is looked at too. It is ended first, since nothing can use it, so that its result is known. A reset without an orderly end before it shows as an error other than EPIPE. After an orderly end, the kernel reports EPIPE, so that an early response that is whole still passes, whether the server reads on, does not, or resets the connection later (TestWholeEarlyResponseIsReceived, TestWholeEarlyResponseReachesTheCaller; both passed before).

Handled already: bodies with a length or chunks; agents, which refuse bodies without either and wait for the end marker of a stream.

--- a/pkg/exchange/pool_test.go
+++ b/pkg/exchange/pool_test.go
@@ -22,6 +22,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return serveScriptOn(t, listener, steps...)
+}
+
+// serveScriptOn is serveScript with a listener, which it closes.
+func serveScriptOn(t *testing.T, listener net.Listener, steps ...func(net.Conn, *bufio.Reader)) string {
+	t.Helper()
 	t.Cleanup(func() { _ = listener.Close() })
 	next := make(chan func(net.Conn, *bufio.Reader), len(steps))
 	for _, s := range steps {
--- a/pkg/exchange/response.go
+++ b/pkg/exchange/response.go
@@ -44,6 +44,9 @@
 	case err == nil:
 		return n, nil
 	case errors.Is(err, io.EOF) && r.ctx.Err() == nil:
+		if cause := r.brokenEnd(); cause != nil {
+			return n, r.readFailure(cause)
+		}
 		r.complete = true
 		return n, io.EOF
 	default:
@@ -51,6 +54,14 @@
 	}
 }
 
+// brokenEnd returns why the end of the connection does not end the body; nil if it does or need not.
+func (r *Response) brokenEnd() error {
+	if !r.Unframed {
+		return nil
+	}
+	return r.conn.brokenWrite()
+}
+
 func (r *Response) readFailure(cause error) error {
 	code := failure.Truncated
 	switch r.ctx.Err() {
