exchange: a connection is used again after a response to HEAD

After a response to HEAD without a length, the next request on its connection got no response until its deadline, although its bytes were ready to be read.

Cause: such a response counts as one without a length, so ended its write for good, and the connection was kept.

Why this works: a connection that can be used again has not ended the body, so its write is left alone.

--- a/pkg/exchange/broken_write.go
+++ b/pkg/exchange/broken_write.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// brokenWrite returns the failure that the write of the current request has met; nil if the server ended the connection in
-// an orderly way. Linux reports a reset once, to a read or a write. If a write got it, reads return io.EOF, as after an orderly
-// end. A reset that follows an orderly end shows as EPIPE.
+// brokenWrite returns the failure that the write of the current request has met; nil if there is none, or if the server ended
+// the connection in an orderly way before. Linux reports a reset once, to a read or to a write. If a write got it, reads
+// return io.EOF, as after an orderly end. A write after an orderly end fails with EPIPE.
 //
 // The server has ended the connection when this is called, so a write in progress is of no use and is ended.
 func (c *conn) brokenWrite() error {
--- a/pkg/exchange/early_end_test.go
+++ b/pkg/exchange/early_end_test.go
@@ -117,3 +117,18 @@
 		}
 	}
 }
+
+// Guards against a connection that is kept after a response to HEAD, which states no length either, and cannot be written to
+// any more.
+func TestConnectionIsUsedAgainAfterHead(t *testing.T) {
+	p := NewPool()
+	address := serveScript(t, respond("HTTP/1.1 200 OK\r\nId: a\r\n\r\n"), respond(okResponse("b", "two")))
+	head := request("a", "")
+	head.Method = http.MethodHead
+	if body, err := exchangeOnce(t, p, address, head); err != nil || body != "" {
+		t.Fatalf("response to HEAD: %q, error %v, want no body", body, err)
+	}
+	if body, err := exchangeOnce(t, p, address, request("b", "x")); err != nil || body != "two" || p.TotalOpened() != 1 {
+		t.Errorf("next response: %q, error %v, after %d connections, want two on the same connection", body, err, p.TotalOpened())
+	}
+}
--- a/pkg/exchange/response.go
+++ b/pkg/exchange/response.go
@@ -56,7 +56,8 @@
 
 // brokenEnd returns why the end of the connection does not end the body; nil if it does or need not.
 func (r *Response) brokenEnd() error {
-	if !r.Unframed {
+	// A response to HEAD states no length either, but leaves the connection open.
+	if !r.Unframed || r.reusable {
 		return nil
 	}
 	return r.conn.brokenWrite()
--- a/pkg/service/client.go
+++ b/pkg/service/client.go
@@ -29,8 +29,9 @@
 // Do sends the call once and returns the response, whatever its status. The caller must close the response body.
 //
 // Failures: BadRequest with outcome NotRun for an invalid path; ConnectFailed with outcome NotRun if no byte was sent,
-// FrameMismatch with outcome Unknown for a response that is not valid HTTP, ConnectionLost with outcome Unknown otherwise; ClientCancelled or DeadlineExceeded with either outcome if ctx is done;
-// ServiceFailed with outcome Ran if the service switched protocols.
+// FrameMismatch with outcome Unknown for a response that is not valid HTTP, ConnectionLost with outcome Unknown otherwise;
+// ClientCancelled or DeadlineExceeded with either outcome if ctx is done; ServiceFailed with outcome Ran if the service
+// switched protocols.
 func (c *Client) Do(ctx context.Context, call Call) (*Response, error) {
 	if !strings.HasPrefix(call.Path, "/") {
 		return nil, failure.New(failure.BadRequest, failure.NotRun, fmt.Sprintf("path of a service call must start with /, got %.64q", call.Path))
