--- a/pkg/exchange/field_names_test.go
+++ b/pkg/exchange/field_names_test.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"strings"
 	"testing"
 
 	"trefoilferry.example/ferry/pkg/failure"
@@ -12,9 +11,9 @@
 	"Content-Length ", "Transfer-Encoding ", "X Y", "X ", "X\t", "X\tY", "X\x00", "X\x01Y", "X\x0b", "X\x1f", "X\x7f", "X\rY", "X\xe9", "X(Y)", "X\"", "",
 }
 
-// Guards against a response in whose head or trailer a field name has a blank, a control byte or another byte that HTTP does not allow.
-// net/http reads a name with a blank as a field of its own: a length with such a name was not applied, so that the body
-// ended with the connection.
+// Guards against a response in whose head or trailer a field name has a blank, a control byte or another byte that HTTP does
+// not allow. net/http reads a name with a blank as a field of its own: a length with such a name was not applied, so that
+// the body ended with the connection.
 func TestFieldNameThatIsNoTokenFailsTheRequest(t *testing.T) {
 	const status, interim = "HTTP/1.1 200 OK\r\n", "HTTP/1.1 103 Early Hints\r\n"
 	for _, name := range notTokens {
@@ -54,7 +53,7 @@
 		t.Fatal(err)
 	}
 	defer resp.Close()
-	if got := resp.Header.Get(token); got != "v" || !strings.Contains(token, "~") {
+	if got := resp.Header.Get(token); got != "v" {
 		t.Errorf("field with all bytes of a token: %q, want v", got)
 	}
 }
--- a/pkg/exchange/status_test.go
+++ b/pkg/exchange/status_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -37,17 +38,17 @@
 	}
 }
 
-// Guards against a failure for a status that HTTP has and that no table lists.
+// Guards against a failure for a status that HTTP has, also for one without a meaning.
 func TestEveryStatusOfHTTPIsReceived(t *testing.T) {
-	for _, status := range []string{"200", "299", "304", "404", "499", "500", "599"} {
-		text := "HTTP/1.1 " + status + "\r\nId: a\r\nContent-Length: 0\r\n\r\n"
+	for status := 200; status <= 599; status++ {
+		text := "HTTP/1.1 " + strconv.Itoa(status) + "\r\nId: a\r\nContent-Length: 0\r\n\r\n"
 		resp, err := NewPool().Send(t.Context(), serveScript(t, respond(text)), request("a", "x"))
 		if err != nil {
-			t.Errorf("status %s: %v, want it received", status, err)
+			t.Errorf("status %d: %v, want it received", status, err)
 			continue
 		}
-		if resp.Close(); itoa(resp.Status/10)+itoa(resp.Status % 10)[1:] != status {
-			t.Errorf("status %d, want %s", resp.Status, status)
+		if resp.Close(); resp.Status != status {
+			t.Errorf("status %d, want %d", resp.Status, status)
 		}
 	}
 }
