gateway: a silent server keeps its request until another one has begun to serve it

The choice of another server was taken for its consent: from the cut to the other server's answer nobody had the request. That the runners were full is known only from their refusals, so a better choice would not help. Ruled out: the stop itself, with the same stops and no silence nothing is lost.

Now both have the request for a moment. The other server is asked while the silent one goes on. It has the request once the head of its response shows that it serves it; if it refuses, cannot be reached, breaks off or answers with something else, the request stays where it is. What the silent server sends meanwhile waits until that is known, so that no caller gets events of both. After 250 ms without an answer the offer is settled too, since both may not work on it for more than 400 ms: a silent server that has gone on keeps the request, otherwise it moves as before. An attempt is now a type with open, read and end, because the other server's begins before the first one's ends.

F0146 and ferry_gateway_handovers_total tell how each offer was settled.

--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -122,6 +122,9 @@
 // the body itself: a copy would double what the process holds for a server that reads slowly.
 func (c *conn) send(req *Request) {
 	c.written = make(chan struct{})
+	if req.Sending != nil {
+		req.Sending()
+	}
 	head := req.encodeHead()
 	if len(head)+len(req.Body) <= maxSyncWriteBytes {
 		c.bytesWritten, c.writeErr = c.Write(append(head, req.Body...))
--- a/pkg/exchange/request.go
+++ b/pkg/exchange/request.go
@@ -34,6 +34,8 @@
 	SingleUse bool
 	// MaxIdle bounds the idle connections to the server that are kept when the response is complete; 0 for the default.
 	MaxIdle int
+	// Sending is called before the first byte of the request is sent; nil for none.
+	Sending func()
 }
 
 // encodeHead returns the bytes of the request before its body, with room for a small one.
--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -38,8 +38,9 @@
 }
 
 // send sends the request to the chosen server and returns the response with its decoded header and what follows from it. A
-// response that shows that the request was not run is returned as a failure.
-func (b *backend) send(ctx context.Context, j *job, c *choice, lastEvent string) (*exchange.Response, ResponseMeta, verdict.Judgement, *failure.Failure) {
+// response that shows that the request was not run is returned as a failure. It calls sending, unless that is nil, before the
+// first byte of the request is sent.
+func (b *backend) send(ctx context.Context, j *job, c *choice, lastEvent string, sending func()) (*exchange.Response, ResponseMeta, verdict.Judgement, *failure.Failure) {
 	req := &exchange.Request{
 		Method: j.method,
 		Target: j.target,
@@ -52,6 +53,7 @@
 		ID:        j.meta.RequestID,
 		FreshConn: !j.route.Retryable(),
 		MaxIdle:   j.maxIdle,
+		Sending:   sending,
 		Matches: func(h http.Header) bool {
 			return b.codec.DecodeResponse(http.StatusOK, h).RequestID == j.meta.RequestID
 		},
--- a/pkg/gateway/backend_test.go
+++ b/pkg/gateway/backend_test.go
@@ -77,7 +77,7 @@
 				j.deadline = time.Now().Add(5 * time.Second)
 				j.method, j.target, j.host, j.header = "POST", "/x", "h", http.Header{}
 				server.server.ID, server.server.Address = "r0", address
-				resp, _, _, fail := b.send(t.Context(), j, server, "")
+				resp, _, _, fail := b.send(t.Context(), j, server, "", nil)
 				switch {
 				case id == "a":
 					if fail == nil || fail.Outcome != failure.NotRun {
--- a/pkg/gateway/endless_test.go
+++ b/pkg/gateway/endless_test.go
@@ -159,7 +159,7 @@
 	c.server.ID, c.server.Address = "r0", address
 	b := &backend{pool: exchange.NewPool(), codec: refusingCodec{}, tracker: NewTracker(), limits: serverlimit.NewTable(rand.Float64), log: eventlog.Discard()}
 	began = time.Now()
-	_, _, _, fail := b.send(ctx, j, c, "")
+	_, _, _, fail := b.send(ctx, j, c, "", nil)
 	if fail == nil || fail.Outcome != failure.NotRun || time.Since(began) > time.Second {
 		t.Errorf("refusal with a body without end: %v after %v, want outcome %s at once", fail, time.Since(began), failure.NotRun)
 	}
@@ -169,7 +169,7 @@
 
 	c.server.Address = serveRaw(t, "HTTP/1.1 503 Unavailable\r\nRefused: 1\r\nContent-Length: 100\r\n\r\n", "x", 100*time.Millisecond)
 	began = time.Now()
-	_, _, _, fail = b.send(ctx, j, c, "")
+	_, _, _, fail = b.send(ctx, j, c, "", nil)
 	if fail == nil || fail.Outcome != failure.NotRun || time.Since(began) > time.Second || b.pool.OpenConns() != 0 {
 		t.Errorf("refusal whose body does not come: %v after %v with %d open connections, want outcome %s at once", fail, time.Since(began), b.pool.OpenConns(), failure.NotRun)
 	}
@@ -212,7 +212,7 @@
 			relay := &streamRelay{w: httptest.NewRecorder(), codec: plainCodec{}, budget: bytebudget.New(1 << 20)}
 			resp := sendTo(ctx, t, serveRaw(t, head, c.part, c.pause))
 			defer resp.Close()
-			watch := newSilenceWatch(time.Minute, cancel, func(silence) *choice { return &choice{} })
+			watch := newSilenceWatch(time.Minute, cancel, func(silence) taker { return &testTaker{} })
 			fail := relay.run(ctx, resp, watch, stall, func() {})
 			if cut := fail != nil && fail.Code == failure.Truncated && deadline.Err() == nil; cut != c.cut {
 				t.Errorf("stream cut as stalled before the deadline: %v (%v), want %v", cut, fail, c.cut)
--- a/pkg/gateway/hedged_request.go
+++ b/pkg/gateway/hedged_request.go
@@ -41,10 +41,10 @@
 
 // hedgedAttempt is one attempt of a hedgedRequest.
 type hedgedAttempt struct {
-	number int
-	choice choice
-	began  time.Time
-	cancel context.CancelCauseFunc
+	number  int
+	choice  choice
+	began   time.Time
+	attempt *attempt
 	// suspected is set once its server was recorded as silent.
 	suspected bool
 	// result and panicked are set before the attempt is sent to ended.
@@ -81,8 +81,10 @@
 
 // start sends the request to a server.
 func (s *hedgedRequest) start(c *choice) {
-	ctx, cancel := context.WithCancelCause(s.ctx)
-	a := &hedgedAttempt{number: len(s.attempts), choice: *c, began: time.Now(), cancel: cancel}
+	// The attempt streams nothing and is not watched.
+	relay := &streamRelay{}
+	a := &hedgedAttempt{number: len(s.attempts), choice: *c, began: time.Now()}
+	a.attempt = s.f.newAttempt(s.ctx, s.j, &a.choice, relay)
 	s.attempts = append(s.attempts, a)
 	s.hedge.begin(a.number)
 	s.recheck = 0
@@ -98,9 +100,9 @@
 			}
 			s.ended <- a
 		}()
-		defer cancel(nil)
-		// The attempt streams nothing and is not watched, so it needs no progress of the request.
-		a.result = s.f.attempt(ctx, cancel, s.j, &a.choice, &progress{relay: &streamRelay{}}, unwatched())
+		defer a.attempt.end()
+		a.attempt.open(nil)
+		a.result = a.attempt.read(relay, unwatched())
 	}()
 }
 
@@ -179,7 +181,7 @@
 func (s *hedgedRequest) cancelOthers() []string {
 	var servers []string
 	for _, n := range s.hedge.running {
-		s.attempts[n].cancel(errAnsweredElsewhere)
+		s.attempts[n].attempt.cancel(errAnsweredElsewhere)
 	}
 	for range s.hedge.running {
 		a := <-s.ended
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -18,6 +18,7 @@
 	firstEvent prometheus.Histogram
 	aborted    *prometheus.CounterVec
 	silences   *prometheus.CounterVec
+	handovers  *prometheus.CounterVec
 	crashes    prometheus.Counter
 	suspects   prometheus.Histogram
 	pauses     prometheus.Counter
@@ -45,7 +46,7 @@
 	}
 	m.firstEvent = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "ferry_gateway_first_event_seconds", Help: "Time to the first event of served streams.", Buckets: latencyBuckets})
 	m.aborted = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_aborted_responses_total", Help: "Connections of callers closed before a complete response, by code."}, []string{"code"})
-	m.silences = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_silent_servers_total", Help: "Attempts whose server was silent for longer than expected, by what kept the request there; none if another server took it over."}, []string{"not_moved"})
+	m.silences = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_silent_servers_total", Help: "Attempts whose server was silent for longer than expected, by what kept the request there; none if it was offered to another server."}, []string{"not_moved"})
 	m.crashes = prometheus.NewCounter(prometheus.CounterOpts{Name: "ferry_gateway_server_crashes_total", Help: "Servers that ended with requests of this daemon in progress."})
 	m.suspects = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "ferry_gateway_crash_suspects", Help: "Requests at a server that crashed without a response that it survived.", Buckets: prometheus.ExponentialBuckets(1, 2, 7)})
 	m.pauses = prometheus.NewCounter(prometheus.CounterOpts{Name: "ferry_gateway_pause_refusals_total", Help: "Requests refused because all servers that can run them pause or leave."})
@@ -54,7 +55,8 @@
 	m.prediction = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "ferry_gateway_prediction_ratio", Help: "Time to the first event, or to the whole of a buffered response, as a multiple of the predicted one, by service.", Buckets: predictionBuckets}, []string{"service"})
 	m.backlogs = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "ferry_gateway_backlog_bytes", Help: "Most bytes held for the caller of a stream that did not keep up.", Buckets: prometheus.ExponentialBuckets(1<<10, 4, 6)})
 	m.slow = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_slow_callers_total", Help: "Responses ended because their callers read too slowly, by reason."}, []string{"reason"})
-	registry.MustRegister(m.prediction, m.backlogs, m.slow, m.told, m.requests, m.results, m.attempts, m.durations, m.firstEvent, m.aborted, m.silences, m.crashes, m.suspects, m.pauses, m.turned)
+	m.handovers = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ferry_gateway_handovers_total", Help: "Requests of silent servers that were offered to another one, by who has them then: move is the other server, stay and withdraw the silent one."}, []string{"result"})
+	registry.MustRegister(m.prediction, m.backlogs, m.slow, m.told, m.requests, m.results, m.attempts, m.durations, m.firstEvent, m.aborted, m.silences, m.handovers, m.crashes, m.suspects, m.pauses, m.turned)
 	return m
 }
 
@@ -86,7 +88,7 @@
 	m.aborted.WithLabelValues(string(fail.Code)).Inc()
 }
 
-// recordSilence counts a silent server; an empty obstacle means that another server took the request over.
+// recordSilence counts a silent server; an empty obstacle means that its request was offered to another one.
 func (m *Metrics) recordSilence(why obstacle) {
 	if why == "" {
 		why = "none"
@@ -94,6 +96,9 @@
 	m.silences.WithLabelValues(string(why)).Inc()
 }
 
+// recordHandover counts an offer of a silent server's request to another one by how it was settled.
+func (m *Metrics) recordHandover(step handoverStep) { m.handovers.WithLabelValues(string(step)).Inc() }
+
 func (m *Metrics) recordAttemptFailure(fail *failure.Failure) {
 	m.attempts.WithLabelValues(string(fail.Code), string(fail.Outcome)).Inc()
 }
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -103,6 +103,9 @@
 			continue
 		}
 		progress := carriesData(events)
+		if !watch.pause(progress) {
+			return failure.New(failure.Truncated, failure.Unknown, "another server has taken the stream over")
+		}
 		if progress {
 			// Comments and empty events show no progress: a stalled stream may still send them.
 			r.recordArrival(time.Now())
@@ -111,7 +114,6 @@
 				onFirst()
 			}
 		}
-		watch.pause()
 		if f := r.deliver(ctx, resp, events); f != nil {
 			return f
 		}
@@ -121,7 +123,7 @@
 		case r.resumable():
 			watch.recordEvent(stall)
 		default:
-			watch.stop()
+			watch.release()
 		}
 	}
 }
--- a/pkg/gateway/resumption.go
+++ b/pkg/gateway/resumption.go
@@ -23,12 +23,21 @@
 	if !r.started {
 		return &resumption{begun: true}, nil
 	}
-	if got := mediaType(resp.Header); got != r.mediaType || hasContentCoding(resp.Header) {
-		return nil, notResumed(r.lastEvent, "the response is of type "+strconv.Quote(got))
+	if fail := wrongContinuation(resp, r.lastEvent, r.mediaType); fail != nil {
+		return nil, fail
 	}
 	return &resumption{lastEvent: r.lastEvent}, nil
 }
 
+// wrongContinuation returns why a response cannot be the rest of a stream of the given media type after lastEvent; nil if
+// it can.
+func wrongContinuation(resp *exchange.Response, lastEvent, wanted string) *failure.Failure {
+	if got := mediaType(resp.Header); got != wanted || hasContentCoding(resp.Header) {
+		return notResumed(lastEvent, "the response is of type "+strconv.Quote(got))
+	}
+	return nil
+}
+
 // admit returns the events that may be delivered. Before the first event it drops comments and events without data.
 func (s *resumption) admit(events []byte) ([]byte, *failure.Failure) {
 	for !s.begun && len(events) > 0 {
--- a/pkg/gateway/run_attempt.go
+++ b/pkg/gateway/run_attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"trefoilferry.example/ferry/pkg/eventlog"
@@ -19,87 +18,46 @@
 	predictionTimeoutFactor = 3
 )
 
-// runAttempt sends the request to the chosen server. It returns a buffered response, or writes the events of a stream
-// to the caller. c is set to the server of the result if others got the request as well.
+// runAttempt sends the request to the chosen server, or goes on with the attempt at the server that has taken it over. It
+// returns a buffered response, or writes the events of a stream to the caller. c is set to the server of the result if
+// others got the request as well.
 func (f *Forwarder) runAttempt(ctx context.Context, j *job, c *choice, p *progress) attemptResult {
 	if j.hedged() {
 		return f.runHedged(ctx, j, c, p)
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	watch := f.watchSilence(j, c, p, cancel)
-	defer func() { p.next = watch.stop() }()
-	a := f.attempt(ctx, cancel, j, c, p, watch)
-	p.keep(a.response)
-	return a
-}
-
-// attempt sends the request to a server and reads its response. cancel ends ctx; watch is told of the events of a stream.
-func (f *Forwarder) attempt(ctx context.Context, cancel context.CancelCauseFunc, j *job, c *choice, p *progress, watch *silenceWatch) attemptResult {
-	tokens, began := c.prefill, time.Now()
-	f.backend.tracker.BeginAttempt(c.server.ID, tokens)
-	defer func() { f.backend.tracker.EndAttempt(c.server.ID, tokens) }()
-	prompt := &promptWatch{board: f.board, id: j.meta.RequestID, parts: j.parts}
-	complete := false
-	defer func() { prompt.end(complete) }()
-	stopWatch := f.board.Watch(j.parts, func() { cancel(errBarred) })
-	defer stopWatch()
-	first := func() {
-		now := time.Now()
-		prompt.recordFirstEvent(now)
-		if !p.relay.started {
-			f.backend.recordFirstEvent(j, c, now.Sub(began), now)
-			f.metrics.recordPrediction(j, c, now.Sub(began))
-		}
-		stopWatch()
-		f.backend.tracker.RecordFirstToken(c.server.ID, tokens)
-		tokens = 0
-	}
-	if j.service.Engine != nil {
-		f.backend.tracker.RecordPrompt(c.server.ID, j.chain, j.service.Engine.CacheTokens)
-	}
-	lastEvent := ""
-	if p.relay.started {
-		lastEvent = p.relay.lastEvent
-		f.log.Log(eventlog.StreamResumed, "request", j.meta.RequestID, "server", c.server.ID, "after_event", lastEvent)
+	a, takenOver := p.next, p.next != nil
+	p.next = nil
+	if !takenOver {
+		a = f.newAttempt(ctx, j, c, p.relay)
 	}
-	resp, respMeta, judged, fail := f.backend.send(ctx, j, c, lastEvent)
-	if fail != nil {
-		if fail.Code == failure.WrongIncarnation {
-			f.backend.tracker.RecordNotLoaded(c.server.ID, j.meta.Model, j.meta.Adapter, time.Now())
-		}
-		return attemptResult{fail: f.classifyFailure(ctx, j, c, prompt, fail), head: respMeta.Head}
+	defer a.end()
+	watch := f.watchSilence(ctx, a, p)
+	var result attemptResult
+	defer func() { p.next = successor(watch, result.fail == nil) }()
+	if !takenOver {
+		a.open(nil)
 	}
-	prompt.begun = true
-	f.backend.tracker.RecordResponse(c.server.ID)
-	if j.bufferResponse() || resp.Status != http.StatusOK || !judged.Deliverable {
-		a := readFullResponse(resp, judged)
-		a.head = respMeta.Head
-		if a.fail != nil {
-			a.fail = f.classifyFailure(ctx, j, c, prompt, a.fail)
-		}
-		complete = a.fail == nil
-		if complete {
-			now := time.Now()
-			f.backend.recordPlain(j, c, now.Sub(began), now)
-			f.metrics.recordPrediction(j, c, now.Sub(began))
-		}
-		if p.relay.started && a.fail == nil {
-			a.fail = failure.New(failure.EngineFailed, failure.Ran, "the server did not resume the stream after event "+lastEvent)
-		}
-		return a
+	result = a.read(p.relay, watch)
+	p.keep(result.response)
+	return result
+}
+
+// successor ends the watch of an attempt and returns the attempt at the server that has the request now; nil for none.
+// served is set if the ended attempt has served the request.
+func successor(watch *silenceWatch, served bool) *attempt {
+	t, ok := watch.stop(served).(*takeover)
+	if !ok {
+		return nil
 	}
-	defer resp.Close()
-	fail = p.relay.run(ctx, resp, watch, eventTimeout(j), first)
-	if fail != nil {
-		suspect := ctx.Err() == nil && prompt.suspect(time.Now()) != nil
-		return attemptResult{fail: f.classifyFailure(ctx, j, c, prompt, fail), delivered: p.relay.started, suspect: suspect, head: respMeta.Head}
+	if served {
+		// The response ended while the request moved.
+		t.abandon()
+		return nil
 	}
-	complete = true
-	return attemptResult{delivered: true, head: respMeta.Head}
+	return t.attempt
 }
 
-// stallTimeout returns the time without an event after which a stream counts as stalled; 0 if the stream cannot be
+// eventTimeout returns the time without an event after which a stream counts as stalled; 0 if the stream cannot be
 // resumed.
 func eventTimeout(j *job) time.Duration {
 	if !j.route.Resumable || j.route.MaxPause <= 0 {
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -41,8 +41,8 @@
 	kept []*bufferedResponse
 	// obstacle is why the request was not sent again; empty before its last attempt has failed.
 	obstacle obstacle
-	// next is the server that takes the request over from a silent one; nil for none.
-	next *choice
+	// next is the attempt at the server that has taken the request over from a silent one; nil for none.
+	next *attempt
 	// silent is the id of the server from which the request was taken over by the present one; empty for none.
 	silent string
 }
@@ -76,6 +76,7 @@
 			if f.allowRetry(j, p, fail) {
 				continue
 			}
+			p.withdraw()
 		}
 		f.failRequest(w, j, p, fail)
 		return
@@ -91,6 +92,7 @@
 
 // releaseRequest returns what a request holds at its end.
 func (f *Forwarder) releaseRequest(j *job, p *progress) {
+	p.withdraw()
 	p.relay.close()
 	f.recordBacklog(j, p.relay.out)
 	p.release()
@@ -103,6 +105,21 @@
 	}
 }
 
+// withdraw ends the attempt at a server that has taken the request over, if the request ends before its response is read.
+func (p *progress) withdraw() {
+	if p.next != nil {
+		p.next.abandon()
+		p.next = nil
+		p.recordWithdrawn()
+	}
+}
+
+// recordWithdrawn counts an attempt that was cancelled although its server may have begun to work on the request.
+func (p *progress) recordWithdrawn() {
+	p.outcome = verdict.Combine(p.outcome, failure.Unknown)
+	p.sent++
+}
+
 func (p *progress) record(a attemptResult) {
 	p.outcome = verdict.Combine(p.outcome, a.fail.Outcome)
 	p.last = a.fail
@@ -175,12 +192,10 @@
 	}
 }
 
-// nextServer returns the server that takes the request over from a silent one, or chooses one.
+// nextServer returns the server that has taken the request over from a silent one, or chooses one.
 func (f *Forwarder) nextServer(ctx context.Context, j *job, p *progress) (*choice, *failure.Failure) {
-	c := p.next
-	p.next = nil
-	if c != nil && f.stillTakes(c) {
-		return c, nil
+	if p.next != nil {
+		return p.next.choice, nil
 	}
 	if p.sent > 0 {
 		return f.pickServer(ctx, j, p)
--- a/pkg/gateway/silence_watch.go
+++ b/pkg/gateway/silence_watch.go
@@ -6,18 +6,23 @@
 	"time"
 )
 
-// silenceRecheck is when a silent server is looked at again if no other one could take its request over; each further
-// look comes after twice the time, because a choice among hundreds of servers takes milliseconds.
-const silenceRecheck = 250 * time.Millisecond
+const (
+	// silenceRecheck is when a silent server is looked at again if no other one could take its request over; each further
+	// look comes after twice the time, because a choice among hundreds of servers takes milliseconds.
+	silenceRecheck = 250 * time.Millisecond
+	// handoverLimit is how long two servers may have one request. It leaves time for the close of the connection to reach the
+	// first one within the 400 ms that the users allow.
+	handoverLimit = 250 * time.Millisecond
+)
 
-// silenceWatch gives an attempt up when its server is silent for longer than expected and another one takes the request
-// over. The other one is chosen first: without it the attempt goes on, because a sound server may be silent for a
-// while and still complete the response. It is safe for concurrent use.
+// silenceWatch offers the request of an attempt to another server when its own is silent for longer than expected, and
+// gives the attempt up once the other one has the request. A sound server may be silent for a while and still complete the
+// response, so it keeps the request as long as no other server takes it. It is safe for concurrent use.
 type silenceWatch struct {
-	// takeOver returns the server that takes the request over, nil for none. It is called with mu held, so that an event
-	// does not start the timer again while the request is taken over.
-	takeOver func(s silence) *choice
-	cancel   context.CancelCauseFunc
+	// choose returns an attempt at another server; nil for none. It is called with mu held, so that an event does not start
+	// the timer again while the request is offered.
+	choose func(s silence) taker
+	cancel context.CancelCauseFunc
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -29,9 +34,32 @@
 	// begun is set once the first event has arrived.
 	begun bool
 	// recheck is the time until the next look at the present silence; 0 before the first look.
-	recheck time.Duration
-	ended   bool
-	next    *choice
+	recheck  time.Duration
+	ended    bool
+	handover handover
+	// latest is the latest offer; nil before the first one.
+	latest *offer
+	// withdrawn waits for the attempts whose offers were withdrawn.
+	withdrawn sync.WaitGroup
+}
+
+// taker is an attempt at a server that is offered a request.
+type taker interface {
+	// ask sends the request and reports whether the server has begun to serve it. It calls sending once, as soon as the
+	// server may have the request.
+	ask(sending func()) bool
+	// settled records who has the request now. It is called with the watch locked, so that no choice is made meanwhile.
+	settled(step handoverStep)
+	// release ends the attempt after its offer was withdrawn and ask has returned.
+	release()
+}
+
+// offer is a request that is offered to another server.
+type offer struct {
+	to taker
+	// settled is closed when it is known which server has the request.
+	settled   chan struct{}
+	withdrawn bool
 }
 
 // silence is a time in which a server sent nothing although more of the response is due.
@@ -43,15 +71,19 @@
 	repeated bool
 }
 
-// newSilenceWatch starts to watch an attempt whose server has to respond within limit, 0 for no bound.
-func newSilenceWatch(limit time.Duration, cancel context.CancelCauseFunc, takeOver func(silence) *choice) *silenceWatch {
-	w := &silenceWatch{takeOver: takeOver, cancel: cancel, since: time.Now()}
+// newSilenceWatch starts to watch an attempt whose server has to respond within limit, 0 for no bound. cancel ends the
+// attempt.
+func newSilenceWatch(limit time.Duration, cancel context.CancelCauseFunc, choose func(silence) taker) *silenceWatch {
+	w := &silenceWatch{choose: choose, cancel: cancel, since: time.Now()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.arm(limit)
 	return w
 }
 
+// unwatched returns a watch that never offers its request to another server.
+func unwatched() *silenceWatch { return &silenceWatch{ended: true} }
+
 // arm starts the timer after which the server counts as silent, 0 for none; the caller holds mu.
 func (w *silenceWatch) arm(limit time.Duration) {
 	w.left = 0
@@ -68,28 +100,85 @@
 	w.timer.Reset(limit)
 }
 
-// check gives the attempt up if the server is silent and another one takes the request over.
+// halt stops the timer; the caller holds mu.
+func (w *silenceWatch) halt() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
+
+// check offers the request to another server if the present one is silent.
 func (w *silenceWatch) check() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.ended || w.due.IsZero() || time.Now().Before(w.due) {
 		return
 	}
-	w.next = w.takeOver(silence{length: time.Since(w.since), begun: w.begun, repeated: w.recheck > 0})
-	if w.next == nil {
-		w.recheck = max(silenceRecheck, 2*w.recheck)
-		w.arm(w.recheck)
+	to := w.choose(silence{length: time.Since(w.since), begun: w.begun, repeated: w.recheck > 0})
+	if to == nil {
+		w.lookAgain()
 		return
 	}
-	w.ended = true
-	w.cancel(errTakenOver)
+	w.due = time.Time{}
+	w.latest = &offer{to: to, settled: make(chan struct{})}
+	w.handover.offer()
+	go w.ask(w.latest)
+}
+
+// lookAgain sets the time of the next look at the present silence; the caller holds mu.
+func (w *silenceWatch) lookAgain() {
+	w.recheck = max(silenceRecheck, 2*w.recheck)
+	w.arm(w.recheck)
+}
+
+// ask sends the request to the other server and settles the offer by its response.
+func (w *silenceWatch) ask(o *offer) {
+	accepted := o.to.ask(func() { time.AfterFunc(handoverLimit, func() { w.expire(o) }) })
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if o.withdrawn {
+		o.to.release()
+		w.withdrawn.Done()
+		return
+	}
+	step := w.handover.answer(accepted)
+	w.settle(o, step)
+	if step == handoverStay {
+		w.lookAgain()
+	}
+}
+
+// expire settles an offer that the other server has not answered for too long.
+func (w *silenceWatch) expire(o *offer) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.latest == o {
+		w.settle(o, w.handover.expire())
+	}
+}
+
+// settle carries out what follows for an offer; the caller holds mu.
+func (w *silenceWatch) settle(o *offer, step handoverStep) {
+	switch step {
+	case handoverNone:
+		return
+	case handoverMove:
+		w.ended = true
+		w.cancel(errTakenOver)
+	case handoverWithdraw:
+		o.withdrawn = true
+		w.withdrawn.Add(1)
+	case handoverStay:
+	}
+	o.to.settled(step)
+	close(o.settled)
 }
 
 // expectEvent shortens the wait to at most limit, 0 for no change: the head of a stream has arrived.
 func (w *silenceWatch) expectEvent(limit time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.ended && limit > 0 && (w.due.IsZero() || time.Now().Add(limit).Before(w.due)) {
+	if !w.ended && !w.handover.offered && limit > 0 && (w.due.IsZero() || time.Now().Add(limit).Before(w.due)) {
 		w.arm(limit)
 	}
 }
@@ -105,16 +194,29 @@
 	w.arm(limit)
 }
 
-// pause stops the clock while the caller is written to: a slow caller is no silence of the server.
-func (w *silenceWatch) pause() {
+// pause stops the clock while the caller is written to: a slow caller is no silence of the server. progress is set if more of
+// the response has arrived, which waits while the request is offered. It returns false if another server has the request:
+// what has arrived must not reach the caller then, because the other one sends it as well.
+func (w *silenceWatch) pause(progress bool) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	for progress && w.handover.offered {
+		w.handover.spoke = true
+		settled := w.latest.settled
+		w.mu.Unlock()
+		<-settled
+		w.mu.Lock()
+	}
+	if w.handover.moved {
+		return false
+	}
 	if w.ended || w.due.IsZero() {
-		return
+		return true
 	}
 	w.left = max(time.Until(w.due), time.Millisecond)
 	w.due = time.Time{}
 	w.halt()
+	return true
 }
 
 // resume starts the clock again where pause stopped it.
@@ -126,21 +228,30 @@
 	}
 }
 
-// stop ends the watch and returns the server that takes the request over; nil if the attempt was not given up.
-func (w *silenceWatch) stop() *choice {
+// release ends the watch of a response that no other server can go on with.
+func (w *silenceWatch) release() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.ended = true
 	w.halt()
-	return w.next
 }
 
-// halt stops the timer; the caller holds mu.
-func (w *silenceWatch) halt() {
-	if w.timer != nil {
-		w.timer.Stop()
-	}
+// stop ends the watch after its attempt and returns the attempt at the server that has the request now; nil for none. served
+// is set if the ended attempt has served the request.
+func (w *silenceWatch) stop(served bool) taker {
+	next := w.end(served)
+	w.withdrawn.Wait()
+	return next
 }
 
-// unwatched returns a watch that never gives its attempt up.
-func unwatched() *silenceWatch { return &silenceWatch{ended: true} }
+func (w *silenceWatch) end(served bool) taker {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = true
+	w.halt()
+	w.settle(w.latest, w.handover.end(served))
+	if w.handover.moved {
+		return w.latest.to
+	}
+	return nil
+}
--- a/pkg/gateway/stale_takeover_test.go
+++ b/pkg/gateway/stale_takeover_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"trefoilferry.example/ferry/pkg/eventlog"
 	"trefoilferry.example/ferry/pkg/failure"
 	"trefoilferry.example/ferry/pkg/fleet"
@@ -12,8 +14,8 @@
 	"trefoilferry.example/ferry/pkg/serverlimit"
 )
 
-// Guards against a request that is sent to a server that has left or restarted since it was chosen to take the request
-// over from a silent one.
+// Guards against a request of a silent server that is offered to one that has left or restarted. The offer is sent as soon
+// as its server is chosen, so the view at that time counts.
 func TestTakeoverServerThatLeftGetsNoRequest(t *testing.T) {
 	for name, change := range map[string]func(view *View){
 		"draining":  func(v *View) { s := v.Servers["r1"]; s.Draining = true; v.Servers["r1"] = s },
@@ -23,20 +25,16 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			control := NewControl(eventlog.Discard(), NewPollTiming(time.Second))
-			chosen, later := modelView(2), modelView(2)
+			later := modelView(2)
 			change(later)
 			control.view.Store(later)
 			f := &Forwarder{control: control, log: eventlog.Discard(), chooser: testChooser(), board: quarantine.NewBoard(), demand: NewDemand(),
+				metrics: NewMetrics(prometheus.NewRegistry()), budgets: newBudgets(BudgetLimits{Slack: 100, Window: time.Second}),
 				backend: &backend{tracker: NewTracker(), limits: serverlimit.NewTable(rand.Float64)}}
-			j := modelJob("id", "", 10, 10)
-			j.tried["r0"] = true
-			p := &progress{outcome: failure.Unknown, sent: 1, relay: &streamRelay{}, next: &choice{server: chosen.Servers["r1"]}}
-			next, fail := f.nextServer(t.Context(), j, p)
-			if want := name == "unchanged"; (next != nil) != want || (fail == nil) != want {
-				t.Errorf("next server %v, failure %v; want r1: %v", next, fail, want)
-			}
-			if p.next != nil {
-				t.Error("the takeover is still due, want it used once")
+			j, p := modelJob("id", "", 10, 10), &progress{outcome: failure.NotRun, relay: &streamRelay{}}
+			next := f.takeOver(j, &choice{server: later.Servers["r0"]}, p, silence{length: time.Second})
+			if want := name == "unchanged"; (next != nil) != want {
+				t.Errorf("offered to %v; want r1: %v", next, want)
 			}
 		})
 	}
@@ -48,7 +46,7 @@
 	for outcome, again := range map[failure.Outcome]bool{failure.NotRun: true, failure.Unknown: false, failure.Ran: false} {
 		j, p := modelJob("id", "", 10, 10), &progress{relay: &streamRelay{}}
 		silent, next := &choice{server: fleet.Server{ID: "r0"}}, &choice{server: fleet.Server{ID: "r1"}}
-		p.next = next
+		p.next = &attempt{choice: next}
 		p.recordTried(j, silent, failure.New(failure.ConnectionLost, failure.Unknown, "test"))
 		if !j.tried["r0"] {
 			t.Error("the silent server may be asked during the takeover, want it excluded")
--- a/pkg/gateway/takeover.go
+++ b/pkg/gateway/takeover.go
@@ -8,14 +8,65 @@
 	"trefoilferry.example/ferry/pkg/eventlog"
 )
 
-// watchSilence watches an attempt whose request may be sent to another server while this one is silent.
-func (f *Forwarder) watchSilence(j *job, c *choice, p *progress, cancel context.CancelCauseFunc) *silenceWatch {
-	if !j.route.Retryable() {
+// takeover offers the request of a silent server to another one.
+type takeover struct {
+	*attempt
+	p *progress
+	// silent is the id of the silent server.
+	silent string
+}
+
+// watchSilence watches an attempt whose request may be offered to another server while this one is silent. ctx is that of
+// the request.
+func (f *Forwarder) watchSilence(ctx context.Context, a *attempt, p *progress) *silenceWatch {
+	if !a.j.route.Retryable() {
 		return unwatched()
 	}
-	return newSilenceWatch(responseLimit(j, c), cancel, func(s silence) *choice { return f.takeOver(j, c, p, s) })
+	return newSilenceWatch(responseLimit(a.j, a.choice), a.cancel, func(s silence) taker {
+		if p.refused >= maxRefusals || p.unreached >= maxUnreachedAttempts {
+			// One more try is left for the case that the silent server fails.
+			return nil
+		}
+		next := f.takeOver(a.j, a.choice, p, s)
+		if next == nil {
+			return nil
+		}
+		return &takeover{attempt: f.newAttempt(ctx, a.j, next, p.relay), p: p, silent: a.choice.server.ID}
+	})
+}
+
+// ask sends the request.
+func (t *takeover) ask(sent func()) bool {
+	t.openBeside(sent)
+	// A panic is passed on to the goroutine of the request.
+	return t.panicked != nil || t.declined() == nil
+}
+
+// settled logs who has the request. A server that has declined it is recorded like one whose attempt has failed.
+func (t *takeover) settled(step handoverStep) {
+	f := t.f
+	f.metrics.recordHandover(step)
+	f.log.Log(eventlog.HandoverSettled, "request", t.j.meta.RequestID, "from", t.silent, "to", t.choice.server.ID, "result", step, "took", time.Since(t.began))
+	switch step {
+	case handoverStay:
+		result := attemptResult{head: t.meta.Head, fail: t.declined()}
+		if t.fail != nil {
+			result = t.failed()
+		}
+		t.discard()
+		t.p.record(result)
+		t.j.tried[t.choice.server.ID] = true
+		f.logAttempt(t.j, t.choice, t.p, &result)
+	case handoverWithdraw:
+		t.cancel(errWithdrawn)
+		t.p.recordWithdrawn()
+	case handoverMove, handoverNone:
+	}
 }
 
+// release ends the attempt after the request was withdrawn.
+func (t *takeover) release() { t.discard() }
+
 // responseLimit returns the time after which a server that has not begun to respond counts as silent; 0 for none.
 func responseLimit(j *job, c *choice) time.Duration {
 	if j.bufferResponse() {
@@ -78,10 +129,3 @@
 	f.backend.limits.RecordSend(next.server.ID, now)
 	return &next, ""
 }
-
-// stillTakes reports whether a server that was chosen to take a request over still takes it. The attempt before ends some
-// time after the choice.
-func (f *Forwarder) stillTakes(c *choice) bool {
-	s, ok := f.control.View().Servers[c.server.ID]
-	return ok && s.StartMillis == c.server.StartMillis && !s.Draining && f.backend.availability.Admit(incarnationOf(&s), time.Now())
-}
--- a/pkg/gateway/takeover_test.go
+++ b/pkg/gateway/takeover_test.go
@@ -53,20 +53,41 @@
 	}
 }
 
+// testTaker is a server that is offered a request. It answers after the given time.
+type testTaker struct {
+	after    time.Duration
+	declines bool
+	asked    atomic.Int32
+	released atomic.Bool
+	steps    []handoverStep
+}
+
+func (t *testTaker) ask(sending func()) bool {
+	t.asked.Add(1)
+	sending()
+	time.Sleep(t.after)
+	return !t.declines
+}
+
+func (t *testTaker) settled(step handoverStep) { t.steps = append(t.steps, step) }
+
+func (t *testTaker) release() { t.released.Store(true) }
+
 // Guards against an attempt that is cancelled although no server takes its request over, and against one that stays at
 // a dead server because another one only became available later.
 func TestSilenceIsLookedAtAgain(t *testing.T) {
 	ctx, cancel := context.WithCancelCause(t.Context())
 	defer cancel(nil)
 	var looks atomic.Int32
-	watch := newSilenceWatch(10*time.Millisecond, cancel, func(s silence) *choice {
+	found := &testTaker{}
+	watch := newSilenceWatch(10*time.Millisecond, cancel, func(s silence) taker {
 		if n := looks.Add(1); s.repeated != (n > 1) {
 			t.Error(fmt.Sprint("look ", n, " repeated: ", s.repeated))
 		}
 		if looks.Load() < 3 {
 			return nil
 		}
-		return &choice{candidates: 7}
+		return found
 	})
 	time.Sleep(silenceRecheck / 2)
 	if ctx.Err() != nil {
@@ -77,7 +98,58 @@
 	case <-time.After(10 * silenceRecheck):
 		t.Fatal("the attempt was not cancelled once a server takes its request over")
 	}
-	if c := watch.stop(); c == nil || c.candidates != 7 || looks.Load() != 3 {
-		t.Errorf("server that takes the request over: %v after %d looks, want the one found at the third", c, looks.Load())
+	if next := watch.stop(false); next != found || looks.Load() != 3 {
+		t.Errorf("server that takes the request over: %v after %d looks, want the one found at the third", next, looks.Load())
+	}
+}
+
+// Guards against an attempt that is given up for a server that has not taken its request, and against an event of the silent
+// server that reaches the caller beside those of the server that has.
+func TestSilentServerKeepsItsRequestUntilAnotherOneTakesIt(t *testing.T) {
+	for name, c := range map[string]struct {
+		other *testTaker
+		// speaks is set if the silent server sends an event while the other one is asked.
+		speaks bool
+		want   handoverStep
+	}{
+		"taken":                                   {&testTaker{}, false, handoverMove},
+		"declined":                                {&testTaker{declines: true}, false, handoverStay},
+		"declined after an event":                 {&testTaker{after: handoverLimit / 2, declines: true}, true, handoverStay},
+		"taken after an event":                    {&testTaker{after: handoverLimit / 2}, true, handoverMove},
+		"no answer from both":                     {&testTaker{after: 2 * handoverLimit}, false, handoverMove},
+		"no answer, the silent server goes on":    {&testTaker{after: 2 * handoverLimit}, true, handoverWithdraw},
+		"late refusal, the silent server goes on": {&testTaker{after: 2 * handoverLimit, declines: true}, true, handoverWithdraw},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancelCause(t.Context())
+			defer cancel(nil)
+			other := c.other
+			watch := newSilenceWatch(time.Millisecond, cancel, func(s silence) taker {
+				if s.repeated {
+					return nil
+				}
+				return other
+			})
+			for other.asked.Load() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			if c.speaks {
+				if delivers := watch.pause(true); delivers != (c.want != handoverMove) {
+					t.Errorf("the event reaches the caller: %v", delivers)
+				}
+			} else {
+				time.Sleep(handoverLimit + 50*time.Millisecond)
+			}
+			if cancelled := ctx.Err() != nil; cancelled != (c.want == handoverMove) {
+				t.Errorf("the attempt at the silent server was cancelled: %v", cancelled)
+			}
+			next := watch.stop(c.want != handoverMove)
+			if (next != nil) != (c.want == handoverMove) || len(other.steps) != 1 || other.steps[0] != c.want {
+				t.Errorf("next server %v after %v, want %s", next, other.steps, c.want)
+			}
+			if released := other.released.Load(); released != (c.want == handoverWithdraw) {
+				t.Errorf("the withdrawn attempt has ended: %v", released)
+			}
+		})
 	}
 }
