gateway: the end of a connection without a length is no proof that the server goes on

A stream that ended with its connection after an event counted as whole, and its runner as having survived all of its prompt parts (promptWatch.end), so that the deadly part was cleared by each crash that it caused (Judge.records). Ruled out: the judge itself; with RESETS=1, where the end is a read error, the part is barred after two crashes.

Without a length or chunks, the end of the connection says neither that the response is whole nor that the server lives. 10 ms after it the daemon now looks whether the server does: an idle connection that is still open shows it, otherwise a new one, which the next request uses. If the host refuses it and the server is listed and does not leave, the response is broken off like any other: it goes on or is sent again elsewhere if it may be, else its caller sees a broken stream or 502, and the requests there are suspects. A runner has survived a prompt only if it was found to listen. If the host does not answer, the response counts as whole, as before, but clears nothing.

--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -85,7 +85,7 @@
 		return nil, err
 	}
 	return &Response{
-		Status: a.status, Header: a.header, Length: a.length, Unframed: a.unframed, Earlier: c.sent - 1,
+		Status: a.status, Header: a.header, Length: a.length, Unframed: a.unframed && a.closesConn, Earlier: c.sent - 1,
 		ctx: ctx, pool: p, conn: c, body: a.body, share: share, stopCancel: stop, reusable: !a.closesConn,
 	}, nil
 }
@@ -108,17 +108,30 @@
 	return newConn(c, address), nil
 }
 
-// Refuses reports whether the host at the address refuses connections, because no process listens there. A connection
-// that is accepted becomes idle.
-func (p *Pool) Refuses(ctx context.Context, address string) bool {
+// Check finds out whether a process listens at the address. An idle connection that is still open shows it; otherwise it
+// opens a connection, which becomes idle.
+func (p *Pool) Check(ctx context.Context, address string) Listening {
+	if p.hasOpenIdle(address) {
+		return Listens
+	}
 	c, err := p.dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return ListensNot
+	case err != nil:
+		return ListensUnknown
 	}
 	p.opened.Add(1)
 	p.open.Add(1)
 	p.put(newConn(c, address), time.Now())
-	return false
+	return Listens
+}
+
+// hasOpenIdle reports whether an idle connection to the address is open: the end of a process closes all of them.
+func (p *Pool) hasOpenIdle(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.idle[address], func(c *conn) bool { return openWithoutData(c.Conn) })
 }
 
 // takeIdle returns the most recently used idle connection that is usable and may carry the request, and closes the
--- a/pkg/exchange/response.go
+++ b/pkg/exchange/response.go
@@ -17,7 +17,8 @@
 	Header http.Header
 	// Length is the length of the body in bytes; -1 if the response does not state it.
 	Length int64
-	// Unframed is set if only the end of the connection ends the body: a server that crashes may end it the same way.
+	// Unframed is set if only the end of the connection ends the body: a server that crashes may end it the same way. A
+	// response to HEAD states no length either, but leaves the connection open.
 	Unframed bool
 	// Earlier is the number of requests that the connection carried before this one.
 	Earlier int
@@ -56,8 +57,7 @@
 
 // brokenEnd returns why the end of the connection does not end the body; nil if it does or need not.
 func (r *Response) brokenEnd() error {
-	// A response to HEAD states no length either, but leaves the connection open.
-	if !r.Unframed || r.reusable {
+	if !r.Unframed {
 		return nil
 	}
 	return r.conn.brokenWrite()
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -32,7 +32,8 @@
 	// tokens are those of the prompt that count as work at the server until the first event.
 	tokens   int
 	unbarred func()
-	complete bool
+	// survived is set if the server has sent the whole response and goes on.
+	survived bool
 
 	// opened is closed once the fields below are set.
 	opened   chan struct{}
@@ -92,14 +93,40 @@
 		return a.readBuffered(relay)
 	}
 	defer a.resp.Close()
-	if fail := relay.run(a.ctx, a.resp, watch, eventTimeout(a.j), func() { a.recordFirstEvent(relay) }); fail != nil {
+	if fail := a.readStream(relay, watch); fail != nil {
 		suspect := a.ctx.Err() == nil && a.prompt.suspect(time.Now()) != nil
 		return attemptResult{fail: a.classify(fail), delivered: relay.started, suspect: suspect, head: a.meta.Head}
 	}
-	a.complete = true
 	return attemptResult{delivered: true, head: a.meta.Head}
 }
 
+// readStream writes the events of a stream to the caller.
+func (a *attempt) readStream(relay *streamRelay, watch *silenceWatch) *failure.Failure {
+	fail := relay.run(a.ctx, a.resp, watch, eventTimeout(a.j), func() { a.recordFirstEvent(relay) })
+	if fail != nil {
+		return fail
+	}
+	watch.release()
+	return a.checkEnd()
+}
+
+// checkEnd returns why a response that was read without an error is not whole; nil if it is. It records whether the server
+// has survived the request.
+func (a *attempt) checkEnd() *failure.Failure {
+	end := responseEnd{framed: !a.resp.Unframed}
+	server := &a.choice.server
+	if !end.framed {
+		a.prompt.pause()
+		end.listening = a.f.crashes.afterUnframedEnd(a.ctx, server.Address)
+		end.inService = a.f.inService(server.ID)
+	}
+	a.survived = end.survived()
+	if !end.whole() {
+		return failure.New(failure.Truncated, failure.Unknown, "the connection to "+server.Address+" ended a response without a length, and nothing listens there any more")
+	}
+	return nil
+}
+
 // streams reports whether the response is passed on as it arrives.
 func (a *attempt) streams() bool {
 	return !a.j.bufferResponse() && a.resp.Status == http.StatusOK && a.judged.Deliverable
@@ -123,12 +150,18 @@
 
 func (a *attempt) readBuffered(relay *streamRelay) attemptResult {
 	result := readFullResponse(a.resp, a.judged)
+	if result.response != nil {
+		if fail := a.checkEnd(); fail != nil {
+			result.response.share.Release()
+			result = attemptResult{fail: fail}
+		}
+	}
 	result.head = a.meta.Head
 	if result.fail != nil {
 		result.fail = a.classify(result.fail)
+		a.survived = false
 	}
-	a.complete = result.fail == nil
-	if a.complete {
+	if result.fail == nil {
 		now := time.Now()
 		a.f.backend.recordPlain(a.j, a.choice, now.Sub(a.began), now)
 		a.f.metrics.recordPrediction(a.j, a.choice, now.Sub(a.began))
@@ -166,7 +199,7 @@
 // end releases an attempt that is not in progress any more.
 func (a *attempt) end() {
 	a.unbarred()
-	a.prompt.end(a.complete)
+	a.prompt.end(a.survived)
 	a.f.backend.tracker.EndAttempt(a.choice.server.ID, a.tokens)
 	a.cancel(nil)
 }
--- a/pkg/gateway/crash_watch.go
+++ b/pkg/gateway/crash_watch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"trefoilferry.example/ferry/pkg/eventlog"
+	"trefoilferry.example/ferry/pkg/exchange"
 	"trefoilferry.example/ferry/pkg/fleet"
 	"trefoilferry.example/ferry/pkg/quarantine"
 )
@@ -15,15 +16,18 @@
 	// crashCollectTime is the time in which the connections of a server that ends break: one after the other, by their
 	// readers.
 	crashCollectTime = 40 * time.Millisecond
+	// unframedEndTime is the time from the end of one connection after which a server that has ended has closed the others
+	// and listens no more.
+	unframedEndTime = 10 * time.Millisecond
 	// crashCheckTimeout bounds the connection that shows whether a server still listens.
 	crashCheckTimeout = 250 * time.Millisecond
 	// survivedTime is how long a runner must go on after the first event of a stream for the prompt to be sound.
 	survivedTime = 200 * time.Millisecond
 )
 
-// connectionChecker reports whether nothing listens at an address.
+// connectionChecker finds out whether a process listens at an address.
 type connectionChecker interface {
-	Refuses(ctx context.Context, address string) bool
+	Check(ctx context.Context, address string) exchange.Listening
 }
 
 // crashWatch tells servers that ended from connections that broke, and collects the requests that were in progress. It is
@@ -74,11 +78,24 @@
 	}
 }
 
+// afterUnframedEnd finds out whether a server lives that has ended a connection, and with it a response whose end nothing else
+// states.
+func (w *crashWatch) afterUnframedEnd(ctx context.Context, address string) exchange.Listening {
+	ctx, cancel := context.WithTimeout(ctx, unframedEndTime+crashCheckTimeout)
+	defer cancel()
+	select {
+	case <-time.After(unframedEndTime):
+		return w.checker.Check(ctx, address)
+	case <-ctx.Done():
+		return exchange.ListensUnknown
+	}
+}
+
 // check finds out whether the server ended, and reports the crash if it did.
 func (w *crashWatch) check(key serverIncarnation, address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
-	ended := w.checker.Refuses(ctx, address)
+	ended := w.checker.Check(ctx, address) == exchange.ListensNot
 	w.mu.Lock()
 	b := w.broken[key]
 	delete(w.broken, key)
--- a/pkg/gateway/prompt_watch.go
+++ b/pkg/gateway/prompt_watch.go
@@ -23,12 +23,17 @@
 	p.timer = time.AfterFunc(survivedTime, func() { p.board.AddSound(p.parts, time.Now()) })
 }
 
-// end ends the attempt; complete is set if the whole response arrived.
-func (p *promptWatch) end(complete bool) {
+// pause keeps the time that the runner survives from counting any further, because its connection has ended.
+func (p *promptWatch) pause() {
 	if p.timer != nil {
 		p.timer.Stop()
 	}
-	if complete {
+}
+
+// end ends the attempt; survived is set if the runner has sent the whole response and goes on.
+func (p *promptWatch) end(survived bool) {
+	p.pause()
+	if survived {
 		p.board.AddSound(p.parts, time.Now())
 	}
 }
