gateway: a repeat that its server refuses gives its quota back

What callers saw: a tenant whose request was offered to a full server while its own was silent was charged for a second run that never was, up to twice a request since offers are made while the silent server goes on; a tenant near its quota is then refused what it is owed.

Cause: takeRepeat takes the units of a request before it is sent once more, and only allowRetry leaves them out after a refusal. Now a repeat that did not run while another server has the request gives them back, in both ways of a second attempt.

TestRefusedRepeatsCostNoQuota failed for both (1,000 units taken, want 0). TestRequestOfASilentRunnerMovesOnceItIsTaken plays each order of answers of two or three model runners, with what is paid for and what still works afterwards; it passed at once.

--- /dev/null
+++ b/pkg/gateway/handover_request_test.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"trefoilferry.example/ferry/pkg/fleet"
+)
+
+// newHandoverRun is newHedgeRun for a service of model runners, of which one at a time has a request.
+func newHandoverRun(t *testing.T, kind fleet.Kind, servers int, steps ...serverStep) *hedgeRun {
+	t.Helper()
+	r := newHedgeRun(t, kind, servers, steps...)
+	r.j.service.Engine = &fleet.Engine{}
+	return r
+}
+
+// Guards against an answer that is lost while its request moves from a silent model runner to another one, against runners
+// that go on with a request which another one has, and against offers that are not paid for or paid for twice.
+func TestRequestOfASilentRunnerMovesOnceItIsTaken(t *testing.T) {
+	const ok, refused, failed = http.StatusOK, http.StatusServiceUnavailable, http.StatusInternalServerError
+	const soon, beside, late = time.Millisecond, 130 * time.Millisecond, 300 * time.Millisecond
+	for name, c := range map[string]struct {
+		kind     fleet.Kind
+		servers  int
+		steps    []serverStep
+		status   int
+		arrivals int
+	}{
+		"no silence":                                  {fleet.Idempotent, 2, []serverStep{{soon, ok}}, ok, 1},
+		"second answers":                              {fleet.Idempotent, 2, []serverStep{{0, 0}, {soon, ok}}, ok, 2},
+		"second answers late":                         {fleet.Idempotent, 2, []serverStep{{0, 0}, {late, ok}}, ok, 2},
+		"second refuses, first answers":               {fleet.Idempotent, 2, []serverStep{{late, ok}, {soon, refused}}, ok, 2},
+		"second fails, first answers":                 {fleet.Idempotent, 2, []serverStep{{late, ok}, {soon, failed}}, ok, 2},
+		"first answers while the second is asked":     {fleet.Idempotent, 2, []serverStep{{beside, ok}, {late, ok}}, ok, 2},
+		"first fails while the second is asked":       {fleet.Idempotent, 2, []serverStep{{beside, failed}, {late, ok}}, ok, 2},
+		"first refuses while the second is asked":     {fleet.Idempotent, 2, []serverStep{{beside, refused}, {late, ok}}, ok, 2},
+		"second refuses, third answers":               {fleet.Idempotent, 3, []serverStep{{0, 0}, {soon, refused}, {soon, ok}}, ok, 3},
+		"all others refuse":                           {fleet.Idempotent, 5, []serverStep{{0, 0}, {soon, refused}, {soon, refused}, {soon, refused}}, http.StatusGatewayTimeout, 3},
+		"both fail":                                   {fleet.Idempotent, 2, []serverStep{{late, failed}, {soon, failed}}, failed, 2},
+		"must not run twice":                          {fleet.NonIdempotent, 2, []serverStep{{late, ok}, {soon, ok}}, ok, 1},
+		"first answers as the second's time runs out": {fleet.Idempotent, 2, []serverStep{{75*time.Millisecond + handoverLimit, ok}, {0, 0}}, 0, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newHandoverRun(t, c.kind, c.servers, c.steps...)
+			w := httptest.NewRecorder()
+			r.f.serve(t.Context(), w, r.j)
+			// Whichever comes first decides in the last case.
+			if n := int(r.arrivals.Load()); (w.Code != c.status && c.status != 0) || n != c.arrivals {
+				t.Errorf("status %d after %d arrivals, want %d after %d: %s", w.Code, n, c.status, c.arrivals, w.Body)
+			}
+			if n := r.paid(); n != c.arrivals-1 {
+				t.Errorf("%d retries paid for, want %d", n, c.arrivals-1)
+			}
+			r.checkEnded(t)
+		})
+	}
+}
+
+// Guards against a panic beside the goroutine of the request, which would end the process.
+func TestPanicInAnOfferEndsOnlyItsRequest(t *testing.T) {
+	r := newHandoverRun(t, fleet.Idempotent, 2, serverStep{}, serverStep{time.Millisecond, http.StatusTeapot})
+	defer func() {
+		if cause, ok := recover().(string); !ok || !strings.Contains(cause, "DecodeResponse") {
+			t.Errorf("panic of the request: %v, want the one of its offer with its stack", cause)
+		}
+	}()
+	r.f.serve(t.Context(), httptest.NewRecorder(), r.j)
+}
+
+// Load pattern: the servers beside a silent one are full. Guards against a quota from which each refusal takes the units of a
+// run, because the request was to run a second time.
+func TestRefusedRepeatsCostNoQuota(t *testing.T) {
+	for name, newRun := range map[string]func(*testing.T, fleet.Kind, int, ...serverStep) *hedgeRun{"model runners": newHandoverRun, "plain servers": newHedgeRun} {
+		t.Run(name, func(t *testing.T) {
+			refusal := serverStep{time.Millisecond, http.StatusServiceUnavailable}
+			r := newRun(t, fleet.Idempotent, 2, serverStep{300 * time.Millisecond, http.StatusOK}, refusal)
+			quota, request := quotaForwarder(5000, 0)
+			r.f.allowances = quota.allowances
+			r.j.workspace, r.j.quotaUnits = request(0, 0).workspace, 1000
+			w := httptest.NewRecorder()
+			r.f.serve(t.Context(), w, r.j)
+			if w.Code != http.StatusOK || r.arrivals.Load() != 2 {
+				t.Fatalf("status %d after %d arrivals, want 200 after 2", w.Code, r.arrivals.Load())
+			}
+			if taken := r.f.allowances.Stats()[AllowanceName("w")].Taken; taken != 0 {
+				t.Errorf("units taken for the refused run: %v, want them given back", taken)
+			}
+		})
+	}
+}
--- a/pkg/gateway/quota.go
+++ b/pkg/gateway/quota.go
@@ -130,6 +130,13 @@
 	return j.quotaUnits == 0 || f.allowances.Take(AllowanceName(j.workspace.Name), j.quotaUnits, clock.Uptime()).Taken
 }
 
+// returnRepeat gives back what takeRepeat took for a server that did not run the request while another one has it.
+func (f *Forwarder) returnRepeat(j *job, fail *failure.Failure) {
+	if j.quotaUnits > 0 && fail.Outcome == failure.NotRun {
+		f.allowances.GiveBack(AllowanceName(j.workspace.Name), j.quotaUnits, clock.Uptime())
+	}
+}
+
 // returnQuota gives back what a request took that was not run.
 func (f *Forwarder) returnQuota(j *job) {
 	if j.quotaUnits > 0 {
--- a/pkg/gateway/takeover.go
+++ b/pkg/gateway/takeover.go
@@ -54,6 +54,7 @@
 			result = t.failed()
 		}
 		t.discard()
+		f.returnRepeat(t.j, result.fail)
 		t.p.record(result)
 		t.j.tried[t.choice.server.ID] = true
 		f.logAttempt(t.j, t.choice, t.p, &result)
@@ -65,7 +66,12 @@
 }
 
 // release ends the attempt after the request was withdrawn.
-func (t *takeover) release() { t.discard() }
+func (t *takeover) release() {
+	if t.fail != nil {
+		t.f.returnRepeat(t.j, t.fail)
+	}
+	t.discard()
+}
 
 // responseLimit returns the time after which a server that has not begun to respond counts as silent; 0 for none.
 func responseLimit(j *job, c *choice) time.Duration {
