--- a/pkg/gateway/handover_request_test.go
+++ b/pkg/gateway/handover_request_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -60,6 +61,23 @@
 	}
 }
 
+// Guards against runners that go on with a request whose caller has left while it was offered, or after it has moved.
+func TestCallerThatLeavesEndsTheOffer(t *testing.T) {
+	for name, after := range map[string]time.Duration{"offered": 130 * time.Millisecond, "moved": 75*time.Millisecond + 2*handoverLimit} {
+		t.Run(name, func(t *testing.T) {
+			r := newHandoverRun(t, fleet.Idempotent, 3, serverStep{})
+			r.j.deadline = time.Now().Add(time.Minute)
+			ctx, leave := context.WithCancel(t.Context())
+			time.AfterFunc(after, leave)
+			r.f.serve(ctx, httptest.NewRecorder(), r.j)
+			if n := r.arrivals.Load(); n != 2 || ctx.Err() == nil {
+				t.Errorf("%d arrivals, caller left: %v; want 2 before the caller leaves", n, ctx.Err())
+			}
+			r.checkEnded(t)
+		})
+	}
+}
+
 // Guards against a panic beside the goroutine of the request, which would end the process.
 func TestPanicInAnOfferEndsOnlyItsRequest(t *testing.T) {
 	r := newHandoverRun(t, fleet.Idempotent, 2, serverStep{}, serverStep{time.Millisecond, http.StatusTeapot})
