--- a/pkg/gateway/silence_watch.go
+++ b/pkg/gateway/silence_watch.go
@@ -10,9 +10,11 @@
 	// silenceRecheck is when a silent server is looked at again if no other one could take its request over; each further
 	// look comes after twice the time, because a choice among hundreds of servers takes milliseconds.
 	silenceRecheck = 250 * time.Millisecond
-	// handoverLimit is how long two servers may have one request. It leaves time for the close of the connection to reach the
-	// first one within the 400 ms that the users allow.
-	handoverLimit = 250 * time.Millisecond
+	// maxSharedTime is how long two model runners may work on one request by the users' rules.
+	maxSharedTime = 400 * time.Millisecond
+	// handoverLimit is how long an offer stays open. The rest of maxSharedTime is for the end of the other attempt, which has
+	// to reach its server from a busy host.
+	handoverLimit = maxSharedTime / 2
 )
 
 // silenceWatch offers the request of an attempt to another server when its own is silent for longer than expected, and
