--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -92,7 +92,6 @@
 
 // releaseRequest returns what a request holds at its end.
 func (f *Forwarder) releaseRequest(j *job, p *progress) {
-	p.withdraw()
 	p.relay.close()
 	f.recordBacklog(j, p.relay.out)
 	p.release()
@@ -105,7 +104,7 @@
 	}
 }
 
-// withdraw ends the attempt at a server that has taken the request over, if the request ends before its response is read.
+// withdraw ends the attempt at the server that has taken the request over, if any: the request is not sent again after all.
 func (p *progress) withdraw() {
 	if p.next != nil {
 		p.next.abandon()
