--- a/pkg/gateway/handover_request_test.go
+++ b/pkg/gateway/handover_request_test.go
@@ -37,6 +37,8 @@
 		"second refuses, first answers":               {fleet.Idempotent, 2, []serverStep{{late, ok}, {soon, refused}}, ok, 2},
 		"second fails, first answers":                 {fleet.Idempotent, 2, []serverStep{{late, ok}, {soon, failed}}, ok, 2},
 		"first answers while the second is asked":     {fleet.Idempotent, 2, []serverStep{{beside, ok}, {late, ok}}, ok, 2},
+		"first answers while the second is silent":    {fleet.Idempotent, 2, []serverStep{{beside, ok}, {0, 0}}, ok, 2},
+		"second refuses and is not asked again":       {fleet.Idempotent, 2, []serverStep{{0, 0}, {soon, refused}, {soon, ok}}, http.StatusGatewayTimeout, 2},
 		"first fails while the second is asked":       {fleet.Idempotent, 2, []serverStep{{beside, failed}, {late, ok}}, ok, 2},
 		"first refuses while the second is asked":     {fleet.Idempotent, 2, []serverStep{{beside, refused}, {late, ok}}, ok, 2},
 		"second refuses, third answers":               {fleet.Idempotent, 3, []serverStep{{0, 0}, {soon, refused}, {soon, ok}}, ok, 3},
@@ -49,6 +51,9 @@
 			r := newHandoverRun(t, c.kind, c.servers, c.steps...)
 			w := httptest.NewRecorder()
 			r.f.serve(t.Context(), w, r.j)
+			if w.Code == ok && !time.Now().Before(r.j.deadline) {
+				t.Error("the answer was held until the deadline")
+			}
 			// Whichever comes first decides in the last case.
 			if n := int(r.arrivals.Load()); (w.Code != c.status && c.status != 0) || n != c.arrivals {
 				t.Errorf("status %d after %d arrivals, want %d after %d: %s", w.Code, n, c.status, c.arrivals, w.Body)
