gateway: a panic in an offer is recorded before its reader goes on

Found by reading the diff. What a caller and the process could see: an attempt beside the goroutine of a request that panics after the request has moved to it closed the channel for its reader before it recorded the panic. The reader then read a response that is not there: another panic with a misleading stack, contained by net/http.

Cause: the deferred close ran inside the call that the recover surrounds. It now runs after the recover.

TestPanicInAnOfferEndsOnlyItsRequest/after_the_request_has_moved failed before with the race detector (a data race on the record of the panic).

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -61,20 +61,26 @@
 	return a
 }
 
-// open sends the request and waits for the head of the response. It calls sending before the first byte is sent.
-func (a *attempt) open(sending func()) {
-	defer close(a.opened)
-	a.resp, a.meta, a.judged, a.fail = a.f.backend.send(a.ctx, a.j, a.choice, a.lastEvent, sending)
+// open sends the request and waits for the head of the response.
+func (a *attempt) open() {
+	a.send(nil)
+	close(a.opened)
 }
 
-// openBeside is open on a goroutine of its own: a panic ends only the request, in read.
+// openBeside is open on a goroutine beside that of the request: a panic is passed on in read. It calls sending before the
+// first byte is sent.
 func (a *attempt) openBeside(sending func()) {
+	defer close(a.opened)
 	defer func() {
 		if cause := recover(); cause != nil {
 			a.panicked = fmt.Sprintf("%v\n%s", cause, debug.Stack())
 		}
 	}()
-	a.open(sending)
+	a.send(sending)
+}
+
+func (a *attempt) send(sending func()) {
+	a.resp, a.meta, a.judged, a.fail = a.f.backend.send(a.ctx, a.j, a.choice, a.lastEvent, sending)
 }
 
 // read returns a buffered response, or writes the events of a stream to the caller. watch is told of the events. The
--- a/pkg/gateway/handover_request_test.go
+++ b/pkg/gateway/handover_request_test.go
@@ -85,13 +85,17 @@
 
 // Guards against a panic beside the goroutine of the request, which would end the process.
 func TestPanicInAnOfferEndsOnlyItsRequest(t *testing.T) {
-	r := newHandoverRun(t, fleet.Idempotent, 2, serverStep{}, serverStep{time.Millisecond, http.StatusTeapot})
-	defer func() {
-		if cause, ok := recover().(string); !ok || !strings.Contains(cause, "DecodeResponse") {
-			t.Errorf("panic of the request: %v, want the one of its offer with its stack", cause)
-		}
-	}()
-	r.f.serve(t.Context(), httptest.NewRecorder(), r.j)
+	for name, after := range map[string]time.Duration{"while it is open": time.Millisecond, "after the request has moved": 2 * handoverLimit} {
+		t.Run(name, func(t *testing.T) {
+			r := newHandoverRun(t, fleet.Idempotent, 2, serverStep{}, serverStep{after, http.StatusTeapot})
+			defer func() {
+				if cause, ok := recover().(string); !ok || !strings.Contains(cause, "DecodeResponse") {
+					t.Errorf("panic of the request: %v, want the one of its offer with its stack", cause)
+				}
+			}()
+			r.f.serve(t.Context(), httptest.NewRecorder(), r.j)
+		})
+	}
 }
 
 // Load pattern: the servers beside a silent one are full. Guards against a quota from which each refusal takes the units of a
--- a/pkg/gateway/hedged_request.go
+++ b/pkg/gateway/hedged_request.go
@@ -101,7 +101,7 @@
 			s.ended <- a
 		}()
 		defer a.attempt.end()
-		a.attempt.open(nil)
+		a.attempt.open()
 		a.result = a.attempt.read(relay, unwatched())
 	}()
 }
--- a/pkg/gateway/run_attempt.go
+++ b/pkg/gateway/run_attempt.go
@@ -35,7 +35,7 @@
 	var result attemptResult
 	defer func() { p.next = successor(watch, result.fail == nil) }()
 	if !takenOver {
-		a.open(nil)
+		a.open()
 	}
 	result = a.read(p.relay, watch)
 	p.keep(result.response)
--- a/pkg/gateway/takeover.go
+++ b/pkg/gateway/takeover.go
@@ -36,9 +36,9 @@
 }
 
 // ask sends the request.
-func (t *takeover) ask(sent func()) bool {
-	t.openBeside(sent)
-	// A panic is passed on to the goroutine of the request.
+func (t *takeover) ask(sending func()) bool {
+	t.openBeside(sending)
+	// A panic is passed on by the goroutine that reads the response.
 	return t.panicked != nil || t.declined() == nil
 }
 
