--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -30,7 +30,8 @@
 	began  time.Time
 	prompt *promptWatch
 	// tokens are those of the prompt that count as work at the server until the first event.
-	tokens   int
+	tokens int
+	// unbarred ends the wait for an entry that bars the prompt.
 	unbarred func()
 	// survived is set if the server has sent the whole response and goes on.
 	survived bool
@@ -44,7 +45,7 @@
 	panicked any
 }
 
-// newAttempt returns an attempt at a server, to go on with the stream of a relay that has started one.
+// newAttempt returns an attempt at a server. If the relay has sent a part of a stream, the server is to go on with it.
 func (f *Forwarder) newAttempt(ctx context.Context, j *job, c *choice, relay *streamRelay) *attempt {
 	ctx, cancel := context.WithCancelCause(ctx)
 	a := &attempt{f: f, j: j, choice: c, ctx: ctx, cancel: cancel, resumed: relay.started, began: time.Now(), tokens: c.prefill,
@@ -83,8 +84,8 @@
 	a.resp, a.meta, a.judged, a.fail = a.f.backend.send(a.ctx, a.j, a.choice, a.lastEvent, sending)
 }
 
-// read returns a buffered response, or writes the events of a stream to the caller. watch is told of the events. The
-// attempt is open or being opened.
+// read waits until the attempt is open. Then it returns the buffered response, or writes the events of the stream to the
+// caller and reports them to watch.
 func (a *attempt) read(relay *streamRelay, watch *silenceWatch) attemptResult {
 	<-a.opened
 	if a.panicked != nil {
--- a/pkg/gateway/handover.go
+++ b/pkg/gateway/handover.go
@@ -1,8 +1,9 @@
 package gateway
 
 // handover decides which of two servers has a request while it moves from a silent one to another. The silent server keeps
-// the request until the other one has begun to serve it, because that one may refuse it. For long both must not have it, so
-// an offer that is not answered in time is settled by what is known of the first server. It reads no clock and does no I/O.
+// the request until the other one has begun to serve it, because that one may refuse it. Both may have it only for a short
+// time. An offer that is not answered within that time moves the request, unless the first server has gone on. It reads no
+// clock and does no I/O.
 type handover struct {
 	// offered is set while the other server has been asked and has not answered.
 	offered bool
--- a/pkg/gateway/response_end.go
+++ b/pkg/gateway/response_end.go
@@ -3,8 +3,8 @@
 import "trefoilferry.example/ferry/pkg/exchange"
 
 // responseEnd is what is known when a response has ended without an error. A length or a last chunk states the end. Without
-// them only the connection has ended: the server closes it after the response, and the host when the server's process ends,
-// also in the middle of a response.
+// them only the connection has ended. The server closes it after the response, but the kernel closes it too if the process
+// of the server ends in the middle of the response.
 type responseEnd struct {
 	// framed is set if the response has stated its end.
 	framed bool
