gateway: a silent server keeps its request until another one serves it, or it is presumed dead (LOST)

What callers saw: streams broke off after some of their events with "unexpected EOF" although their server was alive and went on after a silence.

Cause: an offer without an answer after 200 ms moved the request to the other server. That one had not consented and could still refuse; it did after 300 ms, the next ones refused too, and the silent server, which had lost the request, went on for nobody.

The fix: consent is the head of a response that serves the request. An offer that runs out is withdrawn; only a server that is presumed dead (silent for 3 s, or three quarters of the request's time if that is less) loses its request without consent. So that a dead server still loses it in time: - a look comes in time for an offer that runs out at that moment; - servers that refused, or were too slow to answer, may be asked again then. max_attempts bounds the servers that may execute a request, so asking one of them again uses up none; - until then only servers predicted to begin within the 200 ms are asked (obstacle "slow"); an offer to another one can only be withdrawn. The time for which two servers have a request is what it was. A pause of the caller does not count as silence of the server.

Why it works: the handover has four ends, and in each the server that has the request has either begun to serve it, or had it before and has not ended, or is the only one that has not failed (handover.go). A move without consent is left only for a first server that has sent nothing for so long that its caller would leave before it could be told from a dead one.

--- a/pkg/gateway/chooser.go
+++ b/pkg/gateway/chooser.go
@@ -111,6 +111,9 @@
 	var out []routing.Candidate
 	for _, id := range view.ByService[j.service.Name] {
 		s := view.Servers[id]
+		if j.only != nil && !j.only[id] {
+			continue
+		}
 		if j.needsModel() && (!view.holding(&s, now).Serves(j.meta.Model, j.meta.Adapter) || tracker.NotLoaded(id, j.meta.Model, j.meta.Adapter, now)) {
 			continue
 		}
--- a/pkg/gateway/handover.go
+++ b/pkg/gateway/handover.go
@@ -2,7 +2,7 @@
 
 // handover decides which of two servers has a request while it moves from a silent one to another. The silent server keeps
 // the request until the other one has begun to serve it, because that one may refuse it. Both may have it only for a short
-// time. An offer that is not answered within that time moves the request, unless the first server has gone on. It reads no
+// time. An offer that is not answered within that time is withdrawn, unless the first server is presumed dead. It reads no
 // clock and does no I/O.
 type handover struct {
 	// offered is set while the other server has been asked and has not answered.
@@ -24,7 +24,7 @@
 	handoverMove handoverStep = "move"
 	// handoverStay means that the first server keeps the request, which the other one did not take.
 	handoverStay handoverStep = "stay"
-	// handoverWithdraw means that the first server keeps the request, and the other one loses it.
+	// handoverWithdraw means that the first server keeps the request, and the other one, which has not answered, loses it.
 	handoverWithdraw handoverStep = "withdraw"
 )
 
@@ -43,20 +43,20 @@
 	}
 }
 
-// expire records that both servers have had the request for as long as they may. The other one may have queued it, or be
-// silent as well; a first server that has spoken is known to go on.
-func (h *handover) expire() handoverStep {
+// expire records that both servers have had the request for as long as they may. The other one may have queued it, be silent
+// as well, or still refuse it. firstDead is set if the first server is presumed dead by the length of its silence.
+func (h *handover) expire(firstDead bool) handoverStep {
 	switch {
 	case !h.offered:
 		return handoverNone
-	case h.spoke:
-		return h.settle(handoverWithdraw)
-	default:
+	case firstDead && !h.spoke:
 		return h.settle(handoverMove)
+	default:
+		return h.settle(handoverWithdraw)
 	}
 }
 
-// end records the end of the attempt at the first server.
+// end records the end of the attempt at the first server. If that has failed, only the other one has the request.
 func (h *handover) end(served bool) handoverStep {
 	switch {
 	case h.offered && served:
--- a/pkg/gateway/hedged_request.go
+++ b/pkg/gateway/hedged_request.go
@@ -173,7 +173,7 @@
 // recordFailure records a failed attempt while others are in progress.
 func (s *hedgedRequest) recordFailure(a *hedgedAttempt) {
 	s.f.returnRepeat(s.j, a.result.fail)
-	s.p.record(a.result)
+	s.p.record(a.choice.server.ID, a.result)
 	s.p.recordTried(s.j, &a.choice, a.result.fail)
 	s.f.logAttempt(s.j, &a.choice, s.p, &a.result)
 }
--- a/pkg/gateway/job.go
+++ b/pkg/gateway/job.go
@@ -46,6 +46,8 @@
 	extraAttempt bool
 	// tried holds the ids of the servers that failed the request.
 	tried map[string]bool
+	// only holds the ids of the servers that may get the request; nil for all that were not tried.
+	only map[string]bool
 }
 
 // remaining returns the time until the deadline, at least 1 ms; 0 if there is no deadline.
--- a/pkg/gateway/obstacle.go
+++ b/pkg/gateway/obstacle.go
@@ -14,6 +14,8 @@
 	obstaclePrompt obstacle = "prompt"
 	// obstacleServer means that no other server can serve the request in time.
 	obstacleServer obstacle = "server"
+	// obstacleSlow means that no other server is expected to begin within the time for which two may have the request.
+	obstacleSlow obstacle = "slow"
 	// obstacleFinal means that another attempt can't remedy the failure or would repeat work that must not be repeated.
 	obstacleFinal obstacle = "final"
 )
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -26,11 +26,16 @@
 type progress struct {
 	// outcome combines those of all attempts: NotRun only if no attempt can have been executed.
 	outcome failure.Outcome
-	// sent counts attempts that may have been executed, refused those that a server refused and unreached those that
+	// sent counts servers that may have executed the request, refused the refusals by servers and unreached the attempts that
 	// reached no server.
 	sent      int
 	refused   int
 	unreached int
+	// declined holds the servers that have refused an offer of the request while its server was silent.
+	declined map[string]bool
+	// mayRepeat holds servers that are counted in sent and may get the request again: the route bounds the servers that may
+	// execute it. They lost it without having failed.
+	mayRepeat map[string]bool
 	last      *failure.Failure
 	// failureResponse is the last complete error response of a server; nil if none.
 	failureResponse *bufferedResponse
@@ -70,7 +75,7 @@
 				return
 			}
 			fail = a.fail
-			p.record(a)
+			p.record(c.server.ID, a)
 			p.recordTried(j, c, fail)
 			f.logAttempt(j, c, p, &a)
 			if f.allowRetry(j, p, fail) {
@@ -108,18 +113,13 @@
 func (p *progress) withdraw() {
 	if p.next != nil {
 		p.next.abandon()
+		p.recordWithdrawn(p.next.choice.server.ID)
 		p.next = nil
-		p.recordWithdrawn()
 	}
 }
 
-// recordWithdrawn counts an attempt that was cancelled although its server may have begun to work on the request.
-func (p *progress) recordWithdrawn() {
-	p.outcome = verdict.Combine(p.outcome, failure.Unknown)
-	p.sent++
-}
-
-func (p *progress) record(a attemptResult) {
+// record records a failed attempt at a server.
+func (p *progress) record(server string, a attemptResult) {
 	p.outcome = verdict.Combine(p.outcome, a.fail.Outcome)
 	p.last = a.fail
 	p.suspect = p.suspect || a.suspect
@@ -132,7 +132,8 @@
 	case a.fail.Outcome == failure.NotRun:
 		p.refused++
 	default:
-		p.sent++
+		p.countServer(server)
+		delete(p.mayRepeat, server)
 	}
 }
 
@@ -142,6 +143,7 @@
 	j.tried[c.server.ID] = true
 	if p.silent != "" && fail.Outcome == failure.NotRun {
 		delete(j.tried, p.silent)
+		p.allowRepeat(p.silent)
 	}
 	p.silent = ""
 	if p.next != nil {
@@ -175,14 +177,15 @@
 // retryObstacle returns why a failed request may not be sent again whatever the retry budget holds; empty if it may. A
 // request that may have crashed a server is sent again only if servers have survived all of its prompt parts.
 func (f *Forwarder) retryObstacle(j *job, p *progress, fail *failure.Failure, now time.Time) obstacle {
+	used := p.attemptsUsed()
 	state := retry.State{
-		Now: now, Attempts: p.sent, MaxAttempts: j.route.MaxAttempts,
+		Now: now, Attempts: used, MaxAttempts: j.route.MaxAttempts,
 		Delivered: p.relay.started, Resumable: j.route.Resumable && p.relay.resumable(),
 	}
 	switch {
 	case p.suspect && !f.board.Survived(j.parts):
 		return obstaclePrompt
-	case p.refused > maxRefusals || p.unreached > maxUnreachedAttempts || p.sent >= j.route.MaxAttempts:
+	case p.refused > maxRefusals || p.unreached > maxUnreachedAttempts || used >= j.route.MaxAttempts:
 		return obstacleAttempts
 	case retry.Next(state, fail, j.route.Retryable(), j.deadline).Action == retry.GiveUp:
 		return obstacleFinal
@@ -211,6 +214,7 @@
 // pickServer chooses a server. If none has loaded the model, it waits for one, unless an attempt may already have been
 // executed. It fails with TargetMissed if the chosen server is predicted to be too late.
 func (f *Forwarder) pickServer(ctx context.Context, j *job, p *progress) (*choice, *failure.Failure) {
+	j.only = p.onlyServers(p.sent, j.route.MaxAttempts)
 	c, ok := f.chooser.choose(j, f.control.View(), f.backend.tracker, time.Now())
 	if !ok && p.sent == 0 && mayAwaitServer(j, &c, time.Now()) {
 		c, ok = f.waitForServer(ctx, j)
--- a/pkg/gateway/silence_watch.go
+++ b/pkg/gateway/silence_watch.go
@@ -15,24 +15,35 @@
 	// handoverLimit is how long an offer stays open. The rest of maxSharedTime is for the end of the other attempt, which has
 	// to reach its server from a busy host.
 	handoverLimit = maxSharedTime / 2
+	// presumedDeadAfter is the silence after which a server is presumed dead. Sound servers may be silent for a second or so;
+	// callers of streams leave after four seconds or more on the users' deployments, and need some of that at another server.
+	presumedDeadAfter = 3 * time.Second
+	// presumedDeadShare is the share of the time for a request after which its silent server is presumed dead if that is
+	// sooner. The rest is left for another server.
+	presumedDeadShare = 0.75
 )
 
 // silenceWatch offers the request of an attempt to another server when its own is silent for longer than expected, and
 // gives the attempt up once the other one has the request. A sound server may be silent for a while and still complete the
-// response, so it keeps the request as long as no other server takes it. It is safe for concurrent use.
+// response, so it keeps the request as long as no other server takes it. Once it is presumed dead, an offer that is not
+// declined is enough: otherwise the request of a dead server could not move to one that needs long to begin. It is safe for
+// concurrent use.
 type silenceWatch struct {
 	// choose returns an attempt at another server; nil for none. It is called with mu held, so that an event does not start
 	// the timer again while the request is offered.
 	choose func(s silence) taker
 	cancel context.CancelCauseFunc
+	// deadAfter is the silence after which the server is presumed dead.
+	deadAfter time.Duration
 
 	mu    sync.Mutex
 	timer *time.Timer
 	// since is when the server was last heard of, due when it counts as silent.
 	since time.Time
 	due   time.Time
-	// left is the time until due while the watch is paused, 0 while it is not.
-	left time.Duration
+	// left is the time until due while the watch is paused, 0 while it is not. pausedAt is when it was paused.
+	left     time.Duration
+	pausedAt time.Time
 	// begun is set once the first event has arrived.
 	begun bool
 	// recheck is the time until the next look at the present silence; 0 before the first look.
@@ -71,12 +82,14 @@
 	begun bool
 	// repeated is set at every look at a silence after the first.
 	repeated bool
+	// dead is set if the server is presumed dead by the time an offer runs out.
+	dead bool
 }
 
-// newSilenceWatch starts to watch an attempt whose server has to respond within limit, 0 for no bound. cancel ends the
-// attempt.
-func newSilenceWatch(limit time.Duration, cancel context.CancelCauseFunc, choose func(silence) taker) *silenceWatch {
-	w := &silenceWatch{choose: choose, cancel: cancel, since: time.Now()}
+// newSilenceWatch starts to watch an attempt whose server has to respond within limit, 0 for no bound, and is presumed dead
+// after deadAfter. cancel ends the attempt.
+func newSilenceWatch(limit, deadAfter time.Duration, cancel context.CancelCauseFunc, choose func(silence) taker) *silenceWatch {
+	w := &silenceWatch{choose: choose, cancel: cancel, deadAfter: deadAfter, since: time.Now()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.arm(limit)
@@ -116,7 +129,8 @@
 	if w.ended || w.due.IsZero() || time.Now().Before(w.due) {
 		return
 	}
-	to := w.choose(silence{length: time.Since(w.since), begun: w.begun, repeated: w.recheck > 0})
+	length := time.Since(w.since)
+	to := w.choose(silence{length: length, begun: w.begun, repeated: w.recheck > 0, dead: length >= w.deadAfter-handoverLimit})
 	if to == nil {
 		w.lookAgain()
 		return
@@ -127,10 +141,15 @@
 	go w.ask(w.latest)
 }
 
-// lookAgain sets the time of the next look at the present silence; the caller holds mu.
+// lookAgain sets the time of the next look at the present silence; the caller holds mu. One comes in time for an offer that
+// runs out when the server is presumed dead.
 func (w *silenceWatch) lookAgain() {
 	w.recheck = max(silenceRecheck, 2*w.recheck)
-	w.arm(w.recheck)
+	next := w.recheck
+	if left := w.deadAfter - handoverLimit - time.Since(w.since); left > 0 {
+		next = min(next, left)
+	}
+	w.arm(next)
 }
 
 // ask sends the request to the other server and settles the offer by its response.
@@ -143,11 +162,7 @@
 		w.withdrawn.Done()
 		return
 	}
-	step := w.handover.answer(accepted)
-	w.settle(o, step)
-	if step == handoverStay {
-		w.lookAgain()
-	}
+	w.settle(o, w.handover.answer(accepted))
 }
 
 // expire settles an offer that the other server has not answered for too long.
@@ -155,11 +170,12 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.latest == o {
-		w.settle(o, w.handover.expire())
+		w.settle(o, w.handover.expire(time.Since(w.since) >= w.deadAfter))
 	}
 }
 
-// settle carries out what follows for an offer; the caller holds mu.
+// settle carries out what follows for an offer. If the request stays with a silent server, that is looked at again. The
+// caller holds mu.
 func (w *silenceWatch) settle(o *offer, step handoverStep) {
 	switch step {
 	case handoverNone:
@@ -174,6 +190,9 @@
 	}
 	o.to.settled(step)
 	close(o.settled)
+	if !w.ended {
+		w.lookAgain()
+	}
 }
 
 // expectEvent shortens the wait to at most limit, 0 for no change: the head of a stream has arrived.
@@ -215,7 +234,7 @@
 	if w.ended || w.due.IsZero() {
 		return true
 	}
-	w.left = max(time.Until(w.due), time.Millisecond)
+	w.left, w.pausedAt = max(time.Until(w.due), time.Millisecond), time.Now()
 	w.due = time.Time{}
 	w.halt()
 	return true
@@ -226,6 +245,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.ended && w.left > 0 {
+		w.since = w.since.Add(time.Since(w.pausedAt))
 		w.arm(w.left)
 	}
 }
--- a/pkg/gateway/takeover.go
+++ b/pkg/gateway/takeover.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"time"
 
 	"trefoilferry.example/ferry/pkg/eventlog"
@@ -22,11 +21,7 @@
 	if !a.j.route.Retryable() {
 		return unwatched()
 	}
-	return newSilenceWatch(responseLimit(a.j, a.choice), a.cancel, func(s silence) taker {
-		if p.refused >= maxRefusals || p.unreached >= maxUnreachedAttempts {
-			// One more try is left for the case that the silent server fails.
-			return nil
-		}
+	return newSilenceWatch(responseLimit(a.j, a.choice), deadAfter(a.j), a.cancel, func(s silence) taker {
 		next := f.takeOver(a.j, a.choice, p, s)
 		if next == nil {
 			return nil
@@ -55,12 +50,11 @@
 		}
 		t.discard()
 		f.returnRepeat(t.j, result.fail)
-		t.p.record(result)
-		t.j.tried[t.choice.server.ID] = true
+		t.p.recordDeclined(t.j, t.choice.server.ID, result)
 		f.logAttempt(t.j, t.choice, t.p, &result)
 	case handoverWithdraw:
 		t.cancel(errWithdrawn)
-		t.p.recordWithdrawn()
+		t.p.recordWithdrawn(t.choice.server.ID)
 	case handoverMove, handoverNone:
 	}
 }
@@ -81,11 +75,19 @@
 	return max(streamTimeoutFactor*j.route.TargetLatency, predictionTimeoutFactor*c.predicted)
 }
 
+// deadAfter returns the silence after which the server of a request is presumed dead.
+func deadAfter(j *job) time.Duration {
+	if j.deadline.IsZero() {
+		return presumedDeadAfter
+	}
+	return min(presumedDeadAfter, time.Duration(presumedDeadShare*float64(j.deadline.Sub(j.arrived))))
+}
+
 // takeOver returns another server for a request whose server is silent, and spends the retry budget for it; nil if the
 // request has to stay where it is.
 func (f *Forwarder) takeOver(j *job, c *choice, p *progress, s silence) *choice {
 	now := time.Now()
-	next, why := f.chooseTakeover(j, c, p, now)
+	next, why := f.chooseTakeover(j, c, p, !s.dead && !j.hedged(), now)
 	if s.repeated && next == nil {
 		return nil
 	}
@@ -104,25 +106,26 @@
 func (f *Forwarder) logSilence(j *job, c *choice, to string, why obstacle, s silence) {
 	f.metrics.recordSilence(why)
 	f.log.Log(eventlog.ServerSilent, "request", j.meta.RequestID, "route", j.route.Name, "server", c.server.ID,
-		"silent", s.length, "begun", s.begun, "to", to, "not_moved", why)
+		"silent", s.length, "begun", s.begun, "dead", s.dead, "to", to, "not_moved", why)
 }
 
 // chooseTakeover returns the server for another attempt beside one that is in progress, or why there is none. Only a
-// server that is not suspected will do: the present one may still complete the response.
-func (f *Forwarder) chooseTakeover(j *job, c *choice, p *progress, now time.Time) (*choice, obstacle) {
-	if p.sent+1 >= j.route.MaxAttempts {
+// server that is not suspected will do: the present one may still complete the response. mayGoOn is set if the present one
+// loses the request only to a server that begins to serve it in time.
+func (f *Forwarder) chooseTakeover(j *job, c *choice, p *progress, mayGoOn bool, now time.Time) (*choice, obstacle) {
+	if !p.mayOffer(j.route.MaxAttempts, mayGoOn) {
 		return nil, obstacleAttempts
 	}
 	if f.board.Match(j.parts, now) != nil || (p.suspect && !f.board.Survived(j.parts)) {
 		return nil, obstaclePrompt
 	}
-	other := *j
-	other.tried, other.extraAttempt = maps.Clone(j.tried), true
-	other.tried[c.server.ID] = true
-	next, ok := f.chooser.choose(&other, f.control.View(), f.backend.tracker, now)
+	next, ok := f.chooser.choose(p.offerJob(j, c.server.ID, mayGoOn), f.control.View(), f.backend.tracker, now)
 	if !ok || now.Before(f.backend.tracker.Suspects()[next.server.ID]) || j.tooLate(&next, now) {
 		return nil, obstacleServer
 	}
+	if mayGoOn && next.predicted > handoverLimit {
+		return nil, obstacleSlow
+	}
 	if !f.backend.availability.Admit(incarnationOf(&next.server), now) {
 		return nil, obstacleServer
 	}
