gateway: a server that works on a long buffered response is not presumed dead at 3 s

What callers would see: a response that takes longer than 3 s is begun again at another server, which may refuse it late. Found by reading the table of the postmortem: a sound server says nothing of a buffered response before it is complete, so 3 s of silence show nothing if its route allows 4 s or more.

Cause: one bound for streams and buffered responses. Now a buffered response is given up without consent after twice its target latency at the earliest, and three quarters of the request's time as before.

TestServerIsPresumedDeadByWhatItsResponseAllows failed before in its three cases of long responses (3 s, want 8 s, 6 s and 8 s).

--- a/pkg/gateway/silence_watch.go
+++ b/pkg/gateway/silence_watch.go
@@ -21,6 +21,9 @@
 	// presumedDeadShare is the share of the time for a request after which its silent server is presumed dead if that is
 	// sooner. The rest is left for another server.
 	presumedDeadShare = 0.75
+	// lateResponseFactor is multiplied with the target latency: the least time after which the server of a buffered response
+	// is presumed dead.
+	lateResponseFactor = 2
 )
 
 // silenceWatch offers the request of an attempt to another server when its own is silent for longer than expected, and
--- a/pkg/gateway/takeover.go
+++ b/pkg/gateway/takeover.go
@@ -75,12 +75,17 @@
 	return max(streamTimeoutFactor*j.route.TargetLatency, predictionTimeoutFactor*c.predicted)
 }
 
-// deadAfter returns the silence after which the server of a request is presumed dead.
+// deadAfter returns the silence after which the server of a request is presumed dead. A sound server sends nothing of a
+// buffered response before it is complete.
 func deadAfter(j *job) time.Duration {
+	limit := presumedDeadAfter
+	if j.bufferResponse() {
+		limit = max(limit, lateResponseFactor*j.route.TargetLatency)
+	}
 	if j.deadline.IsZero() {
-		return presumedDeadAfter
+		return limit
 	}
-	return min(presumedDeadAfter, time.Duration(presumedDeadShare*float64(j.deadline.Sub(j.arrived))))
+	return min(limit, time.Duration(presumedDeadShare*float64(j.deadline.Sub(j.arrived))))
 }
 
 // takeOver returns another server for a request whose server is silent, and spends the retry budget for it; nil if the
--- a/pkg/gateway/takeover_test.go
+++ b/pkg/gateway/takeover_test.go
@@ -183,3 +183,32 @@
 	case <-ctx.Done():
 	}
 }
+
+// Load patterns: streams that pause, and buffered responses whose servers say nothing until they are complete. Guards against
+// a sound server that is presumed dead, and against a request that stays at a dead one until its deadline.
+func TestServerIsPresumedDeadByWhatItsResponseAllows(t *testing.T) {
+	arrived := time.Now()
+	for name, c := range map[string]struct {
+		kind         fleet.Kind
+		target, time time.Duration
+		want         time.Duration
+	}{
+		"stream":                           {fleet.Streaming, time.Second, 15 * time.Second, 3 * time.Second},
+		"stream with little time":          {fleet.Streaming, time.Second, 2 * time.Second, 1500 * time.Millisecond},
+		"stream without a deadline":        {fleet.Streaming, 4 * time.Second, 0, 3 * time.Second},
+		"buffered response":                {fleet.Idempotent, time.Second, 15 * time.Second, 3 * time.Second},
+		"long buffered response":           {fleet.Idempotent, 4 * time.Second, 15 * time.Second, 8 * time.Second},
+		"long response with little time":   {fleet.Idempotent, 4 * time.Second, 8 * time.Second, 6 * time.Second},
+		"long response without a deadline": {fleet.Idempotent, 4 * time.Second, 0, 8 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			j := &job{arrived: arrived, route: &fleet.Route{Kind: c.kind, TargetLatency: c.target}}
+			if c.time > 0 {
+				j.deadline = arrived.Add(c.time)
+			}
+			if got := deadAfter(j); got != c.want {
+				t.Errorf("presumed dead after %v, want %v", got, c.want)
+			}
+		})
+	}
+}
