--- a/pkg/gateway/silence_watch.go
+++ b/pkg/gateway/silence_watch.go
@@ -16,7 +16,7 @@
 	// to reach its server from a busy host.
 	handoverLimit = maxSharedTime / 2
 	// presumedDeadAfter is the silence after which a server is presumed dead. Sound servers may be silent for a second or so;
-	// callers of streams leave after four seconds or more on the users' deployments, and need some of that at another server.
+	// streams of the users' deployments have five seconds or more in all, and need some of that at another server.
 	presumedDeadAfter = 3 * time.Second
 	// presumedDeadShare is the share of the time for a request after which its silent server is presumed dead if that is
 	// sooner. The rest is left for another server.
